--- /dev/null
+++ b/crates/yuccatack_admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fair queues, limits, load shedding and retry budgets.
--- /dev/null
+++ b/crates/yuccatack_agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent process beside each minion.
--- /dev/null
+++ b/crates/yuccatack_control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control process: the replicated state of records, leases and claims.
--- /dev/null
+++ b/crates/yuccatack_control_client/src/lib.rs
@@ -0,0 +1,1 @@
+//! A client of the control leader for entries and the command line.
--- /dev/null
+++ b/crates/yuccatack_core/src/lib.rs
@@ -0,0 +1,29 @@
+//! Names, identifiers, units and collections shared by every duty.
+//!
+//! Nothing here does I/O or reads a clock. Import [`prelude`] for the common types.
+
+mod collections;
+mod identifiers;
+mod names;
+mod resources;
+mod time;
+
+pub use collections::{FastHashMap, FastHashSet};
+pub use identifiers::{
+    AttemptId, ChangeId, FencingEpoch, Generation, Incarnation, ParseAttemptIdError, Revision,
+};
+pub use names::{
+    DataCentreName, InvalidNameError, JobName, MinionName, NodeName, OrganisationName, RackName,
+    RecordName, ServiceName, WorkerName,
+};
+pub use resources::Resources;
+pub use time::{DurationMs, TimestampMs};
+
+/// The types that almost every module uses.
+pub mod prelude {
+    pub use crate::{
+        AttemptId, ChangeId, DataCentreName, DurationMs, FastHashMap, FastHashSet, FencingEpoch,
+        Generation, Incarnation, JobName, MinionName, NodeName, OrganisationName, RackName,
+        RecordName, Resources, Revision, ServiceName, TimestampMs, WorkerName,
+    };
+}
--- /dev/null
+++ b/crates/yuccatack_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process: HTTP for callers and operators.
--- /dev/null
+++ b/crates/yuccatack_leases/src/lib.rs
@@ -0,0 +1,1 @@
+//! Jobs, gangs, attempts, worker health and reclaim.
--- /dev/null
+++ b/crates/yuccatack_placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement of jobs and guarantees on accelerators.
--- /dev/null
+++ b/crates/yuccatack_records/src/lib.rs
@@ -0,0 +1,9 @@
+//! Operators' records: schema versions, generations and change identifiers.
+
+/// Generated wire types and services; regenerate with `cargo run --package codegen`.
+#[allow(missing_docs, clippy::all, clippy::pedantic, rustdoc::all)]
+pub mod generated {
+    /// The `records` protocol.
+    #[path = "yuccatack.records.v1.rs"]
+    pub mod records;
+}
--- /dev/null
+++ b/crates/yuccatack_stand_ins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform's workers and minions, for tests and examples.
--- /dev/null
+++ b/crates/yuccatack_storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data folder: log file, snapshot file, checksums and sync.
--- /dev/null
+++ b/crates/yuccatack_telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics, health endpoint and the service-level burn report.
--- /dev/null
+++ b/tools/codegen/src/main.rs
@@ -0,0 +1,32 @@
+//! Regenerates the committed `tonic` code from the `.proto` file of each crate.
+//!
+//! Run with `cargo run --package codegen` after a change to a `.proto` file.
+
+use std::error::Error;
+use std::path::Path;
+
+/// The crates that own a wire protocol; each has `proto/<name>.proto` and `src/generated/`.
+const PROTOCOLS: [(&str, &str); 5] = [
+    ("yuccatack_records", "records"),
+    ("yuccatack_view", "view"),
+    ("yuccatack_requests", "agent"),
+    ("yuccatack_requests", "claims"),
+    ("yuccatack_replication", "replication"),
+];
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../crates");
+    for (crate_name, protocol) in PROTOCOLS {
+        generate(&crates.join(crate_name), protocol)?;
+    }
+    Ok(())
+}
+
+fn generate(crate_folder: &Path, protocol: &str) -> Result<(), Box<dyn Error>> {
+    let proto_folder = crate_folder.join("proto");
+    let out_folder = crate_folder.join("src/generated");
+    std::fs::create_dir_all(&out_folder)?;
+    let descriptors = protox::compile([format!("{protocol}.proto")], [&proto_folder])?;
+    tonic_prost_build::configure().bytes(".").out_dir(out_folder).compile_fds(descriptors)?;
+    Ok(())
+}
