--- a/crates/yuccatack_core/src/lib.rs
+++ b/crates/yuccatack_core/src/lib.rs
@@ -6,6 +6,7 @@
 mod identifiers;
 mod names;
 mod resources;
+mod shape;
 mod time;
 
 pub use collections::{FastHashMap, FastHashSet};
@@ -17,13 +18,15 @@
     RecordName, ServiceName, WorkerName,
 };
 pub use resources::Resources;
+pub use shape::{Adjacency, PriorityClass, Shape};
 pub use time::{DurationMs, TimestampMs};
 
 /// The types that almost every module uses.
 pub mod prelude {
     pub use crate::{
-        AttemptId, ChangeId, DataCentreName, DurationMs, FastHashMap, FastHashSet, FencingEpoch,
-        Generation, Incarnation, JobName, MinionName, NodeName, OrganisationName, RackName,
-        RecordName, Resources, Revision, ServiceName, TimestampMs, WorkerName,
+        Adjacency, AttemptId, ChangeId, DataCentreName, DurationMs, FastHashMap, FastHashSet,
+        FencingEpoch, Generation, Incarnation, JobName, MinionName, NodeName, OrganisationName,
+        PriorityClass, RackName, RecordName, Resources, Revision, ServiceName, Shape, TimestampMs,
+        WorkerName,
     };
 }
--- a/crates/yuccatack_records/src/lib.rs
+++ b/crates/yuccatack_records/src/lib.rs
@@ -7,3 +7,10 @@
     #[path = "yuccatack.records.v1.rs"]
     pub mod records;
 }
+
+mod record;
+
+pub use record::{
+    GuaranteeRecord, Indicator, JobRecord, MembershipRecord, MembershipReplica, ObjectiveRecord,
+    OrganisationRecord, PolicyRecord, Record, RecordKind, ServiceRecord,
+};
--- a/crates/yuccatack_view/src/lib.rs
+++ b/crates/yuccatack_view/src/lib.rs
@@ -7,3 +7,7 @@
     #[path = "yuccatack.view.v1.rs"]
     pub mod view;
 }
+
+mod state;
+
+pub use state::{MinionEntry, MinionState, MinionStatus, RecordEntry, RecordKey, View, ViewHandle};
