--- a/crates/yuccatack_stand_ins/src/lib.rs
+++ b/crates/yuccatack_stand_ins/src/lib.rs
@@ -1,1 +1,5 @@
-//! Stand-ins for the platform's workers and minions, for tests and examples.
+//! Stand-ins for the platform's workers, minions and callers, for tests and examples.
+
+mod caller;
+
+pub use caller::{CallerAnswer, CallerStandIn};
--- a/tools/codegen/src/main.rs
+++ b/tools/codegen/src/main.rs
@@ -4,14 +4,16 @@
 
 use std::error::Error;
 use std::path::Path;
+use std::process::Command;
 
 /// The crates that own a wire protocol; each has `proto/<name>.proto` and `src/generated/`.
-const PROTOCOLS: [(&str, &str); 5] = [
+const PROTOCOLS: [(&str, &str); 6] = [
     ("yuccatack_records", "records"),
     ("yuccatack_view", "view"),
     ("yuccatack_requests", "agent"),
     ("yuccatack_requests", "claims"),
     ("yuccatack_replication", "replication"),
+    ("yuccatack_control", "workers"),
 ];
 
 fn main() -> Result<(), Box<dyn Error>> {
@@ -19,6 +21,11 @@
     for (crate_name, protocol) in PROTOCOLS {
         generate(&crates.join(crate_name), protocol)?;
     }
+    // The formatter check covers the generated files too.
+    let status = Command::new(env!("CARGO")).args(["fmt", "--all"]).status()?;
+    if !status.success() {
+        return Err(format!("cargo fmt ended with {status}").into());
+    }
     Ok(())
 }
 
