Add the record store, schema versions v1 and v2 and change ids

Records were types only.

A withdrawn name keeps its generation for good, as a 64-bit digest: otherwise the resend of a submission whose change id was forgotten would be applied a second time after the withdrawal.

--- a/crates/yuccatack_records/src/lib.rs
+++ b/crates/yuccatack_records/src/lib.rs
@@ -1,4 +1,7 @@
 //! Operators' records: schema versions, generations and change identifiers.
+//!
+//! [`RecordStore`] is a pure, replicated state machine; [`decode`] reads a document of any kind and
+//! schema version into one internal type.
 
 /// Generated wire types and services; regenerate with `cargo run --package codegen`.
 #[allow(missing_docs, clippy::all, clippy::pedantic, rustdoc::all)]
@@ -8,9 +11,24 @@
     pub mod records;
 }
 
+mod change;
+mod change_history;
+mod problem;
 mod record;
+mod references;
+mod store;
+mod wire;
+mod withdrawn;
 
+pub use change::{Change, ChangeOutcome, ContentDigest, Operation, Refusal, RefusalKind};
+pub use change_history::{MAX_REMEMBERED_AGE, MAX_REMEMBERED_CHANGES, RememberedChange};
+pub use problem::RecordProblem;
 pub use record::{
     GuaranteeRecord, Indicator, JobRecord, MembershipRecord, MembershipReplica, ObjectiveRecord,
-    OrganisationRecord, PolicyRecord, Record, RecordKind, ServiceRecord,
+    OrganisationRecord, PolicyRecord, Record, RecordKey, RecordKind, ServiceRecord,
+};
+pub use store::{RecordStore, StoredRecord, Validated};
+pub use wire::{
+    DecodedDocument, MAX_DOCUMENT_LENGTH_BYTES, NEWEST_SCHEMA_VERSION, decode, decode_document,
+    decode_key,
 };
--- a/crates/yuccatack_records/src/record.rs
+++ b/crates/yuccatack_records/src/record.rs
@@ -1,5 +1,7 @@
 //! The one internal type of each record kind; every schema version is converted into it.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use yuccatack_core::prelude::*;
 
@@ -23,6 +25,58 @@
     Membership,
 }
 
+impl RecordKind {
+    /// Every kind.
+    pub const ALL: [Self; 7] = [
+        Self::Organisation,
+        Self::Guarantee,
+        Self::Job,
+        Self::Policy,
+        Self::Service,
+        Self::Objective,
+        Self::Membership,
+    ];
+
+    /// The word that stands for the kind in documents and messages.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Organisation => "organisation",
+            Self::Guarantee => "guarantee",
+            Self::Job => "job",
+            Self::Policy => "policy",
+            Self::Service => "service",
+            Self::Objective => "objective",
+            Self::Membership => "membership",
+        }
+    }
+
+    /// The kind that `word` stands for.
+    pub fn from_word(word: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.as_str() == word)
+    }
+}
+
+impl fmt::Display for RecordKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
+
+/// The kind and name of a record.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct RecordKey {
+    /// The kind.
+    pub kind: RecordKind,
+    /// The name.
+    pub name: RecordName,
+}
+
+impl fmt::Display for RecordKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} `{}`", self.kind, self.name)
+    }
+}
+
 /// A record of any kind.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
@@ -42,6 +96,33 @@
     Membership(MembershipRecord),
 }
 
+impl Record {
+    /// The kind of the record.
+    pub const fn kind(&self) -> RecordKind {
+        match self {
+            Self::Organisation(_) => RecordKind::Organisation,
+            Self::Guarantee(_) => RecordKind::Guarantee,
+            Self::Job(_) => RecordKind::Job,
+            Self::Policy(_) => RecordKind::Policy,
+            Self::Service(_) => RecordKind::Service,
+            Self::Objective(_) => RecordKind::Objective,
+            Self::Membership(_) => RecordKind::Membership,
+        }
+    }
+
+    /// The organisation that the record refers to.
+    pub const fn organisation(&self) -> Option<&OrganisationName> {
+        match self {
+            Self::Guarantee(guarantee) => Some(&guarantee.organisation),
+            Self::Job(job) => Some(&job.organisation),
+            Self::Objective(objective) => objective.organisation.as_ref(),
+            Self::Organisation(_) | Self::Policy(_) | Self::Service(_) | Self::Membership(_) => {
+                None
+            }
+        }
+    }
+}
+
 /// A tenant.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OrganisationRecord {
--- /dev/null
+++ b/crates/yuccatack_records/src/withdrawn.rs
@@ -0,0 +1,42 @@
+//! The generations of withdrawn names.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use yuccatack_core::prelude::*;
+
+use crate::record::RecordKey;
+
+/// The generations of names that were in use and are not in force.
+///
+/// An entry is never forgotten: it keeps generations from going back and refuses the resend of a
+/// submission whose change id has been forgotten. Names are kept as 64-bit digests, because each
+/// of the 8,600 jobs a day leaves an entry. Two names with equal digests share the larger
+/// generation; a submission under the other name is then refused once with the generation to state.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct WithdrawnNames {
+    generations: BTreeMap<u64, Generation>,
+}
+
+impl WithdrawnNames {
+    /// The generation of the withdrawal; 0 when the name was never withdrawn.
+    pub fn generation(&self, key: &RecordKey) -> Generation {
+        self.generations.get(&digest(key)).copied().unwrap_or_default()
+    }
+
+    /// Notes a withdrawal.
+    pub fn insert(&mut self, key: &RecordKey, generation: Generation) {
+        let kept = self.generations.entry(digest(key)).or_default();
+        *kept = generation.max(*kept);
+    }
+}
+
+fn digest(key: &RecordKey) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key.kind.as_str().as_bytes());
+    hasher.update(b"/");
+    hasher.update(key.name.as_str().as_bytes());
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    u64::from_le_bytes(bytes)
+}
