Check settings before loading them

A wrong settings file was refused by the parser with its first error only, without the remedy. The checks now work on the parsed YAML and name every problem with file, path, what was found and the remedy: unknown keys with the nearest known one or the right unit, values out of range, and values that contradict each other.

--- /dev/null
+++ b/crates/yuccatack_settings/src/validation/control.rs
@@ -0,0 +1,251 @@
+//! Fields of the control role and the rules between them.
+
+use std::net::SocketAddr;
+
+use serde_yaml_ng::Value;
+
+use super::describe;
+use super::section::{PlacedAddress, Section, check_distinct, check_reachable, placed};
+use crate::{Field, FieldKind, Problem};
+
+/// The most control VMs that a deployment may use, from the design page.
+const MAXIMUM_REPLICA_COUNT: usize = 13;
+
+/// The settings of a control replica.
+pub(super) const FIELDS: &[Field] = &[
+    Field::required("node", FieldKind::Name, "The name of this process."),
+    Field::required("data_centre", FieldKind::Name, "The data centre that this process runs in."),
+    Field::required(
+        "replica_id",
+        FieldKind::Integer { minimum: 1, maximum: u64::MAX },
+        "The number of this replica. It is unique for the life of the deployment; a replacement \
+         gets a new one.",
+    ),
+    Field::required(
+        "listen_address",
+        FieldKind::Address,
+        "Where this replica answers the system's own processes.",
+    ),
+    Field::required(
+        "worker_address",
+        FieldKind::Address,
+        "Where this replica answers the heartbeats of workers over HTTP.",
+    ),
+    Field::optional("metrics_address", FieldKind::Address, "Where metrics and health are served."),
+    Field::required(
+        "data_folder",
+        FieldKind::Folder,
+        "The folder that holds all durable state, on a disk of this machine.",
+    ),
+    Field::required(
+        "initial_replicas",
+        FieldKind::Replicas,
+        "The voters with which a new deployment starts, the same list on each of them.",
+    ),
+    Field::integer("heartbeat_ms", 50, (10, 10_000), "How often a leader sends a heartbeat."),
+    Field::integer(
+        "election_timeout_ms",
+        250,
+        (50, 60_000),
+        "The shortest election timeout; the longest is twice as long. At least three times \
+         `heartbeat_ms`.",
+    ),
+    Field::integer(
+        "lease_ms",
+        6_000,
+        (1_000, 600_000),
+        "How long a worker's lease lasts after a heartbeat.",
+    ),
+    Field::integer(
+        "clock_margin_ms",
+        500,
+        (1, 60_000),
+        "The largest difference between two clocks over one lease. Shorter than `lease_ms`.",
+    ),
+    Field::integer(
+        "checkpoint_limit_ms",
+        3_000,
+        (100, 600_000),
+        "How long a task may take to write a checkpoint before it is stopped.",
+    ),
+    Field::integer(
+        "claim_age_limit_ms",
+        24 * 60 * 60 * 1000,
+        (60_000, 30 * 24 * 60 * 60 * 1000),
+        "How long request claims are kept; an older key is refused.",
+    ),
+    Field::integer(
+        "claim_count_limit",
+        1_000_000,
+        (1, 100_000_000),
+        "How many request claims are kept at most.",
+    ),
+    Field::integer(
+        "snapshot_entry_count",
+        10_000,
+        (100, 10_000_000),
+        "How many log entries are kept before a snapshot replaces them.",
+    ),
+    Field::integer(
+        "drain_limit_ms",
+        10_000,
+        (0, 600_000),
+        "How long a graceful shutdown may take, the transfer of leadership included.",
+    ),
+];
+
+/// The keys of one element of `initial_replicas`.
+pub const REPLICA_FIELDS: &[Field] = &[
+    Field::required(
+        "replica_id",
+        FieldKind::Integer { minimum: 1, maximum: u64::MAX },
+        "The number of the replica.",
+    ),
+    Field::required(
+        "address",
+        FieldKind::Address,
+        "Where the replica answers the system's own processes.",
+    ),
+];
+
+/// One replica of the list as far as it is valid.
+struct PlacedReplica {
+    path: String,
+    replica_id: Option<u64>,
+    address: Option<PlacedAddress>,
+}
+
+/// Checks the list `initial_replicas` on its own.
+pub(super) fn check_replicas(path: &str, value: &Value, problems: &mut Vec<Problem>) {
+    let Some(elements) = value.as_sequence() else {
+        let remedy = "give a list of replicas, each with `replica_id` and `address`";
+        problems.push(Problem::new(path, format!("found {}", describe(value)), remedy));
+        return;
+    };
+    if elements.is_empty() {
+        problems.push(Problem::new(path, "the list is empty", "list at least this replica"));
+    }
+    if elements.len() > MAXIMUM_REPLICA_COUNT {
+        let found = format!("{} replicas", elements.len());
+        let remedy = format!("list {MAXIMUM_REPLICA_COUNT} at most; 3 or 5 are usual");
+        problems.push(Problem::new(path, found, remedy));
+    }
+    for (index, element) in elements.iter().enumerate() {
+        let path = format!("{path}[{index}]");
+        match element.as_mapping() {
+            Some(mapping) => {
+                let prefix = format!("{path}.");
+                problems.extend(Section::new(mapping, REPLICA_FIELDS, &prefix).check_fields());
+            }
+            None => problems.push(Problem::new(
+                path,
+                format!("found {}", describe(element)),
+                "give `replica_id` and `address`",
+            )),
+        }
+    }
+}
+
+/// Checks the rules between settings of a control replica.
+pub(super) fn check_relations(section: &Section<'_>, problems: &mut Vec<Problem>) {
+    check_timing(section, problems);
+    let replicas = read_replicas(section);
+    check_identifiers(&replicas, problems);
+    check_own_replica(section, &replicas, problems);
+    let addresses: Vec<PlacedAddress> =
+        replicas.iter().filter_map(|replica| replica.address.clone()).collect();
+    check_reachable(&addresses, problems);
+    check_distinct(&addresses, problems);
+    let mut own = section.addresses("listen_address");
+    own.extend(section.addresses("worker_address"));
+    own.extend(section.addresses("metrics_address"));
+    check_distinct(&own, problems);
+}
+
+fn check_timing(section: &Section<'_>, problems: &mut Vec<Problem>) {
+    let (heartbeat, election) =
+        (section.integer("heartbeat_ms"), section.integer("election_timeout_ms"));
+    // One lost or late heartbeat must not start an election.
+    if let (Some(heartbeat), Some(election)) = (heartbeat, election)
+        && election < heartbeat.saturating_mul(3)
+    {
+        problems.push(Problem::new(
+            section.path("election_timeout_ms"),
+            format!("{election} ms is less than three heartbeats of {heartbeat} ms"),
+            "raise `election_timeout_ms` or lower `heartbeat_ms`",
+        ));
+    }
+    let (lease, margin) = (section.integer("lease_ms"), section.integer("clock_margin_ms"));
+    if let (Some(lease), Some(margin)) = (lease, margin)
+        && margin >= lease
+    {
+        problems.push(Problem::new(
+            section.path("clock_margin_ms"),
+            format!("a margin of {margin} ms is not shorter than the lease of {lease} ms"),
+            "lower `clock_margin_ms` or raise `lease_ms`",
+        ));
+    }
+}
+
+fn read_replicas(section: &Section<'_>) -> Vec<PlacedReplica> {
+    let path = section.path("initial_replicas");
+    let Some(elements) = section.value("initial_replicas").and_then(Value::as_sequence) else {
+        return Vec::new();
+    };
+    let read = |(index, element): (usize, &Value)| {
+        let path = format!("{path}[{index}]");
+        let replica_id = element.get("replica_id").and_then(Value::as_u64);
+        let address_path = format!("{path}.address");
+        let address = element.get("address").and_then(|value| placed(address_path, value));
+        PlacedReplica { path, replica_id, address }
+    };
+    elements.iter().enumerate().map(read).collect()
+}
+
+fn check_identifiers(replicas: &[PlacedReplica], problems: &mut Vec<Problem>) {
+    for (index, replica) in replicas.iter().enumerate() {
+        let Some(replica_id) = replica.replica_id else { continue };
+        let mut earlier = replicas[..index].iter();
+        if let Some(first) = earlier.find(|other| other.replica_id == Some(replica_id)) {
+            problems.push(Problem::new(
+                format!("{}.replica_id", replica.path),
+                format!("`{replica_id}` is also the number of `{}`", first.path),
+                "give each replica its own number",
+            ));
+        }
+    }
+}
+
+fn check_own_replica(
+    section: &Section<'_>,
+    replicas: &[PlacedReplica],
+    problems: &mut Vec<Problem>,
+) {
+    let Some(replica_id) = section.integer("replica_id") else { return };
+    if replicas.is_empty() {
+        return;
+    }
+    let Some(own) = replicas.iter().find(|replica| replica.replica_id == Some(replica_id)) else {
+        problems.push(Problem::new(
+            section.path("replica_id"),
+            format!("no element of `initial_replicas` has the number {replica_id}"),
+            "add this replica to the list or correct the number",
+        ));
+        return;
+    };
+    let listen = section.addresses("listen_address");
+    if let (Some(listen), Some(listed)) = (listen.first(), &own.address)
+        && !leads_to(listed.address, listen.address)
+    {
+        problems.push(Problem::new(
+            &listed.path,
+            format!("`{}` differs from `listen_address` {}", listed.address, listen.address),
+            "give the address at which this replica listens",
+        ));
+    }
+}
+
+/// Whether a connection to `listed` reaches a socket bound to `listen`.
+fn leads_to(listed: SocketAddr, listen: SocketAddr) -> bool {
+    listed.port() == listen.port() && (listen.ip().is_unspecified() || listed.ip() == listen.ip())
+}
