Add the command line

The binary had no commands. Results go to standard output, messages to standard error, and the exit code tells a refusal from an unknown outcome. The roles are dispatched in run.rs and are refused until their crates are connected.

--- /dev/null
+++ b/crates/yuccatack_cli/src/commands/explain.rs
@@ -0,0 +1,38 @@
+//! `explain`: explains why something is as it is.
+
+use clap::ArgMatches;
+use serde_json::Value;
+
+use super::{client, options, required, wants_json};
+use crate::context::Context;
+use crate::error::{CliError, ExitStatus};
+use crate::output;
+
+pub(super) async fn run(
+    matches: &ArgMatches,
+    context: &mut Context<'_>,
+) -> Result<ExitStatus, CliError> {
+    match matches.subcommand() {
+        Some(("job", matches)) => explain_job(matches, context).await,
+        _ => options("nothing to explain; see `yuccatack explain --help`".to_owned()),
+    }
+}
+
+async fn explain_job(
+    matches: &ArgMatches,
+    context: &mut Context<'_>,
+) -> Result<ExitStatus, CliError> {
+    let name = required(matches, "name")?;
+    let path = format!("/v1/jobs/{}/explanation", crate::client::encode_segment(name));
+    let explanation: Option<Value> = client(matches, context)?.read(&path).await?;
+    let Some(explanation) = explanation else {
+        context.message(&format!("error: no job named `{name}` is known; see `get job`"))?;
+        return Ok(ExitStatus::Refused);
+    };
+    let text = match wants_json(matches) {
+        true => serde_json::to_string_pretty(&explanation)?,
+        false => output::document(&explanation),
+    };
+    context.result(&text)?;
+    Ok(ExitStatus::Done)
+}
--- /dev/null
+++ b/crates/yuccatack_cli/src/commands/status.rs
@@ -0,0 +1,26 @@
+//! `status`: shows the state of the system.
+
+use clap::ArgMatches;
+use serde_json::Value;
+
+use super::{client, wants_json};
+use crate::context::Context;
+use crate::error::{CliError, ExitStatus};
+use crate::output;
+
+pub(super) async fn run(
+    matches: &ArgMatches,
+    context: &mut Context<'_>,
+) -> Result<ExitStatus, CliError> {
+    let status: Option<Value> = client(matches, context)?.read("/v1/status").await?;
+    let Some(status) = status else {
+        let reason = "this address has no status; give the address of an entry".to_owned();
+        return Err(CliError::RefusedRead { status: 404, reason });
+    };
+    let text = match wants_json(matches) {
+        true => serde_json::to_string_pretty(&status)?,
+        false => output::document(&status),
+    };
+    context.result(&text)?;
+    Ok(ExitStatus::Done)
+}
--- /dev/null
+++ b/crates/yuccatack_cli/src/run.rs
@@ -0,0 +1,121 @@
+//! Running a process role.
+
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use log::LevelFilter;
+use snafu::{ResultExt, Snafu};
+use yuccatack_core::NodeName;
+use yuccatack_lifecycle::{Shutdown, ShutdownPhase, shutdown_channel};
+use yuccatack_settings::{Settings, SettingsError};
+use yuccatack_telemetry::{LogDestination, LoggingError, init_logging};
+
+/// Why a process role did not start or ended with an error.
+#[derive(Debug, Snafu)]
+pub enum RunError {
+    /// The settings are wrong.
+    #[snafu(transparent)]
+    Settings {
+        /// What is wrong.
+        source: SettingsError,
+    },
+    /// Logging could not start.
+    #[snafu(transparent)]
+    Logging {
+        /// What went wrong.
+        source: LoggingError,
+    },
+    /// The runtime could not start.
+    #[snafu(display("cannot start the runtime: {source}; raise the limit of threads"))]
+    Runtime {
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// The role is not part of this build.
+    #[snafu(display("this build cannot run the role `{role}`; use a complete build"))]
+    RoleMissing {
+        /// The role.
+        role: &'static str,
+    },
+    /// The role failed.
+    #[snafu(display("the {role} process failed: {source}"))]
+    Role {
+        /// The role.
+        role: &'static str,
+        /// What went wrong.
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
+}
+
+/// How the process logs.
+#[derive(Clone, Debug)]
+pub(crate) struct LogOptions {
+    pub(crate) level: LevelFilter,
+    pub(crate) file: Option<PathBuf>,
+}
+
+/// Runs the process that the settings file describes until it is told to stop.
+pub(crate) fn run_process(file: &Path, log: LogOptions) -> Result<(), RunError> {
+    let settings = yuccatack_settings::load(file)?;
+    let destination = match log.file {
+        Some(path) => LogDestination::File(path),
+        None => LogDestination::StandardError,
+    };
+    // Dropped last, so that the log holds everything up to the end.
+    let _logging = init_logging(node(&settings), log.level, destination)?;
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().enable_all().build().context(RuntimeSnafu)?;
+    let outcome = runtime.block_on(run_until_stopped(settings));
+    if let Err(error) = &outcome {
+        log::error!(event = "process_failed", error:% = error; "the process ends with an error");
+    }
+    outcome
+}
+
+async fn run_until_stopped(settings: Settings) -> Result<(), RunError> {
+    let (trigger, shutdown) = shutdown_channel();
+    let mut aborting = shutdown.clone();
+    tokio::spawn(trigger.follow_signals(drain_limit(&settings)));
+    log::info!(event = "process_started", role = role(&settings); "started");
+    tokio::select! {
+        outcome = run_role(settings, shutdown) => outcome,
+        () = aborting.reached(ShutdownPhase::Aborting) => {
+            log::warn!(event = "process_aborted"; "the drain limit or a second signal ended it");
+            Ok(())
+        }
+    }
+}
+
+/// Hands over to the crate of the role.
+async fn run_role(settings: Settings, _shutdown: Shutdown) -> Result<(), RunError> {
+    match settings {
+        Settings::Control(_) => RoleMissingSnafu { role: "control" }.fail(),
+        Settings::Entry(_) => RoleMissingSnafu { role: "entry" }.fail(),
+        Settings::Agent(_) => RoleMissingSnafu { role: "agent" }.fail(),
+    }
+}
+
+fn node(settings: &Settings) -> &NodeName {
+    match settings {
+        Settings::Control(control) => &control.node,
+        Settings::Entry(entry) => &entry.node,
+        Settings::Agent(agent) => &agent.node,
+    }
+}
+
+const fn role(settings: &Settings) -> &'static str {
+    match settings {
+        Settings::Control(_) => "control",
+        Settings::Entry(_) => "entry",
+        Settings::Agent(_) => "agent",
+    }
+}
+
+fn drain_limit(settings: &Settings) -> Duration {
+    Duration::from_millis(match settings {
+        Settings::Control(control) => control.drain_limit_ms,
+        Settings::Entry(entry) => entry.drain_limit_ms,
+        Settings::Agent(agent) => agent.drain_limit_ms,
+    })
+}
