--- /dev/null
+++ b/crates/yuccatack_leases/src/apply.rs
@@ -0,0 +1,429 @@
+//! Applies logged commands.
+
+use yuccatack_core::prelude::*;
+
+use crate::job::{AttemptPhase, JobEntry, JobPhase, TaskState};
+use crate::message::{LeaseCommand, LeaseEvent, StopReason, TaskOutcome, WorkerRegistration};
+use crate::spec::JobSpec;
+use crate::table::LeaseTable;
+use crate::worker::{WorkerEntry, WorkerHealth};
+use crate::{MAX_FAILED_JOBS, MAX_FAILED_WORKERS};
+
+/// The first wait before a quarantined worker is probed; it doubles up to the limit.
+const FIRST_PROBE_WAIT_MS: u64 = 30_000;
+/// Half an hour keeps a permanently broken worker from costing more than 48 jobs a day.
+const PROBE_WAIT_LIMIT_MS: u64 = 1_800_000;
+/// Finished jobs are remembered this long, so that callers can ask for the result.
+const JOB_RETENTION: DurationMs = DurationMs::from_seconds(24 * 3600);
+/// At the design load of 8,600 jobs a day this keeps more than five days; the bound protects
+/// memory against bursts.
+const MAX_FINISHED_JOBS: usize = 50_000;
+/// A lost worker is forgotten after this time.
+const WORKER_RETENTION: DurationMs = DurationMs::from_seconds(3600);
+
+impl LeaseTable {
+    /// Applies one command. Commands that are out of date change nothing.
+    pub fn apply(&mut self, command: LeaseCommand) -> Vec<LeaseEvent> {
+        let events = self.dispatch(command);
+        self.applied_count += 1;
+        self.assert_invariants();
+        events
+    }
+
+    fn dispatch(&mut self, command: LeaseCommand) -> Vec<LeaseEvent> {
+        match command {
+            LeaseCommand::SetGuarantee(guarantee) => self.set_guarantee(guarantee),
+            LeaseCommand::RemoveGuarantee(name) => self.remove_guarantee(&name),
+            LeaseCommand::SetQuota(quota) => {
+                let organisation = quota.organisation.clone();
+                self.organisations.entry(organisation).or_default().quota = Some(quota);
+                Vec::new()
+            }
+            LeaseCommand::RemoveQuota(organisation) => {
+                if let Some(entry) = self.organisations.get_mut(&organisation) {
+                    entry.quota = None;
+                }
+                Vec::new()
+            }
+            LeaseCommand::SetPolicy(policy) => {
+                self.policy = policy;
+                Vec::new()
+            }
+            LeaseCommand::SubmitJob { job, at } => self.submit_job(job, at),
+            LeaseCommand::CancelJobs { jobs, at } => {
+                jobs.iter().flat_map(|job| self.cancel_job(job, at)).collect()
+            }
+            LeaseCommand::RegisterWorker { worker, at } => self.register_worker(worker, at),
+            LeaseCommand::LoseWorker { worker, registration_number, at } => {
+                self.lose_worker(&worker, registration_number, at)
+            }
+            LeaseCommand::BeginAttempt(begin) => self.begin_attempt(&begin),
+            LeaseCommand::ConfirmPrepared { job, epoch, indexes, at } => {
+                self.confirm_prepared(&job, epoch, &indexes, at)
+            }
+            LeaseCommand::StartAttempt { job, epoch, at } => self.start_attempt(&job, epoch, at),
+            LeaseCommand::MoveAttempt { job, epoch, at } => {
+                if !self.is_current(&job, epoch) {
+                    return Vec::new();
+                }
+                self.vacate_attempt(&job, StopReason::Moved, at)
+            }
+            LeaseCommand::StopAttempt { job, epoch, reason, at } => {
+                self.stop_current(&job, epoch, reason, at)
+            }
+            LeaseCommand::EndTask { job, epoch, index, outcome, at } => {
+                if !self.is_current(&job, epoch) {
+                    return Vec::new();
+                }
+                self.end_task(&job, index, outcome, at)
+            }
+        }
+    }
+
+    fn is_current(&self, job: &JobName, epoch: FencingEpoch) -> bool {
+        let attempt = self.jobs.get(job).and_then(JobEntry::attempt);
+        attempt.is_some_and(|attempt| attempt.epoch == epoch)
+    }
+
+    fn submit_job(&mut self, job: JobSpec, at: TimestampMs) -> Vec<LeaseEvent> {
+        self.forget_finished_jobs(at);
+        let name = job.name.clone();
+        if let Err(refusal) = self.check_job(&job) {
+            return vec![LeaseEvent::JobRefused(name, refusal)];
+        }
+        if self.jobs.contains_key(&name) {
+            return vec![LeaseEvent::JobAccepted(name)];
+        }
+        self.organisations.entry(job.organisation.clone()).or_default();
+        self.jobs.insert(name.clone(), JobEntry::new(job, at));
+        self.enqueue(&name);
+        vec![LeaseEvent::JobAccepted(name)]
+    }
+
+    fn forget_finished_jobs(&mut self, now: TimestampMs) {
+        while let Some((finished_at, _)) = self.finished.first() {
+            let old = now.since(*finished_at) > JOB_RETENTION;
+            if !old && self.finished.len() <= MAX_FINISHED_JOBS {
+                break;
+            }
+            if let Some((_, job)) = self.finished.pop_first() {
+                self.jobs.remove(&job);
+            }
+        }
+    }
+
+    fn cancel_job(&mut self, job: &JobName, at: TimestampMs) -> Vec<LeaseEvent> {
+        let Some(entry) = self.jobs.get(job) else { return Vec::new() };
+        match &entry.phase {
+            JobPhase::Waiting => {
+                self.dequeue(job);
+                if let Some(entry) = self.jobs.get_mut(job) {
+                    entry.phase = JobPhase::Cancelled;
+                    entry.finished_at = Some(at);
+                }
+                self.finished.insert((at, job.clone()));
+                vec![LeaseEvent::JobFinished(job.clone())]
+            }
+            JobPhase::Active(_) => {
+                let mut events = self.stop_attempt(job, StopReason::Cancelled, at);
+                // An attempt that already stops for another reason would put the job back into
+                // the queue; the cancellation takes the place of that reason.
+                if let Some(entry) = self.jobs.get_mut(job)
+                    && let JobPhase::Active(attempt) = &mut entry.phase
+                {
+                    attempt.phase = AttemptPhase::Stopping(StopReason::Cancelled);
+                }
+                events.extend(self.finish_attempt(job, at));
+                events
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn confirm_prepared(
+        &mut self,
+        job: &JobName,
+        epoch: FencingEpoch,
+        indexes: &[u32],
+        _at: TimestampMs,
+    ) -> Vec<LeaseEvent> {
+        if !self.is_current(job, epoch) {
+            return Vec::new();
+        }
+        let Some(entry) = self.jobs.get_mut(job) else { return Vec::new() };
+        let JobPhase::Active(attempt) = &mut entry.phase else { return Vec::new() };
+        for index in indexes {
+            if let Some(slot) = attempt.tasks.get_mut(*index as usize)
+                && slot.state == TaskState::Assigned
+            {
+                slot.state = TaskState::Prepared;
+            }
+        }
+        let complete = attempt.tasks.iter().all(|slot| slot.state == TaskState::Prepared);
+        if complete && attempt.phase == AttemptPhase::Preparing {
+            self.ready.insert(job.clone());
+        }
+        Vec::new()
+    }
+
+    fn start_attempt(
+        &mut self,
+        job: &JobName,
+        epoch: FencingEpoch,
+        at: TimestampMs,
+    ) -> Vec<LeaseEvent> {
+        if !self.is_current(job, epoch) || !self.ready.remove(job) {
+            return Vec::new();
+        }
+        let Some(entry) = self.jobs.get_mut(job) else { return Vec::new() };
+        assert!(
+            entry.spec.idempotent || !entry.unsaved,
+            "job {job} would run twice; report this fault"
+        );
+        let JobPhase::Active(attempt) = &mut entry.phase else { return Vec::new() };
+        attempt.phase = AttemptPhase::Running;
+        attempt.started_at = Some(at);
+        entry.started_count += 1;
+        entry.unsaved = true;
+        self.set_deadline(job, None);
+        vec![LeaseEvent::AttemptStarted(job.clone(), epoch)]
+    }
+
+    fn stop_current(
+        &mut self,
+        job: &JobName,
+        epoch: FencingEpoch,
+        reason: StopReason,
+        at: TimestampMs,
+    ) -> Vec<LeaseEvent> {
+        if !self.is_current(job, epoch) {
+            return Vec::new();
+        }
+        let Some(entry) = self.jobs.get_mut(job) else { return Vec::new() };
+        let Some(attempt) = entry.attempt() else { return Vec::new() };
+        // The overdue reasons are decisions about a phase; the phase may have passed since.
+        let phase_passed = match &reason {
+            StopReason::PrepareOverdue => attempt.phase != AttemptPhase::Preparing,
+            StopReason::CheckpointOverdue => {
+                !matches!(attempt.phase, AttemptPhase::Checkpointing(_))
+            }
+            _ => false,
+        };
+        if phase_passed {
+            return Vec::new();
+        }
+        if let StopReason::RanUnasked(_) = reason {
+            if attempt.started_at.is_some() {
+                return Vec::new();
+            }
+            entry.ran_unasked = true;
+            entry.unsaved = true;
+        }
+        self.stop_attempt(job, reason, at)
+    }
+
+    pub(crate) fn end_task(
+        &mut self,
+        job: &JobName,
+        index: u32,
+        outcome: TaskOutcome,
+        at: TimestampMs,
+    ) -> Vec<LeaseEvent> {
+        let Some(entry) = self.jobs.get_mut(job) else { return Vec::new() };
+        let JobPhase::Active(attempt) = &mut entry.phase else { return Vec::new() };
+        let Some(slot) = attempt.tasks.get(index as usize) else { return Vec::new() };
+        // A booked task was never sent to its worker, so only the loss of the worker ends it.
+        let foreign = slot.state == TaskState::Booked && outcome != TaskOutcome::Lost;
+        if slot.state.is_ended() || foreign {
+            return Vec::new();
+        }
+        let worker = slot.worker;
+        let started = attempt.started_at.is_some();
+        let stopping = matches!(attempt.phase, AttemptPhase::Stopping(_));
+        let checkpointing = matches!(attempt.phase, AttemptPhase::Checkpointing(_));
+        // A success before the start is a false report: the work cannot have been done whole.
+        let outcome = match outcome {
+            TaskOutcome::Succeeded if !started => {
+                entry.ran_unasked = true;
+                entry.unsaved = true;
+                TaskOutcome::Failed
+            }
+            TaskOutcome::Checkpointed if !checkpointing && !stopping => TaskOutcome::Stopped,
+            other => other,
+        };
+        self.release_task(job, index, outcome, at);
+        let Some(name) = self.worker_name(worker) else { return Vec::new() };
+        let mut events = Vec::new();
+        match outcome {
+            TaskOutcome::Succeeded => events.extend(self.credit_worker(&name)),
+            TaskOutcome::Failed if !stopping => {
+                events.extend(self.blame_worker(&name, job, at));
+                events.extend(self.stop_attempt(job, StopReason::TaskFailed(name), at));
+            }
+            TaskOutcome::Stopped | TaskOutcome::Lost if !stopping => {
+                events.extend(self.stop_attempt(job, StopReason::TaskLost(name), at));
+            }
+            TaskOutcome::Failed
+            | TaskOutcome::Stopped
+            | TaskOutcome::Lost
+            | TaskOutcome::Checkpointed => {}
+        }
+        events.extend(self.finish_attempt(job, at));
+        events
+    }
+
+    fn credit_worker(&mut self, name: &WorkerName) -> Vec<LeaseEvent> {
+        let Some(worker) = self.workers.get_mut(name) else { return Vec::new() };
+        worker.failed_jobs.clear();
+        if !matches!(worker.health, WorkerHealth::Quarantined { .. }) {
+            return Vec::new();
+        }
+        worker.health = WorkerHealth::Healthy;
+        let index = worker.index;
+        self.quarantined.remove(name);
+        self.cluster.update(index, |cell| cell.schedulable = true);
+        let mut events = vec![LeaseEvent::WorkerRestored(name.clone())];
+        events.extend(self.restore_bindings());
+        events
+    }
+
+    /// Counts the first failure of an attempt against the job and the worker.
+    fn blame_worker(
+        &mut self,
+        name: &WorkerName,
+        job: &JobName,
+        at: TimestampMs,
+    ) -> Vec<LeaseEvent> {
+        let Some(worker) = self.workers.get_mut(name) else { return Vec::new() };
+        if worker.failed_jobs.len() < MAX_FAILED_JOBS {
+            worker.failed_jobs.insert(job.clone());
+        }
+        let full = worker.failed_jobs.len() >= MAX_FAILED_JOBS;
+        let mut healthy = true;
+        let mut quarantine = false;
+        match worker.health {
+            WorkerHealth::Healthy if full => quarantine = true,
+            WorkerHealth::Quarantined { backoff_ms, .. } => {
+                healthy = false;
+                worker.health = WorkerHealth::Quarantined {
+                    probe_at: at + DurationMs::new(backoff_ms),
+                    backoff_ms: (backoff_ms * 2).min(PROBE_WAIT_LIMIT_MS),
+                };
+            }
+            WorkerHealth::Healthy | WorkerHealth::Lost { .. } => {}
+        }
+        let record = (name.clone(), worker.quarantine_count);
+        if let Some(entry) = self.jobs.get_mut(job) {
+            entry.failure_count += 1;
+            if healthy && !entry.failed_on.contains(&record) {
+                // One more than matter, because a later quarantine may discount one.
+                entry.failed_on.truncate(2 * MAX_FAILED_WORKERS);
+                entry.failed_on.push(record);
+            }
+        }
+        if quarantine { self.quarantine(name, at) } else { Vec::new() }
+    }
+
+    fn quarantine(&mut self, name: &WorkerName, at: TimestampMs) -> Vec<LeaseEvent> {
+        let Some(worker) = self.workers.get_mut(name) else { return Vec::new() };
+        worker.health = WorkerHealth::Quarantined {
+            probe_at: at + DurationMs::new(FIRST_PROBE_WAIT_MS),
+            backoff_ms: 2 * FIRST_PROBE_WAIT_MS,
+        };
+        worker.quarantine_count += 1;
+        let index = worker.index;
+        self.quarantined.insert(name.clone());
+        self.retire_capacity(index);
+        let mut events = vec![LeaseEvent::WorkerQuarantined(name.clone())];
+        events.extend(self.restore_bindings());
+        events
+    }
+
+    /// Takes a worker out of the capacity; what runs there is not affected.
+    fn retire_capacity(&mut self, index: u32) {
+        self.unbind_worker(index);
+        self.cluster.update(index, |cell| cell.schedulable = false);
+    }
+
+    fn register_worker(
+        &mut self,
+        registration: WorkerRegistration,
+        at: TimestampMs,
+    ) -> Vec<LeaseEvent> {
+        self.forget_lost_workers(at);
+        let name = &registration.worker;
+        let mut quarantine_count = 0;
+        let mut registration_number = 1;
+        if let Some(known) = self.workers.get(name) {
+            if !matches!(known.health, WorkerHealth::Lost { .. }) {
+                return Vec::new();
+            }
+            quarantine_count = known.quarantine_count;
+            registration_number = known.registration_number + 1;
+            self.forget_worker(name);
+        }
+        let index = self.cluster.add_worker(
+            name,
+            &registration.data_centre,
+            &registration.rack,
+            registration.resources,
+        );
+        let entry = WorkerEntry {
+            index,
+            incarnation: registration.incarnation,
+            registration_number,
+            resources: registration.resources,
+            health: WorkerHealth::Healthy,
+            tasks: Default::default(),
+            failed_jobs: Default::default(),
+            quarantine_count,
+        };
+        self.workers.insert(name.clone(), entry);
+        let mut events = Vec::new();
+        events.push(LeaseEvent::WorkerRegistered(name.clone()));
+        events.extend(self.restore_bindings());
+        events
+    }
+
+    fn lose_worker(
+        &mut self,
+        name: &WorkerName,
+        registration_number: u64,
+        at: TimestampMs,
+    ) -> Vec<LeaseEvent> {
+        let Some(worker) = self.workers.get_mut(name) else { return Vec::new() };
+        let lost = matches!(worker.health, WorkerHealth::Lost { .. });
+        if worker.registration_number != registration_number || lost {
+            return Vec::new();
+        }
+        worker.health = WorkerHealth::Lost { since: at };
+        let (index, tasks) = (worker.index, worker.tasks.clone());
+        self.quarantined.remove(name);
+        self.lost.insert((at, name.clone()));
+        self.retire_capacity(index);
+        let mut events = vec![LeaseEvent::WorkerLost(name.clone())];
+        for key in tasks {
+            events.extend(self.end_task(&key.job, key.index, TaskOutcome::Lost, at));
+        }
+        events.extend(self.restore_bindings());
+        events
+    }
+
+    fn forget_lost_workers(&mut self, now: TimestampMs) {
+        while let Some((since, name)) = self.lost.first().cloned() {
+            if now.since(since) <= WORKER_RETENTION {
+                break;
+            }
+            self.forget_worker(&name);
+        }
+    }
+
+    fn forget_worker(&mut self, name: &WorkerName) {
+        let Some(worker) = self.workers.remove(name) else { return };
+        if let WorkerHealth::Lost { since } = worker.health {
+            self.lost.remove(&(since, name.clone()));
+        }
+        self.quarantined.remove(name);
+        self.cluster.remove_worker(worker.index);
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_leases/src/invariant.rs
@@ -0,0 +1,129 @@
+//! Invariants that are asserted after every command.
+
+use std::collections::BTreeMap;
+
+use yuccatack_core::prelude::*;
+
+use crate::job::{AttemptPhase, TaskState};
+use crate::table::LeaseTable;
+
+/// Up to this many workers the full check runs after every command.
+const SMALL_WORKER_COUNT: usize = 32;
+/// On larger platforms the full check, which visits every task, runs once in this many commands.
+const FULL_CHECK_INTERVAL: u64 = 4_096;
+
+impl LeaseTable {
+    pub(crate) fn assert_invariants(&self) {
+        let small = self.workers.len() <= SMALL_WORKER_COUNT;
+        let sampled = self.applied_count.is_multiple_of(FULL_CHECK_INTERVAL);
+        if !small && !sampled {
+            return;
+        }
+        if let Err(violation) = self.verify() {
+            panic!("{violation}; report this fault");
+        }
+    }
+
+    /// Recomputes everything from the attempts and bindings and compares.
+    ///
+    /// Covers R1 (every unclaimed guaranteed shape can be freed by reclaiming borrowers alone),
+    /// R2 (a started gang is whole until it ends) and that no accelerator has two users.
+    pub fn verify(&self) -> Result<(), String> {
+        let mut used: BTreeMap<u32, Resources> = BTreeMap::new();
+        let mut booked: BTreeMap<u32, Resources> = BTreeMap::new();
+        let mut firm: BTreeMap<u32, Resources> = BTreeMap::new();
+        let mut masks: BTreeMap<u32, u64> = BTreeMap::new();
+        let add = |map: &mut BTreeMap<u32, Resources>, worker: u32, amount: &Resources| {
+            let slot = map.entry(worker).or_default();
+            *slot = slot.checked_add(amount).unwrap_or(*slot);
+        };
+        for (name, job) in &self.jobs {
+            let Some(attempt) = job.attempt() else { continue };
+            let need = &job.spec.shape.task;
+            for task in &attempt.tasks {
+                match task.state {
+                    TaskState::Ended(_) => continue,
+                    TaskState::Booked => add(&mut booked, task.worker, need),
+                    TaskState::Assigned | TaskState::Prepared => {
+                        add(&mut used, task.worker, need);
+                        let mask = masks.entry(task.worker).or_default();
+                        if *mask & task.accelerator_mask != 0 {
+                            return Err(format!("an accelerator of {name} has two users"));
+                        }
+                        *mask |= task.accelerator_mask;
+                        if task.accelerator_mask.count_ones() != need.accelerator_count {
+                            return Err(format!("a task of {name} has too few accelerators"));
+                        }
+                    }
+                }
+                if attempt.firm {
+                    add(&mut firm, task.worker, need);
+                }
+            }
+            let partial = attempt.phase == AttemptPhase::Running
+                && attempt.tasks.iter().any(|task| task.state == TaskState::Assigned);
+            if partial {
+                return Err(format!("{name} runs without all of its tasks"));
+            }
+            if attempt.firm && attempt.claim.is_some() {
+                return Err(format!("{name} holds capacity both firmly and in a claim"));
+            }
+        }
+        let mut reserved: BTreeMap<u32, Resources> = BTreeMap::new();
+        for (name, entry) in &self.guarantees {
+            for (number, instance) in entry.instances.iter().enumerate() {
+                let key = (name.clone(), number as u32);
+                if instance.binding.is_empty() != self.unbacked.contains(&key) {
+                    return Err(format!("guarantee {name} is neither bound nor reported unbacked"));
+                }
+                for (worker, count) in &instance.binding {
+                    let amount = entry.spec.shape.task.checked_mul(*count).unwrap_or_default();
+                    add(&mut reserved, *worker, &amount);
+                }
+            }
+        }
+        for (index, cell) in self.cluster.workers() {
+            let of = |map: &BTreeMap<u32, Resources>| map.get(&index).copied().unwrap_or_default();
+            let mask = masks.get(&index).copied().unwrap_or_default();
+            let consistent = cell.used == of(&used)
+                && cell.booked == of(&booked)
+                && cell.firm == of(&firm)
+                && cell.reserved == of(&reserved)
+                && cell.accelerator_mask == mask;
+            if !consistent {
+                return Err(format!("the capacity of {} does not match its tasks", cell.name));
+            }
+            if !cell.total.contains(&cell.used) {
+                return Err(format!("{} is used beyond its capacity", cell.name));
+            }
+            let kept = cell.firm.checked_add(&cell.reserved).unwrap_or(cell.firm);
+            if cell.schedulable && !cell.total.contains(&kept) {
+                return Err(format!("a guaranteed shape on {} cannot be reclaimed", cell.name));
+            }
+        }
+        self.verify_claims()
+    }
+
+    /// A claiming job runs inside its binding, so that it takes nothing from other guarantees.
+    fn verify_claims(&self) -> Result<(), String> {
+        for (name, entry) in &self.guarantees {
+            for instance in &entry.instances {
+                let Some(job) = &instance.claimed_by else { continue };
+                let attempt = self.jobs.get(job).and_then(|job| job.attempt());
+                let Some(attempt) = attempt else {
+                    return Err(format!(
+                        "guarantee {name} is claimed by {job}, which holds nothing"
+                    ));
+                };
+                let mut left: BTreeMap<u32, u32> = instance.binding.iter().copied().collect();
+                for task in attempt.tasks.iter().filter(|task| !task.state.is_ended()) {
+                    match left.get_mut(&task.worker) {
+                        Some(count) if *count > 0 => *count -= 1,
+                        _ => return Err(format!("{job} runs outside its claim of {name}")),
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_leases/src/reservation.rs
@@ -0,0 +1,124 @@
+//! The reservation for the oldest starved job.
+
+use yuccatack_core::prelude::*;
+use yuccatack_placement::{Reservation, WorkerIndex, slot_count};
+
+use crate::job::JobEntry;
+use crate::table::LeaseTable;
+
+/// A job that waits this long although its quota allows it holds a reservation.
+pub(crate) const STARVED_AFTER: DurationMs = DurationMs::from_seconds(120);
+/// A reservation visits every task, so it is kept this long before it is computed again.
+const RESERVATION_LIFETIME: DurationMs = DurationMs::from_seconds(10);
+/// Backfilled jobs must be expected to end in time with this probability.
+pub(crate) const BACKFILL_QUANTILE: f32 = 0.8;
+
+/// The job that others may not delay, and the capacity it waits for.
+#[derive(Clone, Debug)]
+pub(crate) struct StarvedJob {
+    pub(crate) job: JobName,
+    pub(crate) reservation: Reservation,
+    computed_at: TimestampMs,
+}
+
+impl StarvedJob {
+    pub(crate) fn new(table: &LeaseTable, job: &JobName, now: TimestampMs) -> Option<Self> {
+        let reservation = reserve(table, table.jobs.get(job)?, now)?;
+        Some(Self { job: job.clone(), reservation, computed_at: now })
+    }
+
+    pub(crate) fn is_current(&self, job: &JobName, now: TimestampMs) -> bool {
+        self.job == *job && now.since(self.computed_at) < RESERVATION_LIFETIME
+    }
+}
+
+impl LeaseTable {
+    /// The time that a job still needs, corrected by what its organisation's jobs took.
+    pub(crate) fn expected_run_time(&self, job: &JobEntry, quantile: f32) -> DurationMs {
+        let declared = DurationMs::from_seconds(job.spec.declared_run_time_s);
+        let estimate = self.organisations.get(&job.spec.organisation).map(|entry| &entry.estimate);
+        let whole = estimate.map_or(declared, |estimate| estimate.corrected(declared, quantile));
+        DurationMs::new(whole.get().saturating_sub(job.saved_run_time_ms))
+    }
+
+    /// When the job's attempt is expected to end. A job that overran its expectation is taken to
+    /// need a fifth of its run time again.
+    pub(crate) fn expected_end(&self, job: &JobEntry, now: TimestampMs) -> TimestampMs {
+        let start = job.attempt().and_then(|attempt| attempt.started_at).unwrap_or(now);
+        let end = start + self.expected_run_time(job, BACKFILL_QUANTILE);
+        if end > now { end } else { now + DurationMs::new(now.since(start).get() / 5 + 1_000) }
+    }
+}
+
+/// The domain where the job's gang is expected to fit first.
+fn reserve(table: &LeaseTable, job: &JobEntry, now: TimestampMs) -> Option<Reservation> {
+    let shape = &job.spec.shape;
+    let mut domains: FastHashMap<u32, Vec<WorkerIndex>> = FastHashMap::default();
+    for (index, cell) in table.cluster.workers().filter(|(_, cell)| cell.schedulable) {
+        if slot_count(&cell.total, &shape.task) == 0 {
+            continue;
+        }
+        let key = match shape.adjacency {
+            Adjacency::Worker => index,
+            Adjacency::Rack => cell.rack,
+            Adjacency::DataCentre => cell.data_centre,
+        };
+        domains.entry(key).or_default().push(index);
+    }
+    let mut keys: Vec<u32> = domains.keys().copied().collect();
+    keys.sort_unstable();
+    keys.iter()
+        .filter_map(|key| reserve_domain(table, shape, &domains[key], now))
+        .min_by_key(|reservation| reservation.start_at)
+}
+
+fn reserve_domain(
+    table: &LeaseTable,
+    shape: &Shape,
+    workers: &[WorkerIndex],
+    now: TimestampMs,
+) -> Option<Reservation> {
+    let mut free: FastHashMap<WorkerIndex, Resources> = FastHashMap::default();
+    let mut ends: Vec<(TimestampMs, WorkerIndex, Resources)> = Vec::new();
+    let mut slots = 0;
+    for worker in workers {
+        let cell = table.cluster.worker(*worker)?;
+        free.insert(*worker, cell.free());
+        slots += slot_count(&cell.free(), &shape.task);
+        let Some(entry) = table.worker_at(*worker) else { continue };
+        for (_, job) in table.tasks_on(entry) {
+            ends.push((table.expected_end(job, now), *worker, job.spec.shape.task));
+        }
+    }
+    ends.sort_by_key(|(end, worker, _)| (*end, *worker));
+    let mut start_at = now;
+    for (end, worker, amount) in ends {
+        if slots >= shape.task_count {
+            break;
+        }
+        let slot = free.get_mut(&worker)?;
+        let before = slot_count(slot, &shape.task);
+        *slot = slot.checked_add(&amount)?;
+        slots += slot_count(slot, &shape.task) - before;
+        start_at = end;
+    }
+    if slots < shape.task_count {
+        return None;
+    }
+    let mut offers: Vec<(u32, WorkerIndex)> = free
+        .iter()
+        .map(|(worker, amount)| (slot_count(amount, &shape.task), *worker))
+        .filter(|(slots, _)| *slots > 0)
+        .collect();
+    offers.sort_by_key(|(slots, worker)| (std::cmp::Reverse(*slots), *worker));
+    let mut missing = shape.task_count;
+    let mut chosen = FastHashSet::default();
+    for (slots, worker) in offers {
+        chosen.insert(worker);
+        missing = missing.saturating_sub(slots);
+        if missing == 0 {
+            break;
+        }
+    }
+    Some(Reservation { workers: chosen, start_at })
+}
--- /dev/null
+++ b/crates/yuccatack_leases/src/schedule.rs
@@ -0,0 +1,517 @@
+//! The leader's decisions: deadlines, starts and placements.
+
+use yuccatack_core::prelude::*;
+use yuccatack_placement::{
+    Assignment, DemandProfile, Holding, Overlay, Placement, Request, Reservation, WeightedShape,
+    Weights, WorkerIndex, place, slot_count,
+};
+
+use crate::job::{AttemptPhase, JobEntry};
+use crate::message::{BeginAttempt, Claim, LeaseCommand, StopReason, WorkerTasks};
+use crate::reservation::{BACKFILL_QUANTILE, STARVED_AFTER, StarvedJob};
+use crate::table::{GuaranteeEntry, LeaseTable};
+use crate::volatile::Volatile;
+use crate::worker::WorkerHealth;
+
+/// Decisions of one call. They are in force only after the log has them; a bound keeps the
+/// overlay small and lets urgent jobs that arrive meanwhile go first in the next call.
+const MAX_DECISIONS: usize = 64;
+/// Jobs of one queue that are looked at in one call.
+const MAX_SCANNED: usize = 128;
+/// Searches of one call, successful or not.
+const MAX_SEARCHES: usize = 256;
+/// A batch job that waited this long is treated like a standard one.
+const AGING_LIMIT: DurationMs = DurationMs::from_seconds(30 * 60);
+/// Without a checkpoint, reclaimed work is lost; this stands for the lost time per victim.
+const RECLAIM_DELAY_S: f64 = 3.0;
+
+impl Volatile {
+    /// What the leader decides at `now`. Call it again once the commands are applied, after each
+    /// change of the table, and at [`Volatile::next_deadline`].
+    pub fn schedule(&mut self, table: &LeaseTable, now: TimestampMs) -> Vec<LeaseCommand> {
+        let mut commands = self.lose_silent(table, now);
+        commands.extend(overdue(table, now));
+        commands.extend(self.starts(table, now));
+        let mut pass = Pass::new(table, now);
+        pass.run(self);
+        commands.extend(pass.commands);
+        commands
+    }
+
+    fn starts(&self, table: &LeaseTable, now: TimestampMs) -> Vec<LeaseCommand> {
+        let mut commands = Vec::new();
+        for name in &table.ready {
+            let Some(attempt) = table.jobs.get(name).and_then(JobEntry::attempt) else { continue };
+            let live = |worker: WorkerIndex| {
+                table.worker_name(worker).is_some_and(|name| self.has_lease(&name, now))
+            };
+            // A gang with a silent worker would start in part.
+            if attempt.tasks.iter().all(|slot| live(slot.worker)) {
+                let (job, epoch) = (name.clone(), attempt.epoch);
+                commands.push(LeaseCommand::StartAttempt { job, epoch, at: now });
+            }
+        }
+        commands
+    }
+}
+
+fn overdue(table: &LeaseTable, now: TimestampMs) -> Vec<LeaseCommand> {
+    let mut commands = Vec::new();
+    for (deadline, job) in &table.deadlines {
+        if *deadline > now {
+            break;
+        }
+        let Some(attempt) = table.jobs.get(job).and_then(JobEntry::attempt) else { continue };
+        let reason = match attempt.phase {
+            AttemptPhase::Checkpointing(_) => StopReason::CheckpointOverdue,
+            _ => StopReason::PrepareOverdue,
+        };
+        let (job, epoch) = (job.clone(), attempt.epoch);
+        commands.push(LeaseCommand::StopAttempt { job, epoch, reason, at: now });
+    }
+    commands
+}
+
+/// One round of placements over an overlay of its own decisions.
+struct Pass<'a> {
+    table: &'a LeaseTable,
+    now: TimestampMs,
+    overlay: Overlay<'a>,
+    guarantees: FastHashMap<&'a OrganisationName, Vec<&'a GuaranteeEntry>>,
+    claimed: FastHashSet<(&'a RecordName, u32)>,
+    held: FastHashMap<&'a OrganisationName, u64>,
+    failed: FastHashSet<(Shape, bool, bool)>,
+    profile: DemandProfile,
+    reservation: Option<Reservation>,
+    search_count: usize,
+    commands: Vec<LeaseCommand>,
+}
+
+struct Queue<'a> {
+    organisation: &'a OrganisationName,
+    jobs: Vec<&'a JobName>,
+    next: usize,
+}
+
+impl<'a> Pass<'a> {
+    fn new(table: &'a LeaseTable, now: TimestampMs) -> Self {
+        let mut guarantees: FastHashMap<_, Vec<&GuaranteeEntry>> = FastHashMap::default();
+        for entry in table.guarantees.values() {
+            guarantees.entry(&entry.spec.organisation).or_default().push(entry);
+        }
+        Self {
+            table,
+            now,
+            overlay: Overlay::new(&table.cluster),
+            guarantees,
+            claimed: FastHashSet::default(),
+            held: FastHashMap::default(),
+            failed: FastHashSet::default(),
+            profile: profile(table),
+            reservation: None,
+            search_count: 0,
+            commands: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, volatile: &mut Volatile) {
+        if self.table.waiting.is_empty() {
+            volatile.starved = None;
+            return;
+        }
+        self.probe_quarantined();
+        self.place_class(PriorityClass::Urgent);
+        self.place_starved(volatile);
+        self.place_class(PriorityClass::Standard);
+        self.place_class(PriorityClass::Batch);
+    }
+
+    fn is_full(&self) -> bool {
+        self.commands.len() >= MAX_DECISIONS || self.search_count >= MAX_SEARCHES
+    }
+
+    /// Jobs that count as `class`, oldest first.
+    fn queue(&self, organisation: &OrganisationName, class: PriorityClass) -> Vec<&'a JobName> {
+        let Some(waiting) = self.table.waiting.get(organisation) else { return Vec::new() };
+        let aged = |at: TimestampMs| self.now.since(at) >= AGING_LIMIT;
+        let own = waiting.class(class);
+        let jobs: Vec<&(TimestampMs, JobName)> = match class {
+            PriorityClass::Urgent => own.take(MAX_SCANNED).collect(),
+            PriorityClass::Standard => {
+                let old = waiting.class(PriorityClass::Batch).take_while(|(at, _)| aged(*at));
+                let mut jobs: Vec<_> = old.take(MAX_SCANNED).chain(own.take(MAX_SCANNED)).collect();
+                jobs.sort();
+                jobs
+            }
+            PriorityClass::Batch => own.skip_while(|(at, _)| aged(*at)).take(MAX_SCANNED).collect(),
+        };
+        jobs.into_iter().map(|(_, job)| job).collect()
+    }
+
+    /// Places jobs of one class; the organisation with the smallest weighted share goes first.
+    fn place_class(&mut self, class: PriorityClass) {
+        let table = self.table;
+        let mut queues: Vec<Queue<'a>> = table
+            .waiting
+            .keys()
+            .map(|organisation| Queue {
+                organisation,
+                jobs: self.queue(organisation, class),
+                next: 0,
+            })
+            .filter(|queue| !queue.jobs.is_empty())
+            .collect();
+        while !self.is_full() {
+            let share = |queue: &Queue<'a>| self.share(queue.organisation);
+            let least = queues
+                .iter()
+                .enumerate()
+                .filter(|(_, queue)| queue.next < queue.jobs.len())
+                .min_by(|(_, left), (_, right)| share(left).total_cmp(&share(right)))
+                .map(|(position, _)| position);
+            let Some(position) = least else { break };
+            let queue = &mut queues[position];
+            let job = queue.jobs[queue.next];
+            queue.next += 1;
+            self.try_place(job);
+        }
+    }
+
+    fn held_count(&self, organisation: &OrganisationName) -> u64 {
+        let table = self.table.organisations.get(organisation);
+        let decided = self.held.get(organisation).copied().unwrap_or_default();
+        decided + table.map_or(0, |entry| entry.held_accelerator_count)
+    }
+
+    fn share(&self, organisation: &OrganisationName) -> f64 {
+        let quota = self.table.organisations.get(organisation).and_then(|entry| {
+            let quota = entry.quota.as_ref()?;
+            Some(quota.fair_share_weight.max(1))
+        });
+        self.held_count(organisation) as f64 / f64::from(quota.unwrap_or(1))
+    }
+
+    fn within_quota(&self, job: &JobEntry) -> bool {
+        let held = self.held_count(&job.spec.organisation) + job.spec.accelerator_count();
+        self.table.quota_of(&job.spec.organisation).is_none_or(|quota| held <= u64::from(quota))
+    }
+
+    /// The oldest waiting job of each queue is its head, so only heads can be the oldest.
+    fn place_starved(&mut self, volatile: &mut Volatile) {
+        let table = self.table;
+        let classes = [PriorityClass::Standard, PriorityClass::Batch];
+        let oldest = table
+            .waiting
+            .values()
+            .flat_map(|waiting| classes.iter().filter_map(|class| waiting.class(*class).next()))
+            .filter(|(at, _)| self.now.since(*at) >= STARVED_AFTER)
+            .filter(|(_, job)| table.jobs.get(job).is_some_and(|job| self.within_quota(job)))
+            .min();
+        let Some((_, job)) = oldest else {
+            volatile.starved = None;
+            return;
+        };
+        if self.try_place(job) {
+            volatile.starved = None;
+            return;
+        }
+        let current = volatile.starved.as_ref().is_some_and(|held| held.is_current(job, self.now));
+        if !current {
+            volatile.starved = StarvedJob::new(table, job, self.now);
+        }
+        self.reservation = volatile.starved.as_ref().map(|held| held.reservation.clone());
+        // The failure above was found without the reservation; keys include its effect.
+        self.failed.clear();
+    }
+
+    fn try_place(&mut self, name: &'a JobName) -> bool {
+        let table = self.table;
+        let Some(job) = table.jobs.get(name) else { return false };
+        if self.is_full() || !job.may_start_again() || !self.within_quota(job) {
+            return false;
+        }
+        let excluded: Vec<WorkerIndex> = job
+            .failed_on
+            .iter()
+            .filter_map(|(worker, _)| table.cluster.worker_index(worker))
+            .collect();
+        if let Some((placement, claim)) = self.claim_free(job) {
+            self.decide(name, job, placement, Some(claim));
+            return true;
+        }
+        if let Some(placement) = self.place_unclaimed(job, &excluded) {
+            self.decide(name, job, placement.assignments, None);
+            return true;
+        }
+        if let Some((placement, claim)) = self.claim_reclaim(job) {
+            self.decide(name, job, placement, Some(claim));
+            return true;
+        }
+        false
+    }
+
+    fn request<'b>(&'b self, job: &JobEntry, excluded: &'b [WorkerIndex]) -> Request<'b> {
+        let policy = &self.table.policy;
+        let reclaimable = job.spec.is_reclaimable();
+        Request {
+            shape: job.spec.shape,
+            data_centres: &[],
+            holding: if reclaimable { Holding::Borrowed } else { Holding::Firm },
+            excluded,
+            reservation: self
+                .reservation
+                .as_ref()
+                .filter(|_| job.spec.class != PriorityClass::Urgent),
+            expected_end: self.now + self.table.expected_run_time(job, BACKFILL_QUANTILE),
+            profile: &self.profile,
+            weights: Weights {
+                completion: policy.completion_weight,
+                fragmentation: policy.fragmentation_weight,
+            },
+        }
+    }
+
+    fn place_unclaimed(&mut self, job: &JobEntry, excluded: &[WorkerIndex]) -> Option<Placement> {
+        let request = self.request(job, excluded);
+        let barred = request
+            .reservation
+            .is_some_and(|reservation| request.expected_end > reservation.start_at);
+        let key = (request.shape, request.holding == Holding::Firm, barred);
+        if self.failed.contains(&key) {
+            return None;
+        }
+        let found = place(&self.overlay, &request);
+        self.search_count += 1;
+        if found.is_none() && excluded.is_empty() {
+            self.failed.insert(key);
+        }
+        found
+    }
+
+    /// Unclaimed shapes that the job may claim, the smallest guarantee first.
+    fn claimable(&self, job: &JobEntry) -> Vec<(&'a GuaranteeEntry, u32)> {
+        let Some(entries) = self.guarantees.get(&job.spec.organisation) else { return Vec::new() };
+        let accelerators = |entry: &GuaranteeEntry| {
+            u64::from(entry.spec.shape.task_count)
+                * u64::from(entry.spec.shape.task.accelerator_count)
+        };
+        // A small job that is not urgent would keep a large shape from the job it is meant for.
+        let worthwhile = |entry: &GuaranteeEntry| {
+            job.spec.class == PriorityClass::Urgent
+                || 2 * job.spec.accelerator_count() >= accelerators(entry)
+        };
+        let mut entries: Vec<&GuaranteeEntry> = entries
+            .iter()
+            .copied()
+            .filter(|entry| entry.spec.covers(&job.spec) && worthwhile(entry))
+            .collect();
+        entries.sort_by_key(|entry| accelerators(entry));
+        let mut found = Vec::new();
+        for entry in entries {
+            for (number, instance) in entry.instances.iter().enumerate() {
+                let key = (&entry.spec.name, number as u32);
+                let open = instance.claimed_by.is_none() && !instance.binding.is_empty();
+                if open && !self.claimed.contains(&key) {
+                    found.push((entry, key.1));
+                }
+            }
+        }
+        found
+    }
+
+    /// The job's tasks laid into a binding.
+    fn lay_out(job: &JobEntry, binding: &[(WorkerIndex, u32)]) -> Vec<Assignment> {
+        let mut missing = job.spec.shape.task_count;
+        let mut parts = Vec::new();
+        for (worker, slots) in binding {
+            let task_count = missing.min(*slots);
+            if task_count > 0 {
+                parts.push(Assignment { worker: *worker, task_count });
+                missing -= task_count;
+            }
+        }
+        parts
+    }
+
+    fn is_free(&self, job: &JobEntry, parts: &[Assignment]) -> bool {
+        parts.iter().all(|part| {
+            let free = self.overlay.free(part.worker);
+            slot_count(&free, &job.spec.shape.task) >= part.task_count
+        })
+    }
+
+    /// A claim that needs nothing reclaimed: inside a binding, or by moving a binding.
+    fn claim_free(&mut self, job: &JobEntry) -> Option<(Vec<Assignment>, Claim)> {
+        let claimable = self.claimable(job);
+        for (entry, number) in &claimable {
+            let instance = &entry.instances[*number as usize];
+            let parts = Self::lay_out(job, &instance.binding);
+            if self.is_free(job, &parts) {
+                let guarantee = entry.spec.name.clone();
+                let claim = Claim { guarantee, instance: *number, binding: Vec::new() };
+                return Some((parts, claim));
+            }
+        }
+        let (entry, number) = *claimable.first()?;
+        let instance = &entry.instances[number as usize];
+        let amounts: Vec<(WorkerIndex, Resources)> = instance
+            .binding
+            .iter()
+            .filter_map(|(worker, count)| {
+                Some((*worker, entry.spec.shape.task.checked_mul(*count)?))
+            })
+            .collect();
+        for (worker, amount) in &amounts {
+            self.overlay.unreserve(*worker, amount);
+        }
+        let centres = self.table.guaranteed_shape(&entry.spec).data_centres;
+        let mut request = self.request(job, &[]);
+        request.shape = entry.spec.shape;
+        request.data_centres = &centres;
+        request.holding = Holding::Firm;
+        request.reservation = None;
+        let found = place(&self.overlay, &request);
+        self.search_count += 1;
+        for (worker, amount) in &amounts {
+            self.overlay.rereserve(*worker, amount);
+        }
+        let binding: Vec<(WorkerIndex, u32)> =
+            found?.assignments.iter().map(|part| (part.worker, part.task_count)).collect();
+        let guarantee = entry.spec.name.clone();
+        let parts = Self::lay_out(job, &binding);
+        let binding = self.named(binding.iter().copied());
+        Some((parts, Claim { guarantee, instance: number, binding }))
+    }
+
+    /// A claim for which borrowers give way; the one with the fewest borrowers.
+    fn claim_reclaim(&mut self, job: &JobEntry) -> Option<(Vec<Assignment>, Claim)> {
+        let policy = &self.table.policy;
+        let cost = |parts: &[Assignment]| {
+            let short: u64 = parts
+                .iter()
+                .map(|part| {
+                    let free = slot_count(&self.overlay.free(part.worker), &job.spec.shape.task);
+                    u64::from(part.task_count.saturating_sub(free))
+                })
+                .sum();
+            policy.completion_weight * RECLAIM_DELAY_S * short as f64
+        };
+        let options = self.claimable(job).into_iter().map(|(entry, number)| {
+            let parts = Self::lay_out(job, &entry.instances[number as usize].binding);
+            (cost(&parts), parts, entry, number)
+        });
+        let (_, parts, entry, instance) =
+            options.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        let guarantee = entry.spec.name.clone();
+        Some((parts, Claim { guarantee, instance, binding: Vec::new() }))
+    }
+
+    fn named<Parts>(&self, parts: Parts) -> Vec<WorkerTasks>
+    where
+        Parts: Iterator<Item = (WorkerIndex, u32)>,
+    {
+        parts
+            .filter_map(|(worker, task_count)| {
+                Some(WorkerTasks { worker: self.table.worker_name(worker)?, task_count })
+            })
+            .collect()
+    }
+
+    fn decide(
+        &mut self,
+        name: &'a JobName,
+        job: &'a JobEntry,
+        parts: Vec<Assignment>,
+        claim: Option<Claim>,
+    ) {
+        let firm = claim.is_none() && !job.spec.is_reclaimable();
+        for part in &parts {
+            if let Some(amount) = job.spec.shape.task.checked_mul(part.task_count) {
+                self.overlay.take(part.worker, &amount, firm);
+            }
+        }
+        if let Some(claim) = &claim
+            && let Some((guarantee, entry)) = self.table.guarantees.get_key_value(&claim.guarantee)
+        {
+            self.claimed.insert((guarantee, claim.instance));
+            let task = entry.spec.shape.task;
+            // A moved binding counts as firm at its new place; the old place stays set aside in
+            // this pass, which is safe and ends with it.
+            for part in &claim.binding {
+                let worker = self.table.cluster.worker_index(&part.worker);
+                if let Some((worker, amount)) = worker.zip(task.checked_mul(part.task_count)) {
+                    self.overlay.take(worker, &amount, true);
+                    self.overlay.untake(worker, &amount, false);
+                }
+            }
+        }
+        *self.held.entry(&job.spec.organisation).or_default() += job.spec.accelerator_count();
+        let assignments = self.named(parts.iter().map(|part| (part.worker, part.task_count)));
+        self.commands.push(LeaseCommand::BeginAttempt(BeginAttempt {
+            job: name.clone(),
+            epoch: job.last_epoch.next(),
+            assignments,
+            claim,
+            at: self.now,
+        }));
+    }
+
+    /// Gives each quarantined worker whose wait is over one small job that may be repeated.
+    fn probe_quarantined(&mut self) {
+        let table = self.table;
+        for name in &table.quarantined {
+            let Some(worker) = table.workers.get(name) else { continue };
+            let due = match worker.health {
+                WorkerHealth::Quarantined { probe_at, .. } => probe_at <= self.now,
+                WorkerHealth::Healthy | WorkerHealth::Lost { .. } => false,
+            };
+            if due && worker.tasks.is_empty() {
+                self.probe(worker.index, &worker.resources);
+            }
+        }
+    }
+
+    fn probe(&mut self, worker: WorkerIndex, resources: &Resources) {
+        let table = self.table;
+        let classes = [PriorityClass::Batch, PriorityClass::Standard];
+        let suitable = |name: &&'a JobName| {
+            table.jobs.get(*name).is_some_and(|job| {
+                let spec = &job.spec;
+                let small = spec.shape.task_count == 1 && resources.contains(&spec.shape.task);
+                small && spec.idempotent && job.failed_on.is_empty() && self.within_quota(job)
+            })
+        };
+        let heads = table.waiting.values().flat_map(|waiting| {
+            classes.iter().flat_map(|class| waiting.class(*class).take(MAX_SCANNED))
+        });
+        let Some(name) = heads.map(|(_, job)| job).find(suitable) else { return };
+        let Some(job) = table.jobs.get(name) else { return };
+        self.decide(name, job, vec![Assignment { worker, task_count: 1 }], None);
+    }
+}
+
+/// Guaranteed shapes and the heads of the queues, weighted by their accelerators.
+fn profile(table: &LeaseTable) -> DemandProfile {
+    let mut shapes: Vec<WeightedShape> = Vec::new();
+    let mut add = |shape: Shape, count: u32| {
+        let weight = f64::from(shape.task_count)
+            * f64::from(shape.task.accelerator_count)
+            * f64::from(count);
+        match shapes.iter_mut().find(|entry| entry.shape == shape) {
+            Some(entry) => entry.weight += weight,
+            None => shapes.push(WeightedShape { shape, weight }),
+        }
+    };
+    for entry in table.guarantees.values() {
+        add(entry.spec.shape, entry.spec.shape_count);
+    }
+    for waiting in table.waiting.values() {
+        for class in PriorityClass::ALL {
+            let head = waiting.class(class).next();
+            if let Some(job) = head.and_then(|(_, job)| table.jobs.get(job)) {
+                add(job.spec.shape, 1);
+            }
+        }
+    }
+    DemandProfile::new(shapes)
+}
--- /dev/null
+++ b/crates/yuccatack_placement/src/domain.rs
@@ -0,0 +1,71 @@
+//! The index of free capacity within one rack or data centre.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use yuccatack_core::prelude::*;
+
+use crate::cluster::WorkerIndex;
+
+/// Workers of one domain, grouped by free accelerators and by the magnitude of free cores.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct FreeIndex {
+    groups: BTreeMap<u32, BTreeSet<WorkerIndex>>,
+    free_accelerator_count: u64,
+}
+
+/// Free cores are grouped by powers of two, so that a search skips workers whose accelerators are
+/// free but whose cores are taken.
+fn core_magnitude(cores_milli: u64) -> u32 {
+    u64::BITS - cores_milli.leading_zeros()
+}
+
+fn group_of(free: &Resources) -> u32 {
+    (free.accelerator_count << 8) | core_magnitude(free.cores_milli)
+}
+
+impl FreeIndex {
+    pub(crate) fn insert(&mut self, worker: WorkerIndex, free: &Resources) {
+        self.groups.entry(group_of(free)).or_default().insert(worker);
+        self.free_accelerator_count += u64::from(free.accelerator_count);
+    }
+
+    pub(crate) fn remove(&mut self, worker: WorkerIndex, free: &Resources) {
+        let group = group_of(free);
+        let Some(members) = self.groups.get_mut(&group) else { return };
+        if !members.remove(&worker) {
+            return;
+        }
+        if members.is_empty() {
+            self.groups.remove(&group);
+        }
+        self.free_accelerator_count -= u64::from(free.accelerator_count);
+    }
+
+    pub(crate) fn free_accelerator_count(&self) -> u64 {
+        self.free_accelerator_count
+    }
+
+    /// Workers that may serve `task`, those with the fewest free accelerators first.
+    pub(crate) fn candidates(&self, task: &Resources) -> impl Iterator<Item = WorkerIndex> + '_ {
+        let least_cores = core_magnitude(task.cores_milli);
+        let least = task.accelerator_count << 8;
+        self.groups
+            .range(least..)
+            .filter(move |(group, _)| (**group & 0xff) >= least_cores)
+            .flat_map(|(_, members)| members.iter().copied())
+    }
+
+    /// The tasks with `accelerator_count` accelerators each that fit, cores and memory aside.
+    pub(crate) fn accelerator_slots(&self, accelerator_count: u32) -> u64 {
+        if accelerator_count == 0 {
+            return u64::MAX;
+        }
+        self.groups
+            .range(accelerator_count << 8..)
+            .map(|(group, members)| {
+                u64::from((group >> 8) / accelerator_count) * members.len() as u64
+            })
+            .sum()
+    }
+}
