Add the request path from caller to minion and back

Cause: no request could be sent yet.

The agent and the entry carry these out with tasks that own their sockets and talk by messages. A minion stand-in echoes bodies and misbehaves on demand.

--- /dev/null
+++ b/crates/yuccatack_agent/src/actor.rs
@@ -0,0 +1,244 @@
+//! The task that owns the attempts, the slots and the idle connections.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{MissedTickBehavior, interval};
+use yuccatack_core::prelude::*;
+use yuccatack_requests::attempts::{AttemptLimits, AttemptTable, Resolution, StartDecision};
+use yuccatack_requests::prelude::*;
+use yuccatack_settings::AgentSettings;
+use yuccatack_view::{MinionState, MinionStatus, ViewHandle};
+
+use crate::connection::MinionConnection;
+use crate::exchange::{Exchange, run_exchange};
+use crate::message::AgentMessage;
+use crate::report::LoadReport;
+
+/// How often a minion without exchanges is probed.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a probe may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The entries that may wait for one attempt.
+const WAITER_LIMIT: usize = 16;
+
+/// The owner of the agent's state.
+pub struct Actor {
+    settings: AgentSettings,
+    table: AttemptTable,
+    report: LoadReport,
+    reports: watch::Sender<Option<MinionStatus>>,
+    view: ViewHandle,
+    idle: Vec<MinionConnection>,
+    waiters: FastHashMap<AttemptId, Vec<oneshot::Sender<Resolution>>>,
+    messages: mpsc::Receiver<AgentMessage>,
+    sender: mpsc::Sender<AgentMessage>,
+    in_flight: watch::Sender<usize>,
+    probing: bool,
+}
+
+/// The parts of an actor that come from outside.
+pub struct ActorInputs {
+    /// The settings.
+    pub settings: AgentSettings,
+    /// The agent's incarnation.
+    pub incarnation: Incarnation,
+    /// The status that the agent starts with.
+    pub status: MinionStatus,
+    /// Where reports go.
+    pub reports: watch::Sender<Option<MinionStatus>>,
+    /// The node's view.
+    pub view: ViewHandle,
+    /// Where the number of attempts in flight goes.
+    pub in_flight: watch::Sender<usize>,
+}
+
+/// The wall clock, which attempt identifiers carry.
+fn wall_clock() -> TimestampMs {
+    let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let milliseconds = since_epoch.map_or(0, |duration| duration.as_millis());
+    TimestampMs::new(u64::try_from(milliseconds).unwrap_or(u64::MAX))
+}
+
+impl Actor {
+    /// Builds the actor and the sender of messages to it.
+    pub fn new(inputs: ActorInputs) -> (Self, mpsc::Sender<AgentMessage>) {
+        let (sender, messages) = mpsc::channel(1024);
+        // Each exchange holds one connection, so that the slots also bound the connections.
+        let slots = inputs.settings.slot_count.min(inputs.settings.connection_count);
+        let limits = AttemptLimits { slot_count: slots as usize, ..AttemptLimits::default() };
+        let actor = Self {
+            table: AttemptTable::new(inputs.incarnation, limits),
+            report: LoadReport::new(inputs.status),
+            reports: inputs.reports,
+            view: inputs.view,
+            settings: inputs.settings,
+            idle: Vec::new(),
+            waiters: FastHashMap::default(),
+            messages,
+            sender: sender.clone(),
+            in_flight: inputs.in_flight,
+            probing: false,
+        };
+        (actor, sender)
+    }
+
+    /// Runs until the task is aborted; the process ends it once the drain is complete.
+    pub async fn run(mut self) {
+        let mut probe_ticks = interval(PROBE_INTERVAL);
+        probe_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = self.messages.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                _ = probe_ticks.tick() => {
+                    self.table.forget(wall_clock());
+                    self.probe();
+                }
+            }
+            self.publish();
+        }
+    }
+
+    fn handle(&mut self, message: AgentMessage) {
+        match message {
+            AgentMessage::Start { head, content, reply } => self.start(head, content, reply),
+            AgentMessage::Resolve { attempt, incarnation, organisation, wait, reply } => {
+                let now = wall_clock();
+                let resolution = self.table.resolve(attempt, incarnation, &organisation, now);
+                if resolution == Resolution::Running && !wait.is_zero() {
+                    return self.add_waiter(attempt, reply);
+                }
+                let _ = reply.send(resolution);
+            }
+            AgentMessage::ExchangeEnded { attempt, outcome, duration, connection } => {
+                self.report.exchange_ended(&outcome, duration);
+                self.idle.extend(connection);
+                self.finish(attempt, outcome);
+            }
+            AgentMessage::Probed { reachable } => {
+                self.probing = false;
+                self.report.set_reachable(reachable);
+            }
+            AgentMessage::Leave { left } => {
+                self.table.leave();
+                self.report.leave();
+                self.publish();
+                let _ = left.send(());
+            }
+        }
+    }
+
+    fn add_waiter(&mut self, attempt: AttemptId, reply: oneshot::Sender<Resolution>) {
+        let waiters = self.waiters.entry(attempt).or_default();
+        waiters.retain(|waiter| !waiter.is_closed());
+        if waiters.len() >= WAITER_LIMIT {
+            let _ = reply.send(Resolution::Running);
+            return;
+        }
+        waiters.push(reply);
+    }
+
+    fn start(
+        &mut self,
+        head: AttemptHead,
+        content: RequestContent,
+        reply: oneshot::Sender<Resolution>,
+    ) {
+        let fresh = self.view.is_fresh(Instant::now());
+        let now = wall_clock();
+        let organisation = &content.organisation;
+        match self.table.start(head.attempt, head.incarnation, organisation, fresh, now) {
+            StartDecision::Run => {
+                self.add_waiter(head.attempt, reply);
+                self.spawn_exchange(head, content);
+            }
+            StartDecision::Refuse(not_run) => {
+                let _ = reply.send(Resolution::NotRun(not_run));
+            }
+            StartDecision::Known(resolution) => {
+                let _ = reply.send(resolution);
+            }
+        }
+    }
+
+    fn spawn_exchange(&mut self, head: AttemptHead, content: RequestContent) {
+        let exchange = Exchange {
+            attempt: head.attempt,
+            content,
+            minion_address: self.settings.minion_address,
+            remaining: head.remaining_deadline.into(),
+            body_limit_bytes: self.settings.body_limit_bytes,
+            idle: self.take_idle(),
+        };
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let started = Instant::now();
+            let end = run_exchange(exchange).await;
+            let message = AgentMessage::ExchangeEnded {
+                attempt: head.attempt,
+                outcome: end.outcome,
+                duration: started.elapsed(),
+                connection: end.connection,
+            };
+            // The actor only ends with the process.
+            let _ = sender.send(message).await;
+        });
+    }
+
+    fn take_idle(&mut self) -> Option<MinionConnection> {
+        while let Some(connection) = self.idle.pop() {
+            if connection.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn finish(&mut self, attempt: AttemptId, outcome: Outcome) {
+        let now = wall_clock();
+        let shared = Arc::new(outcome);
+        self.table.finish(attempt, Arc::clone(&shared), now);
+        for waiter in self.waiters.remove(&attempt).unwrap_or_default() {
+            let _ = waiter.send(Resolution::Ended(Arc::clone(&shared)));
+        }
+    }
+
+    fn probe(&mut self) {
+        self.idle.retain(MinionConnection::is_open);
+        let running = self.table.running_count();
+        let connections = running + self.idle.len();
+        // Exchanges tell by themselves whether the minion can be reached.
+        let needed = running == 0 || self.report.status().state == MinionState::Unhealthy;
+        let room = connections < self.settings.connection_count as usize;
+        if self.probing || !needed || !room {
+            return;
+        }
+        self.probing = true;
+        let address = self.settings.minion_address;
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let connect = tokio::net::TcpStream::connect(address);
+            let connected = tokio::time::timeout(PROBE_TIMEOUT, connect).await;
+            let reachable = matches!(connected, Ok(Ok(_)));
+            let _ = sender.send(AgentMessage::Probed { reachable }).await;
+        });
+    }
+
+    fn publish(&mut self) {
+        let running = self.table.running_count();
+        self.report.set_slots_in_use(u32::try_from(running).unwrap_or(u32::MAX));
+        let status = self.report.status();
+        self.reports.send_if_modified(|current| {
+            let changed = current.as_ref() != Some(&status);
+            if changed {
+                *current = Some(status);
+            }
+            changed
+        });
+        self.in_flight.send_replace(running);
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_agent/src/process.rs
@@ -0,0 +1,110 @@
+//! The agent process: start, drain and end.
+
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use yuccatack_core::prelude::*;
+use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
+use yuccatack_requests::generated::agent::attempts_server::AttemptsServer;
+use yuccatack_settings::AgentSettings;
+use yuccatack_view::{MinionState, MinionStatus, ViewHandle};
+
+use crate::actor::{Actor, ActorInputs};
+use crate::error::{AgentError, ListenSnafu, ServeSnafu};
+use crate::message::AgentMessage;
+use crate::service::AttemptService;
+
+/// What an agent is connected to.
+#[derive(Debug)]
+pub struct AgentInputs {
+    /// Where entries connect.
+    pub listener: TcpListener,
+    /// The agent's incarnation, the same as on its view stream.
+    pub incarnation: Incarnation,
+    /// The node's view.
+    pub view: ViewHandle,
+    /// Where reports go.
+    pub reports: watch::Sender<Option<MinionStatus>>,
+}
+
+/// Runs an agent until it has drained.
+///
+/// `subscribe` connects the node's view: it gets the incarnation and the agent's reports.
+pub async fn run<Subscribe>(
+    settings: AgentSettings,
+    subscribe: Subscribe,
+    shutdown: Shutdown,
+) -> Result<(), AgentError>
+where
+    Subscribe: FnOnce(Incarnation, watch::Receiver<Option<MinionStatus>>) -> ViewHandle,
+{
+    let address = settings.listen_address;
+    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let incarnation = Incarnation::random();
+    let (reports, reports_receiver) = watch::channel(None);
+    let view = subscribe(incarnation, reports_receiver);
+    serve(settings, AgentInputs { listener, incarnation, view, reports }, shutdown).await
+}
+
+/// Runs an agent on inputs that are already connected.
+pub async fn serve(
+    settings: AgentSettings,
+    inputs: AgentInputs,
+    mut shutdown: Shutdown,
+) -> Result<(), AgentError> {
+    let address = settings.listen_address;
+    let bound_address = inputs.listener.local_addr().context(ListenSnafu { address })?;
+    let status = MinionStatus {
+        minion: settings.minion.clone(),
+        service: settings.service.clone(),
+        agent_address: bound_address,
+        state: MinionState::Unhealthy,
+        slot_count: settings.slot_count.min(settings.connection_count),
+        slots_in_use: 0,
+        queued_count: 0,
+        latency_us: 0,
+    };
+    let body_limit_bytes = settings.body_limit_bytes;
+    let (in_flight, in_flight_receiver) = watch::channel(0);
+    let (actor, sender) = Actor::new(ActorInputs {
+        settings,
+        incarnation: inputs.incarnation,
+        status,
+        reports: inputs.reports,
+        view: inputs.view,
+        in_flight,
+    });
+    let actor_task = tokio::spawn(actor.run());
+    let service = AttemptsServer::new(AttemptService::new(sender.clone(), body_limit_bytes));
+    let incoming = TcpIncoming::from(inputs.listener).with_nodelay(Some(true));
+    let drained = drain(shutdown.clone(), sender, in_flight_receiver.clone());
+    let server =
+        Server::builder().add_service(service).serve_with_incoming_shutdown(incoming, drained);
+    log::info!(event = "agent_started", address:% = bound_address; "the agent accepts attempts");
+    let result = tokio::select! {
+        result = server => result.context(ServeSnafu),
+        () = shutdown.reached(ShutdownPhase::Aborting) => {
+            let attempt_count = *in_flight_receiver.borrow();
+            Err(AgentError::Aborted { attempt_count })
+        }
+    };
+    actor_task.abort();
+    result
+}
+
+/// Waits for the shutdown, makes the agent leave, and returns once nothing is in flight. Until
+/// then entries can still connect and resolve.
+async fn drain(
+    mut shutdown: Shutdown,
+    actor: mpsc::Sender<AgentMessage>,
+    mut in_flight: watch::Receiver<usize>,
+) {
+    shutdown.reached(ShutdownPhase::Draining).await;
+    let (left, leaving) = oneshot::channel();
+    // Errors mean that the actor has already ended.
+    let _ = actor.send(AgentMessage::Leave { left }).await;
+    let _ = leaving.await;
+    let _ = in_flight.wait_for(|count| *count == 0).await;
+}
--- /dev/null
+++ b/crates/yuccatack_entry/src/error.rs
@@ -0,0 +1,31 @@
+//! Errors of the entry process.
+
+use std::net::SocketAddr;
+
+use snafu::Snafu;
+
+/// Why the entry ended otherwise than by a completed drain.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum EntryError {
+    /// The listening address is not available.
+    #[snafu(display(
+        "cannot listen on {address}: {source}; free the address or change `listen_address`"
+    ))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The process was ended before the drain completed.
+    #[snafu(display(
+        "ended during the drain with {connection_count} callers' connections open; callers with a \
+         request in flight must take its outcome as unknown; raise `drain_limit_ms` if they only \
+         needed longer"
+    ))]
+    Aborted {
+        /// The connections that were left.
+        connection_count: usize,
+    },
+}
--- /dev/null
+++ b/crates/yuccatack_entry/src/link.rs
@@ -0,0 +1,156 @@
+//! One exchange with an agent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use snafu::Snafu;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, Request, Status, Streaming};
+use yuccatack_core::prelude::*;
+use yuccatack_requests::answer_check::AnswerCollector;
+use yuccatack_requests::attempts::Resolution;
+use yuccatack_requests::claims::ClaimedAttempt;
+use yuccatack_requests::generated::agent as wire;
+use yuccatack_requests::generated::agent::attempts_client::AttemptsClient;
+use yuccatack_requests::prelude::*;
+use yuccatack_requests::wire::attempts::{AnswerPart, attempt_parts};
+
+/// How long connecting to an agent may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often a connection with calls in flight is pinged.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a ping may go unanswered before the connection counts as broken.
+const PING_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// An exchange with an agent that gave no checked result.
+#[derive(Debug, Snafu)]
+pub enum LinkError {
+    /// No connection was made, so that nothing was sent.
+    #[snafu(display("cannot connect to the agent: {source}"))]
+    Connect {
+        /// The cause.
+        source: tonic::transport::Error,
+    },
+    /// The agent refused the attempt as malformed; it did not start it.
+    #[snafu(display("the agent refused the attempt: {detail}"))]
+    Refused {
+        /// What the agent said.
+        detail: Box<str>,
+    },
+    /// The exchange broke, or the answer is not this attempt's whole answer.
+    #[snafu(display("the exchange with the agent broke: {detail}"))]
+    Broken {
+        /// What was seen.
+        detail: Box<str>,
+    },
+}
+
+fn broken(detail: impl std::fmt::Display) -> LinkError {
+    LinkError::Broken { detail: detail.to_string().into_boxed_str() }
+}
+
+fn call_error(status: &Status) -> LinkError {
+    let detail = status.message().to_owned().into_boxed_str();
+    match status.code() {
+        Code::InvalidArgument => LinkError::Refused { detail },
+        _ => LinkError::Broken { detail },
+    }
+}
+
+/// Opens a connection to an agent.
+pub async fn connect(address: SocketAddr) -> Result<Channel, LinkError> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|source| LinkError::Connect { source })?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .http2_keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .tcp_nodelay(true);
+    endpoint.connect().await.map_err(|source| LinkError::Connect { source })
+}
+
+/// Sends an attempt and waits for what became of it.
+pub async fn execute(
+    channel: Channel,
+    claimed: &ClaimedAttempt,
+    content: &RequestContent,
+    remaining: Duration,
+    body_limit_bytes: u64,
+) -> Result<Resolution, LinkError> {
+    let head = AttemptHead {
+        attempt: claimed.attempt,
+        incarnation: claimed.incarnation,
+        remaining_deadline: remaining.into(),
+    };
+    let parts = tokio_stream::iter(attempt_parts(&head, content));
+    let response = AttemptsClient::new(channel).execute(Request::new(parts)).await;
+    let stream = response.map_err(|status| call_error(&status))?.into_inner();
+    read(stream, claimed.attempt, &content.organisation, body_limit_bytes).await
+}
+
+/// Asks what became of an attempt.
+pub async fn resolve(
+    channel: Channel,
+    claimed: &ClaimedAttempt,
+    organisation: &OrganisationName,
+    wait: Duration,
+    body_limit_bytes: u64,
+) -> Result<Resolution, LinkError> {
+    let request = wire::ResolveRequest {
+        attempt_id: Bytes::copy_from_slice(claimed.attempt.as_bytes()),
+        agent_incarnation: claimed.incarnation.get(),
+        organisation: organisation.to_string(),
+        wait_ms: DurationMs::from(wait).get(),
+    };
+    let response = AttemptsClient::new(channel).resolve(Request::new(request)).await;
+    let stream = response.map_err(broken)?.into_inner();
+    read(stream, claimed.attempt, organisation, body_limit_bytes).await
+}
+
+async fn read(
+    mut stream: Streaming<wire::AnswerPart>,
+    attempt: AttemptId,
+    organisation: &OrganisationName,
+    body_limit_bytes: u64,
+) -> Result<Resolution, LinkError> {
+    let mut answer = AnswerCollector::new(attempt, organisation.clone(), body_limit_bytes);
+    loop {
+        let part = stream.message().await.map_err(broken)?;
+        let part = part.ok_or_else(|| broken("the answer ended before its last part"))?;
+        match AnswerPart::try_from(part).map_err(broken)? {
+            AnswerPart::Head(head) => answer.head(head).map_err(broken)?,
+            AnswerPart::Chunk(chunk) => answer.chunk(&chunk).map_err(broken)?,
+            AnswerPart::End(seal) => {
+                let answer = answer.finish(&seal).map_err(broken)?;
+                return Ok(Resolution::Ended(Outcome::Completed(answer).into()));
+            }
+            AnswerPart::NotRun(found, not_run) => {
+                check_attempt(attempt, found, &answer)?;
+                return Ok(Resolution::NotRun(not_run));
+            }
+            AnswerPart::Unknown(found, unknown) => {
+                check_attempt(attempt, found, &answer)?;
+                return Ok(Resolution::Unknown(unknown));
+            }
+            AnswerPart::Running(found) => {
+                check_attempt(attempt, found, &answer)?;
+                return Ok(Resolution::Running);
+            }
+        }
+    }
+}
+
+/// A result without an answer must be for this attempt and must not follow an answer's head.
+fn check_attempt(
+    expected: AttemptId,
+    found: AttemptId,
+    answer: &AnswerCollector,
+) -> Result<(), LinkError> {
+    if expected != found {
+        return Err(broken(format!("the result is for attempt {found}, not {expected}")));
+    }
+    if answer.has_head() {
+        return Err(broken("a result without an answer follows the head of one"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/yuccatack_entry/src/process.rs
@@ -0,0 +1,118 @@
+//! The entry process: start, drain and end.
+
+use hyper_util::server::graceful::GracefulShutdown;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use yuccatack_core::prelude::*;
+use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
+use yuccatack_requests::claims::ClaimClient;
+use yuccatack_requests::dispatch::DispatchSettings;
+use yuccatack_requests::routing::{Router, RoutingSettings};
+use yuccatack_settings::EntrySettings;
+use yuccatack_view::ViewHandle;
+
+use crate::balancer::{Balancer, BalancerSettings};
+use crate::call::CallContext;
+use crate::error::{EntryError, ListenSnafu};
+use crate::links::Links;
+use crate::server::{ServerContext, serve_connection};
+
+/// What an entry is connected to.
+#[derive(Debug)]
+pub struct EntryInputs {
+    /// Where callers connect.
+    pub listener: TcpListener,
+    /// The node's view.
+    pub view: ViewHandle,
+    /// Claims of non-idempotent keys.
+    pub claims: ClaimClient,
+    /// Times and bounds of dispatching.
+    pub dispatch: DispatchSettings,
+    /// Times and bounds of the choice of minions.
+    pub routing: RoutingSettings,
+    /// Bounds of admission.
+    pub admission: BalancerSettings,
+}
+
+/// Runs an entry until it has drained.
+///
+/// `subscribe` connects the node's view and the claims: it gets the entry's incarnation.
+pub async fn run<Subscribe>(
+    settings: EntrySettings,
+    subscribe: Subscribe,
+    shutdown: Shutdown,
+) -> Result<(), EntryError>
+where
+    Subscribe: FnOnce(Incarnation) -> (ViewHandle, ClaimClient),
+{
+    let address = settings.listen_address;
+    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let (view, claims) = subscribe(Incarnation::random());
+    let inputs = EntryInputs {
+        listener,
+        view,
+        claims,
+        dispatch: DispatchSettings::default(),
+        routing: RoutingSettings::default(),
+        admission: BalancerSettings::default(),
+    };
+    serve(settings, inputs, shutdown).await
+}
+
+/// Runs an entry on inputs that are already connected.
+pub async fn serve(
+    settings: EntrySettings,
+    inputs: EntryInputs,
+    mut shutdown: Shutdown,
+) -> Result<(), EntryError> {
+    let router = Router::new(inputs.routing, settings.data_centre.clone(), rand::random());
+    let (balancer, balancer_sender) = Balancer::new(inputs.admission, router, inputs.view.clone());
+    let balancer_task = tokio::spawn(balancer.run());
+    let call = CallContext {
+        balancer: balancer_sender,
+        links: Links::spawn(),
+        claims: inputs.claims,
+        settings: inputs.dispatch,
+        body_limit_bytes: settings.body_limit_bytes,
+    };
+    let context = ServerContext::new(call, inputs.view, &settings);
+    let graceful = GracefulShutdown::new();
+    accept(&inputs.listener, &context, &graceful, &mut shutdown).await;
+    drop(inputs.listener);
+    log::info!(event = "entry_draining", connections = graceful.count(); "finishing requests");
+    let connections = graceful.count();
+    let result = tokio::select! {
+        () = graceful.shutdown() => Ok(()),
+        () = shutdown.reached(ShutdownPhase::Aborting) => {
+            Err(EntryError::Aborted { connection_count: connections })
+        }
+    };
+    balancer_task.abort();
+    result
+}
+
+/// Accepts callers until the shutdown starts.
+async fn accept(
+    listener: &TcpListener,
+    context: &ServerContext,
+    graceful: &GracefulShutdown,
+    shutdown: &mut Shutdown,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shutdown.reached(ShutdownPhase::Draining) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                tokio::spawn(serve_connection(context.clone(), stream, graceful.watcher()));
+            }
+            Err(error) => {
+                // For example too many open files; the pause keeps the loop from spinning.
+                log::warn!(event = "accept_failed"; "{error}");
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_entry/tests/common/mod.rs
@@ -0,0 +1,289 @@
+//! An entry with agents and minion stand-ins on real sockets, and a caller.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use yuccatack_agent::{AgentError, AgentInputs};
+use yuccatack_core::prelude::*;
+use yuccatack_entry::{BalancerSettings, EntryError, EntryInputs};
+use yuccatack_lifecycle::{Shutdown, ShutdownPhase, ShutdownTrigger, shutdown_channel};
+use yuccatack_requests::claims::{ClaimLimits, ClaimMessage, ClaimTable, claim_channel};
+use yuccatack_requests::dispatch::DispatchSettings;
+use yuccatack_requests::routing::RoutingSettings;
+use yuccatack_settings::{AgentSettings, EntrySettings};
+use yuccatack_stand_ins::{MinionBehaviour, MinionStandIn};
+use yuccatack_view::{MinionEntry, MinionState, MinionStatus, View, ViewHandle};
+
+pub const SERVICE: &str = "reviews";
+
+/// A view that a test keeps by hand.
+#[derive(Clone)]
+pub struct HandMadeView {
+    view: watch::Sender<Arc<View>>,
+    fresh_until: watch::Sender<Option<Instant>>,
+}
+
+impl HandMadeView {
+    pub fn new() -> Self {
+        let fresh_until = Some(Instant::now() + Duration::from_secs(3600));
+        Self {
+            view: watch::channel(Arc::new(View::default())).0,
+            fresh_until: watch::channel(fresh_until).0,
+        }
+    }
+
+    pub fn handle(&self) -> ViewHandle {
+        ViewHandle::new(self.view.subscribe(), self.fresh_until.subscribe())
+    }
+
+    pub fn set_fresh(&self, fresh: bool) {
+        let limit = fresh.then(|| Instant::now() + Duration::from_secs(3600));
+        self.fresh_until.send_replace(limit);
+    }
+
+    pub fn change(&self, change: impl FnOnce(&mut View)) {
+        self.view.send_modify(|view| change(Arc::make_mut(view)));
+    }
+
+    /// Keeps one minion of the view at what its agent reports.
+    pub fn follow(
+        &self,
+        node: NodeName,
+        incarnation: Incarnation,
+        mut reports: watch::Receiver<Option<MinionStatus>>,
+    ) {
+        let view = self.clone();
+        tokio::spawn(async move {
+            while reports.changed().await.is_ok() {
+                let Some(status) = reports.borrow_and_update().clone() else {
+                    continue;
+                };
+                view.change(|view| {
+                    let entry = MinionEntry {
+                        node: node.clone(),
+                        incarnation,
+                        data_centre: DataCentreName::new("langkawi").unwrap(),
+                        status,
+                    };
+                    view.minions.insert(node.clone(), Arc::new(entry));
+                });
+            }
+        });
+    }
+
+    pub async fn wait_for_ready(&self, count: usize) {
+        let mut view = self.view.subscribe();
+        let ready = |view: &Arc<View>| {
+            view.minions.values().filter(|minion| minion.status.state == MinionState::Ready).count()
+                >= count
+        };
+        tokio::time::timeout(Duration::from_secs(10), view.wait_for(ready)).await.unwrap().unwrap();
+    }
+}
+
+pub struct AgentProcess {
+    pub node: NodeName,
+    pub address: SocketAddr,
+    pub incarnation: Incarnation,
+    pub trigger: ShutdownTrigger,
+    pub task: JoinHandle<Result<(), AgentError>>,
+    /// Its own view, so that a test can make it stale.
+    pub view: HandMadeView,
+}
+
+impl AgentProcess {
+    pub async fn start(name: &str, minion: SocketAddr, view: &HandMadeView) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_on(name, minion, view, listener).await
+    }
+
+    pub async fn start_on(
+        name: &str,
+        minion: SocketAddr,
+        view: &HandMadeView,
+        listener: TcpListener,
+    ) -> Self {
+        let address = listener.local_addr().unwrap();
+        let node = NodeName::new(name).unwrap();
+        let settings = AgentSettings {
+            node: node.clone(),
+            data_centre: DataCentreName::new("langkawi").unwrap(),
+            service: ServiceName::new(SERVICE).unwrap(),
+            minion: MinionName::new(name).unwrap(),
+            minion_address: minion,
+            listen_address: address,
+            metrics_address: None,
+            control_addresses: Vec::new(),
+            slot_count: 8,
+            connection_count: 64,
+            drain_limit_ms: 1_000,
+            body_limit_bytes: 1024 * 1024,
+        };
+        let incarnation = Incarnation::random();
+        let (reports, reports_receiver) = watch::channel(None);
+        view.follow(node.clone(), incarnation, reports_receiver);
+        let own_view = HandMadeView::new();
+        let inputs = AgentInputs { listener, incarnation, view: own_view.handle(), reports };
+        let (trigger, shutdown) = shutdown_channel();
+        let task = tokio::spawn(yuccatack_agent::serve(settings, inputs, shutdown));
+        Self { node, address, incarnation, trigger, task, view: own_view }
+    }
+}
+
+/// Answers claims like a control leader, from one table.
+pub fn spawn_claims(mut messages: mpsc::Receiver<ClaimMessage>) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        let mut table = ClaimTable::new(ClaimLimits::default());
+        while let Some(message) = messages.recv().await {
+            let outcome = table.apply(message.command, wall_clock());
+            let _ = message.reply.send(Ok(outcome));
+        }
+    })
+}
+
+pub fn wall_clock() -> TimestampMs {
+    let now = std::time::SystemTime::now();
+    let since_epoch = now.duration_since(std::time::UNIX_EPOCH).unwrap();
+    TimestampMs::new(since_epoch.as_millis() as u64)
+}
+
+pub struct EntryProcess {
+    pub address: SocketAddr,
+    pub trigger: ShutdownTrigger,
+    pub task: JoinHandle<Result<(), EntryError>>,
+}
+
+impl EntryProcess {
+    pub async fn start(
+        view: &HandMadeView,
+        claims: yuccatack_requests::claims::ClaimClient,
+        change: impl FnOnce(&mut EntrySettings, &mut EntryInputs),
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut settings = EntrySettings {
+            node: NodeName::new("entry-1").unwrap(),
+            data_centre: DataCentreName::new("langkawi").unwrap(),
+            listen_address: address,
+            metrics_address: None,
+            control_addresses: Vec::new(),
+            drain_limit_ms: 1_000,
+            body_limit_bytes: 1024 * 1024,
+            receive_limit_ms: 1_000,
+        };
+        let mut inputs = EntryInputs {
+            listener,
+            view: view.handle(),
+            claims,
+            dispatch: DispatchSettings::default(),
+            routing: RoutingSettings::default(),
+            admission: BalancerSettings::default(),
+        };
+        change(&mut settings, &mut inputs);
+        let (trigger, shutdown): (ShutdownTrigger, Shutdown) = shutdown_channel();
+        let task = tokio::spawn(yuccatack_entry::serve(settings, inputs, shutdown));
+        Self { address, trigger, task }
+    }
+
+    pub fn drain(&self) {
+        self.trigger.advance(ShutdownPhase::Draining);
+    }
+}
+
+/// One entry, and a pair of agent and minion for each behaviour.
+pub struct System {
+    pub view: HandMadeView,
+    pub minions: Vec<MinionStandIn>,
+    pub agents: Vec<AgentProcess>,
+    pub claims: yuccatack_requests::claims::ClaimClient,
+    pub entry: EntryProcess,
+}
+
+impl System {
+    pub async fn start(behaviours: &[MinionBehaviour]) -> Self {
+        Self::start_with(behaviours, |_, _| {}).await
+    }
+
+    pub async fn start_with(
+        behaviours: &[MinionBehaviour],
+        change: impl FnOnce(&mut EntrySettings, &mut EntryInputs),
+    ) -> Self {
+        let view = HandMadeView::new();
+        let mut minions = Vec::new();
+        let mut agents = Vec::new();
+        for (index, behaviour) in behaviours.iter().enumerate() {
+            let minion = MinionStandIn::start(*behaviour).await.unwrap();
+            let name = format!("minion-{index}");
+            agents.push(AgentProcess::start(&name, minion.address(), &view).await);
+            minions.push(minion);
+        }
+        let (claims, messages) = claim_channel();
+        spawn_claims(messages);
+        view.wait_for_ready(behaviours.len()).await;
+        let entry = EntryProcess::start(&view, claims.clone(), change).await;
+        Self { view, minions, agents, claims, entry }
+    }
+
+    pub async fn post(&self, headers: &[(&str, &str)], body: &str) -> CallerAnswer {
+        post(self.entry.address, headers, body).await
+    }
+
+    pub async fn run_count(&self) -> usize {
+        let mut count = 0;
+        for minion in &self.minions {
+            count += minion.runs().await.len();
+        }
+        count
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallerAnswer {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: Bytes,
+}
+
+impl CallerAnswer {
+    pub fn outcome(&self) -> &str {
+        self.headers.get("yuccatack-outcome").map_or("", String::as_str)
+    }
+
+    pub fn reason(&self) -> &str {
+        self.headers.get("yuccatack-reason").map_or("", String::as_str)
+    }
+}
+
+pub const IDEMPOTENT: &[(&str, &str)] =
+    &[("yuccatack-organisation", "lender"), ("yuccatack-idempotent", "true")];
+
+/// Sends one request on a connection of its own.
+pub async fn post(address: SocketAddr, headers: &[(&str, &str)], body: &str) -> CallerAnswer {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(connection);
+    let mut request = Request::post(format!("/v1/requests/{SERVICE}/score"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let body = Full::new(Bytes::copy_from_slice(body.as_bytes()));
+    let response = sender.send_request(request.body(body).unwrap()).await.unwrap();
+    let status = response.status().as_u16();
+    let text = |value: &hyper::header::HeaderValue| value.to_str().unwrap().to_owned();
+    let headers = response.headers();
+    let headers = headers.iter().map(|(name, value)| (name.to_string(), text(value))).collect();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    CallerAnswer { status, headers, body }
+}
--- /dev/null
+++ b/crates/yuccatack_requests/src/attempts/mod.rs
@@ -0,0 +1,7 @@
+//! The attempts that one incarnation of an agent has received, barred or answered.
+
+mod message;
+mod state;
+
+pub use message::{Resolution, StartDecision};
+pub use state::{AttemptLimits, AttemptTable};
--- /dev/null
+++ b/crates/yuccatack_requests/src/claims/mod.rs
@@ -0,0 +1,15 @@
+//! Claims of non-idempotent keys in the replicated state.
+
+mod client;
+mod error;
+mod key;
+mod message;
+mod state;
+
+pub use client::{ClaimClient, ClaimMessage, claim_channel};
+pub use error::ClaimCallError;
+pub use key::{InvalidKeyError, RequestKey};
+pub use message::{
+    ClaimCommand, ClaimOutcome, ClaimRefusal, ClaimState, ClaimedAttempt, ContentDigest,
+};
+pub use state::{ClaimLimits, ClaimTable};
--- /dev/null
+++ b/crates/yuccatack_requests/src/http_mapping.rs
@@ -0,0 +1,88 @@
+//! The one place that maps outcomes to HTTP status and headers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::outcome::{Header, NotRun, NotRunReason, Outcome, Unknown};
+
+/// The header that names the outcome: `completed`, `not_run` or `unknown`.
+pub const OUTCOME_HEADER: &str = "yuccatack-outcome";
+/// The header that names the reason of an outcome other than `completed`.
+pub const REASON_HEADER: &str = "yuccatack-reason";
+/// The header that gives the exact wait in milliseconds; `retry-after` only has whole seconds.
+pub const RETRY_AFTER_MS_HEADER: &str = "yuccatack-retry-after-ms";
+
+/// An HTTP response without any particular server's types.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HttpResponse {
+    /// The status.
+    pub status: u16,
+    /// The headers, without `content-length`.
+    pub headers: Vec<Header>,
+    /// The body.
+    pub body: Bytes,
+}
+
+fn header(name: &str, value: &str) -> Header {
+    Header { name: Arc::from(name), value: Bytes::copy_from_slice(value.as_bytes()) }
+}
+
+const fn not_run_status(reason: NotRunReason) -> u16 {
+    match reason {
+        NotRunReason::Invalid
+        | NotRunReason::ReceiveTimeout
+        | NotRunReason::KeyTooOld
+        | NotRunReason::KeyReused => 400,
+        NotRunReason::TooLarge => 413,
+        NotRunReason::RateLimited | NotRunReason::ConcurrencyLimited => 429,
+        NotRunReason::QueueFull
+        | NotRunReason::Deadline
+        | NotRunReason::NoMinion
+        | NotRunReason::NoSlot
+        | NotRunReason::Leaving
+        | NotRunReason::MinionUnreachable
+        | NotRunReason::AgentUnreachable
+        | NotRunReason::WrongIncarnation
+        | NotRunReason::Barred
+        | NotRunReason::StaleView
+        | NotRunReason::ClaimsUnavailable
+        | NotRunReason::ShuttingDown => 503,
+    }
+}
+
+fn text_response(status: u16, mut headers: Vec<Header>, detail: &str) -> HttpResponse {
+    headers.push(header("content-type", "text/plain; charset=utf-8"));
+    HttpResponse { status, headers, body: Bytes::from(format!("{detail}\n")) }
+}
+
+fn not_run_response(not_run: &NotRun) -> HttpResponse {
+    let mut headers =
+        vec![header(OUTCOME_HEADER, "not_run"), header(REASON_HEADER, not_run.reason.as_str())];
+    if let Some(wait_ms) = not_run.retry_after_ms {
+        headers.push(header("retry-after", &wait_ms.div_ceil(1000).max(1).to_string()));
+        headers.push(header(RETRY_AFTER_MS_HEADER, &wait_ms.to_string()));
+    }
+    text_response(not_run_status(not_run.reason), headers, &not_run.detail)
+}
+
+fn unknown_response(unknown: &Unknown) -> HttpResponse {
+    let headers =
+        vec![header(OUTCOME_HEADER, "unknown"), header(REASON_HEADER, unknown.reason.as_str())];
+    text_response(504, headers, &unknown.detail)
+}
+
+impl From<Outcome> for HttpResponse {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Completed(answer) => {
+                let mut headers = answer.headers;
+                headers.retain(|header| !header.name.starts_with("yuccatack-"));
+                headers.push(header(OUTCOME_HEADER, "completed"));
+                Self { status: answer.status, headers, body: answer.body }
+            }
+            Outcome::NotRun(not_run) => not_run_response(&not_run),
+            Outcome::Unknown(unknown) => unknown_response(&unknown),
+        }
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_requests/src/routing/mod.rs
@@ -0,0 +1,7 @@
+//! The choice of a minion for an attempt.
+
+mod message;
+mod state;
+
+pub use message::{Feedback, MinionLoad, RoutingPolicy, RoutingSettings};
+pub use state::Router;
