Add the view publisher and subscriber

Nodes had no way to learn of records and minions. The publisher is a pure state with an actor in front: updates are computed when a stream can take them, so that a slow stream costs no memory and holds nothing up. A report is acknowledged only after a confirmation of leadership that began after its receipt; a deposed or suspended leader therefore keeps no node fresh, without an assumption on election times.

Minions carry their own limit at each entry, from the send time of the confirmed report and the age of the quietest minion, so that 3 s hold from the minion's last report to the last dispatch and not only to its detection. RecordKey moves to yuccatack_records. Nodes get no job records.

--- a/crates/yuccatack_records/src/change.rs
+++ b/crates/yuccatack_records/src/change.rs
@@ -120,6 +120,29 @@
 }
 
 impl RefusalKind {
+    /// Every kind.
+    pub const ALL: [Self; 14] = [
+        Self::Conflict,
+        Self::ChangeIdReused,
+        Self::InvalidChange,
+        Self::InvalidRecord,
+        Self::NewerSchemaVersion,
+        Self::UnknownOrganisation,
+        Self::UnknownReference,
+        Self::Duplicate,
+        Self::NotFound,
+        Self::InUse,
+        Self::GuaranteeDoesNotFit,
+        Self::JobCanNeverRun,
+        Self::UnsafeMembership,
+        Self::Superseded,
+    ];
+
+    /// The kind that `word` stands for.
+    pub fn from_word(word: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.as_str() == word)
+    }
+
     /// The stable word of the kind on the wire.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/crates/yuccatack_records/src/lib.rs
+++ b/crates/yuccatack_records/src/lib.rs
@@ -29,6 +29,6 @@
 };
 pub use store::{RecordStore, StoredRecord, Validated};
 pub use wire::{
-    DecodedDocument, MAX_DOCUMENT_LENGTH_BYTES, NEWEST_SCHEMA_VERSION, decode, decode_document,
-    decode_key,
+    DecodedDocument, MAX_DOCUMENT_LENGTH_BYTES, NEWEST_SCHEMA_VERSION, UnreadableOutcomeError,
+    decode, decode_document, decode_key,
 };
--- a/crates/yuccatack_records/src/wire/mod.rs
+++ b/crates/yuccatack_records/src/wire/mod.rs
@@ -11,3 +11,4 @@
     DecodedDocument, MAX_DOCUMENT_LENGTH_BYTES, NEWEST_SCHEMA_VERSION, decode, decode_document,
     decode_key,
 };
+pub use protocol::UnreadableOutcomeError;
--- a/crates/yuccatack_records/src/wire/protocol.rs
+++ b/crates/yuccatack_records/src/wire/protocol.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use snafu::Snafu;
 use yuccatack_core::prelude::*;
 
 use crate::change::{Change, ChangeOutcome, Operation, Refusal, RefusalKind};
@@ -72,6 +73,36 @@
     }
 }
 
+/// An answer that this version does not understand.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("the answer has {detail}; run the same version on both sides"))]
+pub struct UnreadableOutcomeError {
+    detail: String,
+}
+
+impl TryFrom<wire::SubmitChangeResponse> for ChangeOutcome {
+    type Error = UnreadableOutcomeError;
+
+    fn try_from(response: wire::SubmitChangeResponse) -> Result<Self, Self::Error> {
+        match response.outcome {
+            Some(wire::submit_change_response::Outcome::Accepted(accepted)) => Ok(Self::Accepted {
+                generation: Generation::new(accepted.generation),
+                revision: Revision::new(accepted.revision),
+            }),
+            Some(wire::submit_change_response::Outcome::Refused(refused)) => {
+                let kind = RefusalKind::from_word(&refused.kind).ok_or_else(|| {
+                    let detail = format!("the unknown kind of refusal `{}`", refused.kind);
+                    UnreadableOutcomeError { detail }
+                })?;
+                let refusal = Refusal::new(kind, &refused.message)
+                    .with_current_generation(Generation::new(refused.current_generation));
+                Ok(Self::Refused(refusal))
+            }
+            None => Err(UnreadableOutcomeError { detail: "no outcome".to_owned() }),
+        }
+    }
+}
+
 impl From<(&RecordKey, &StoredRecord)> for wire::StoredRecord {
     fn from((key, stored): (&RecordKey, &StoredRecord)) -> Self {
         Self {
--- a/crates/yuccatack_view/src/lib.rs
+++ b/crates/yuccatack_view/src/lib.rs
@@ -1,4 +1,8 @@
 //! The read view that entries and agents subscribe to, and node freshness.
+//!
+//! The control leader runs a [`ViewPublisher`], each entry and agent a [`ViewSubscriber`]. A node
+//! starts new work only while its view is fresh; the leader knows from the nodes' reports which
+//! revision each of them applies, and so when a change is in force everywhere.
 
 /// Generated wire types and services; regenerate with `cargo run --package codegen`.
 #[allow(missing_docs, clippy::all, clippy::pedantic, rustdoc::all)]
@@ -8,6 +12,22 @@
     pub mod view;
 }
 
+mod clock;
+pub mod limits;
+mod message;
+mod publisher;
 mod state;
+mod subscriber;
+mod wire;
 
-pub use state::{MinionEntry, MinionState, MinionStatus, RecordEntry, RecordKey, View, ViewHandle};
+pub use message::{Delta, NodeRole, PublishedRecord, RecordUpdate, Report, Update, UpdateBody};
+pub use publisher::{
+    InForce, LEADER_METADATA_KEY, NotLeader, PublisherState, PublisherStatus, StreamId,
+    ViewPublisher, ViewService,
+};
+pub use state::{MinionEntry, MinionState, MinionStatus, RecordEntry, View, ViewHandle};
+pub use subscriber::{
+    NodeIdentity, SubscriberConfig, SubscriberState, UpdateError, ViewSubscriber,
+};
+pub use wire::WireError;
+pub use yuccatack_records::RecordKey;
--- /dev/null
+++ b/crates/yuccatack_view/src/limits.rs
@@ -0,0 +1,26 @@
+//! Spans of time that the two sides of a view stream agree on.
+
+use yuccatack_core::prelude::*;
+
+/// A node starts new work only this long after it sent a report that the leader confirmed.
+pub const FRESHNESS: DurationMs = DurationMs::new(3_000);
+/// Allows for clocks that run at different rates, and for rounding to milliseconds.
+pub const CLOCK_MARGIN: DurationMs = DurationMs::new(500);
+/// How often a node reports without a change. Six reports fit into [`FRESHNESS`], so that a lost
+/// one and a change of leader (under 1 s) do not stop work.
+pub const REPORT_INTERVAL: DurationMs = DurationMs::new(500);
+/// The leader drops a minion after this silence. It is half of [`FRESHNESS`], because the entries
+/// must also hear of it, or lose their own confirmation, before 3 s have passed.
+pub const MINION_SILENCE: DurationMs = DurationMs::new(1_500);
+/// How long a minion may get work after the leader last heard from it. The 0.2 s to the limit of
+/// 3 s allow for the time that the minion's last report was on its way.
+pub const MINION_WINDOW: DurationMs = DurationMs::new(2_800);
+/// A stream without any message for this long is replaced by the node and cut by the leader.
+pub const STREAM_SILENCE: DurationMs = DurationMs::new(1_500);
+/// The leader forgets a node after this silence; from [`FRESHNESS`] on it has no effect any more.
+pub const NODE_MEMORY: DurationMs = DurationMs::new(60_000);
+/// How often changes in load alone are sent to an entry.
+pub const LOAD_INTERVAL: DurationMs = DurationMs::new(1_000);
+/// The most changes in load sent at once; 24 entries of about 100 bytes a second keep within half
+/// of a node's 6 KB/s at any number of minions.
+pub const MAX_LOAD_ENTRIES: usize = 24;
--- /dev/null
+++ b/crates/yuccatack_view/src/publisher/mod.rs
@@ -0,0 +1,12 @@
+//! The leader's side of the view.
+
+mod actor;
+mod nodes;
+mod records;
+mod service;
+mod state;
+mod stream;
+
+pub use actor::{PublisherStatus, ViewPublisher};
+pub use service::{LEADER_METADATA_KEY, ViewService};
+pub use state::{InForce, NotLeader, PublisherState, StreamId};
--- /dev/null
+++ b/crates/yuccatack_view/src/publisher/service.rs
@@ -0,0 +1,85 @@
+//! The `tonic` front of the publisher.
+
+use std::pin::Pin;
+
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_stream::{Stream, StreamExt};
+use tonic::metadata::MetadataValue;
+use tonic::{Request, Response, Status, Streaming};
+
+use super::actor::ViewPublisher;
+use super::state::{NotLeader, StreamId};
+use crate::generated::view::view_server::{View, ViewServer};
+use crate::generated::view::{NodeReport, ViewUpdate};
+use crate::message::Report;
+
+/// The metadata key that holds the leader's address.
+pub const LEADER_METADATA_KEY: &str = "yuccatack-leader";
+
+/// Takes view streams in and hands them to the publisher.
+#[derive(Clone, Debug)]
+pub struct ViewService {
+    publisher: ViewPublisher,
+}
+
+impl ViewService {
+    /// A service in front of `publisher`.
+    pub const fn new(publisher: ViewPublisher) -> Self {
+        Self { publisher }
+    }
+
+    /// The service for a `tonic` router.
+    pub fn into_server(self) -> ViewServer<Self> {
+        ViewServer::new(self)
+    }
+}
+
+impl From<NotLeader> for Status {
+    fn from(refusal: NotLeader) -> Self {
+        let mut status = Self::failed_precondition(
+            "this control replica does not lead; connect to the one in the metadata, or try others",
+        );
+        let leader = refusal.leader.map(|address| address.to_string());
+        if let Some(Ok(value)) = leader.map(|text| MetadataValue::try_from(text.as_str())) {
+            status.metadata_mut().insert(LEADER_METADATA_KEY, value);
+        }
+        status
+    }
+}
+
+#[tonic::async_trait]
+impl View for ViewService {
+    type SubscribeStream = Pin<Box<dyn Stream<Item = Result<ViewUpdate, Status>> + Send>>;
+
+    async fn subscribe(
+        &self,
+        request: Request<Streaming<NodeReport>>,
+    ) -> Result<Response<Self::SubscribeStream>, Status> {
+        let (stream, updates) = self.publisher.open_stream().await?;
+        let publisher = self.publisher.clone();
+        tokio::spawn(forward_reports(publisher, stream, request.into_inner()));
+        let updates = ReceiverStream::new(updates).map(|update| update.map(ViewUpdate::from));
+        Ok(Response::new(Box::pin(updates)))
+    }
+}
+
+async fn forward_reports(
+    publisher: ViewPublisher,
+    stream: StreamId,
+    mut reports: Streaming<NodeReport>,
+) {
+    while let Ok(Some(wire)) = reports.message().await {
+        match Report::try_from(wire) {
+            Ok(report) => publisher.report(stream, report).await,
+            Err(error) => {
+                log::warn!(event = "invalid_node_report"; "view stream {stream} closed: {error}");
+                break;
+            }
+        }
+    }
+    publisher.close(stream).await;
+}
+
+/// The receiving half of a stream's updates.
+pub type UpdateReceiver = mpsc::Receiver<Result<crate::message::Update, Status>>;
--- a/crates/yuccatack_view/src/state.rs
+++ b/crates/yuccatack_view/src/state.rs
@@ -7,16 +7,7 @@
 
 use tokio::sync::watch;
 use yuccatack_core::prelude::*;
-use yuccatack_records::{Record, RecordKind};
-
-/// The kind and name of a record.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct RecordKey {
-    /// The kind.
-    pub kind: RecordKind,
-    /// The name.
-    pub name: RecordName,
-}
+use yuccatack_records::{Record, RecordKey};
 
 /// A record in the view.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,6 +52,17 @@
     pub latency_us: u64,
 }
 
+impl MinionStatus {
+    /// Whether anything but the load differs.
+    pub fn routes_differently(&self, other: &Self) -> bool {
+        self.state != other.state
+            || self.minion != other.minion
+            || self.service != other.service
+            || self.agent_address != other.agent_address
+            || self.slot_count != other.slot_count
+    }
+}
+
 /// A minion in the view.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MinionEntry {
@@ -81,7 +83,7 @@
     pub revision: Revision,
     /// The records in force.
     pub records: BTreeMap<RecordKey, Arc<RecordEntry>>,
-    /// The minions by the node of their agent.
+    /// The minions by the node of their agent; empty at agents, which route nothing.
     pub minions: BTreeMap<NodeName, Arc<MinionEntry>>,
 }
 
@@ -106,7 +108,8 @@
         self.view.borrow().clone()
     }
 
-    /// Whether new work may start at `now`: the leader confirmed the view's revision recently.
+    /// Whether new work may start at `now`: the leader confirmed the view's revision recently, and
+    /// it heard recently of every minion in the view.
     pub fn is_fresh(&self, now: Instant) -> bool {
         self.fresh_until.borrow().is_some_and(|limit| now < limit)
     }
