Add the data folder and the replicated log

Cause: the control process needs a durable log that survives the loss of replicas, and its interface, before its own state can be replicated.

A cluster is formed by the initial voter with the lowest number, once every initial voter has said that it belongs to no cluster. The first entry binds each replica id to the incarnation of its data folder, because a wiped folder cannot tell that it is not new.

--- a/crates/yuccatack_replication/src/lib.rs
+++ b/crates/yuccatack_replication/src/lib.rs
@@ -1,4 +1,33 @@
 //! The replicated log: elections, membership, snapshots and transport.
+//!
+//! [`state`] decides and does no I/O; the actor behind [`start`] owns the storage, and the
+//! transport carries messages between replicas.
+
+mod actor;
+mod committed;
+mod error;
+mod handle;
+mod identifiers;
+mod membership;
+mod message;
+mod persistence;
+mod replicated_log;
+pub mod state;
+mod transport;
+mod wire;
+
+pub use committed::{Committed, Leadership, ProposalFailure, ReadFailure};
+pub use error::{ChangeError, ReplicaFailure, StartError};
+pub use handle::{
+    LearnerStatus, ReplicationConfig, ReplicationHandle, ReplicationStatus, RoleName, start,
+};
+pub use identifiers::{ChangeNumber, ClusterId, LogIndex, ProposalId, ReadId, ReplicaId, Term};
+pub use membership::{Member, Membership, MembershipChange};
+pub use message::{AppendOutcome, Message, MessageBody};
+pub use persistence::{HardState, PersistBatch, PersistOperation, Recovered, StateSnapshot};
+pub use replicated_log::{EntryPayload, Log, LogEntry, LogPosition};
+pub use transport::ReplicationService;
+pub use wire::WireError;
 
 /// Generated wire types and services; regenerate with `cargo run --package codegen`.
 #[allow(missing_docs, clippy::all, clippy::pedantic, rustdoc::all)]
--- /dev/null
+++ b/crates/yuccatack_replication/src/state/delivery.rs
@@ -0,0 +1,81 @@
+//! Handing committed entries to the user of the log, in order.
+
+use super::{Replica, Role};
+use crate::committed::{Committed, Leadership};
+use crate::identifiers::{LogIndex, ProposalId};
+use crate::replicated_log::EntryPayload;
+
+impl Replica {
+    /// Delivers what is committed and on the own disk.
+    pub(super) fn deliver(&mut self) {
+        self.deliver_snapshot();
+        let last = self.commit.min(self.synced_index);
+        while self.delivered < last {
+            if !self.deliver_entry(self.delivered.next()) {
+                break;
+            }
+        }
+        self.announce_lead();
+        self.answer_reads();
+        self.ask_for_snapshot();
+    }
+
+    fn deliver_snapshot(&mut self) {
+        let Some(snapshot) = &self.snapshot else { return };
+        let index = snapshot.last.index;
+        if index > self.delivered && index <= self.synced_index {
+            self.delivered = index;
+            let payload = snapshot.payload.clone();
+            self.outputs.committed.push(Committed::Snapshot { index, payload });
+        }
+    }
+
+    fn deliver_entry(&mut self, index: LogIndex) -> bool {
+        // The entries before a snapshot that is still being synced are gone.
+        let Some(entry) = self.log.entry(index) else { return false };
+        let term = entry.term;
+        let payload = match &entry.payload {
+            EntryPayload::Command(payload) => Some(payload.clone()),
+            EntryPayload::Empty | EntryPayload::Membership(_) => None,
+        };
+        if let Some(payload) = payload {
+            let proposal = self.take_proposal(index);
+            self.outputs.committed.push(Committed::Entry { index, term, proposal, payload });
+        }
+        self.delivered = index;
+        true
+    }
+
+    fn take_proposal(&mut self, index: LogIndex) -> Option<ProposalId> {
+        match &mut self.role {
+            Role::Leader(leader) => leader.proposals.remove(&index),
+            _ => None,
+        }
+    }
+
+    fn announce_lead(&mut self) {
+        let Role::Leader(leader) = &mut self.role else { return };
+        if leader.announced || self.delivered < leader.first_index {
+            return;
+        }
+        leader.announced = true;
+        let term = self.hard_state.term;
+        self.outputs.committed.push(Committed::Leadership(Leadership::Leader { term }));
+    }
+
+    fn answer_reads(&mut self) {
+        let Role::Leader(leader) = &mut self.role else { return };
+        for read in leader.reads.take_ready(self.delivered) {
+            self.outputs.committed.push(Committed::ReadReady { read });
+        }
+    }
+
+    fn ask_for_snapshot(&mut self) {
+        let held = self.snapshot.as_ref().map_or(LogIndex::default(), |held| held.last.index);
+        let behind = self.delivered.get().saturating_sub(held.get());
+        if self.snapshot_wanted.is_none() && behind >= self.settings.snapshot_entry_count {
+            self.snapshot_wanted = Some(self.delivered);
+            self.outputs.committed.push(Committed::SnapshotWanted { index: self.delivered });
+        }
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_replication/src/state/election.rs
@@ -0,0 +1,189 @@
+//! Elections: pre-vote, votes and the change of role.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use yuccatack_core::{DurationMs, Incarnation};
+
+use super::leader::LeaderState;
+use super::{Replica, Role};
+use crate::identifiers::{ReplicaId, Term};
+use crate::message::{Message, MessageBody};
+use crate::persistence::HardState;
+
+/// The votes of one election.
+#[derive(Debug, Default)]
+pub(super) struct Ballot {
+    votes: BTreeMap<ReplicaId, bool>,
+    /// The batch that makes the own vote durable; the own vote counts after it.
+    own_vote_sequence: u64,
+}
+
+impl Replica {
+    pub(super) fn reset_election_deadline(&mut self) {
+        let shortest = self.settings.election_timeout.get();
+        let timeout = self.random.random_range(shortest..shortest.max(1) * 2);
+        self.election_deadline = self.now + DurationMs::new(timeout);
+    }
+
+    pub(super) fn on_election_timeout(&mut self) {
+        self.reset_election_deadline();
+        if !self.is_voter() {
+            return;
+        }
+        if self.leader.is_some() {
+            self.announce_leader(None);
+        }
+        self.start_pre_vote();
+    }
+
+    fn start_pre_vote(&mut self) {
+        let mut ballot = Ballot::default();
+        ballot.votes.insert(self.settings.replica, true);
+        self.role = Role::PreCandidate(ballot);
+        if !self.proceed_if_elected() {
+            self.request_votes(true, false);
+        }
+    }
+
+    fn start_election(&mut self, transfer: bool) {
+        let hard_state = HardState {
+            term: self.hard_state.term.next(),
+            voted_for: self.settings.replica,
+            cluster: self.cluster(),
+        };
+        self.set_hard_state(hard_state);
+        let own_vote_sequence = self.hard_state_sequence;
+        self.role = Role::Candidate(Ballot { votes: BTreeMap::new(), own_vote_sequence });
+        self.reset_election_deadline();
+        self.request_votes(false, transfer);
+    }
+
+    /// Counts the own vote once it is on disk.
+    pub(super) fn count_own_vote(&mut self) {
+        let own = self.settings.replica;
+        let synced = self.synced_sequence;
+        let Role::Candidate(ballot) = &mut self.role else { return };
+        if synced >= ballot.own_vote_sequence && ballot.votes.insert(own, true).is_none() {
+            self.proceed_if_elected();
+        }
+    }
+
+    fn request_votes(&mut self, pre_vote: bool, transfer: bool) {
+        let current = self.hard_state.term;
+        let for_term = if pre_vote { current.next() } else { current };
+        let last = self.log.last();
+        for (replica, incarnation) in self.other_voters() {
+            let body = MessageBody::VoteRequest { for_term, pre_vote, transfer, last };
+            self.send_after_hard_state(replica, incarnation, body);
+        }
+    }
+
+    fn other_voters(&self) -> Vec<(ReplicaId, Incarnation)> {
+        let membership = self.membership();
+        let voters = membership.replicas().into_iter().filter_map(|replica| {
+            membership.voter(replica).map(|member| (replica, member.incarnation))
+        });
+        voters.filter(|(replica, _)| *replica != self.settings.replica).collect()
+    }
+
+    /// Whether a leader was heard of too recently for another election to be useful.
+    fn has_recent_leader(&self) -> bool {
+        if self.is_leader() {
+            return true;
+        }
+        self.leader.is_some()
+            && self
+                .last_leader_contact
+                .is_some_and(|contact| self.now.since(contact) < self.settings.election_timeout)
+    }
+
+    pub(super) fn on_vote_request(&mut self, message: &Message) {
+        let MessageBody::VoteRequest { for_term, pre_vote, transfer, last } = message.body else {
+            return;
+        };
+        // A vote is given by the data folder that the candidate's membership names, or not at all.
+        if message.to_incarnation != self.incarnation() {
+            return;
+        }
+        if self.has_recent_leader() && !transfer {
+            return;
+        }
+        if !pre_vote && for_term > self.hard_state.term {
+            self.become_follower(for_term, None);
+        }
+        let up_to_date = last.is_up_to_date_with(self.log.last());
+        let granted = up_to_date
+            && if pre_vote {
+                for_term > self.hard_state.term
+            } else {
+                self.may_vote_for(message.from, for_term)
+            };
+        if granted && !pre_vote {
+            let HardState { term, cluster, .. } = self.hard_state;
+            self.set_hard_state(HardState { term, voted_for: message.from, cluster });
+            self.reset_election_deadline();
+        }
+        let body = MessageBody::VoteResponse { for_term, pre_vote, granted };
+        self.send_after_sync(message.from, message.from_incarnation, body);
+    }
+
+    fn may_vote_for(&self, candidate: ReplicaId, for_term: Term) -> bool {
+        let free = matches!(self.hard_state.voted_for, vote if vote == ReplicaId::NONE || vote == candidate);
+        for_term == self.hard_state.term && free && !self.is_leader()
+    }
+
+    pub(super) fn on_vote_response(
+        &mut self,
+        from: ReplicaId,
+        for_term: Term,
+        pre_vote: bool,
+        granted: bool,
+    ) {
+        let current = self.hard_state.term;
+        match &mut self.role {
+            Role::PreCandidate(ballot) if pre_vote && for_term == current.next() => {
+                ballot.votes.insert(from, granted);
+            }
+            Role::Candidate(ballot) if !pre_vote && for_term == current => {
+                ballot.votes.insert(from, granted);
+            }
+            _ => return,
+        }
+        self.proceed_if_elected();
+    }
+
+    fn proceed_if_elected(&mut self) -> bool {
+        let (Role::PreCandidate(ballot) | Role::Candidate(ballot)) = &self.role else {
+            return false;
+        };
+        let granted = |replica| ballot.votes.get(&replica) == Some(&true);
+        if !self.membership().has_quorum(granted) {
+            return false;
+        }
+        if matches!(self.role, Role::PreCandidate(_)) {
+            self.start_election(false);
+        } else {
+            self.become_leader();
+        }
+        true
+    }
+
+    fn become_leader(&mut self) {
+        log::info!(
+            event = "leader_elected", replica = self.settings.replica.get(),
+            term = self.hard_state.term.get();
+            "this replica leads"
+        );
+        self.leader = Some(self.settings.replica);
+        let state = LeaderState::new(self.now, self.log.last().index.next());
+        self.role = Role::Leader(Box::new(state));
+        self.start_leading();
+    }
+
+    pub(super) fn on_timeout_now(&mut self, from: ReplicaId) {
+        if self.leader == Some(from) && self.is_voter() && !self.is_leader() {
+            self.start_election(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_replication/src/state/leader.rs
@@ -0,0 +1,347 @@
+//! Leading: appending proposals, replicating them and advancing the commit index.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use yuccatack_core::{Incarnation, TimestampMs};
+
+use super::membership_change::ActiveChange;
+use super::progress::{Mode, Progress, Transfer, WINDOW_ENTRY_COUNT};
+use super::reads::ReadQueue;
+use super::{Replica, Role};
+use crate::committed::{Committed, ProposalFailure};
+use crate::error::ChangeError;
+use crate::identifiers::{LogIndex, ProposalId, ReplicaId};
+use crate::message::{AppendOutcome, MessageBody};
+use crate::persistence::PersistOperation;
+use crate::replicated_log::{EntryPayload, LogEntry, LogPosition};
+
+/// How many bytes of entries one message carries, so that a heartbeat waits behind little.
+const APPEND_LIMIT_BYTES: usize = 256 * 1024;
+
+/// A planned change of leader.
+#[derive(Debug)]
+pub(super) struct Handover {
+    pub target: ReplicaId,
+    deadline: TimestampMs,
+    requested: bool,
+}
+
+/// What only a leader has.
+#[derive(Debug)]
+pub(super) struct LeaderState {
+    pub next_heartbeat: TimestampMs,
+    pub progress: BTreeMap<ReplicaId, Progress>,
+    /// The first entry of the own term; reads wait until it is committed.
+    pub first_index: LogIndex,
+    /// Whether the user was told that this replica leads.
+    pub announced: bool,
+    pub proposals: BTreeMap<LogIndex, ProposalId>,
+    pub reads: ReadQueue,
+    pub change: Option<ActiveChange>,
+    pub handover: Option<Handover>,
+}
+
+impl LeaderState {
+    pub fn new(now: TimestampMs, first_index: LogIndex) -> Self {
+        Self {
+            next_heartbeat: now,
+            progress: BTreeMap::new(),
+            first_index,
+            announced: false,
+            proposals: BTreeMap::new(),
+            reads: ReadQueue::default(),
+            change: None,
+            handover: None,
+        }
+    }
+}
+
+impl Replica {
+    pub(super) fn start_leading(&mut self) {
+        self.append_as_leader(EntryPayload::Empty);
+        self.match_progress_to_membership();
+    }
+
+    pub(super) fn append_as_leader(&mut self, payload: EntryPayload) -> LogIndex {
+        let index = self.log.last().index.next();
+        let entry = LogEntry { term: self.hard_state.term, index, payload };
+        if let EntryPayload::Membership(membership) = &entry.payload {
+            self.memberships.push((index, membership.clone()));
+            self.match_progress_to_membership();
+        }
+        self.log.push(entry.clone());
+        match self.operations.last_mut() {
+            Some(PersistOperation::Append(entries)) => entries.push(entry),
+            _ => self.operations.push(PersistOperation::Append(vec![entry])),
+        }
+        index
+    }
+
+    pub(super) fn match_progress_to_membership(&mut self) {
+        let membership = self.memberships[self.memberships.len() - 1].1.clone();
+        let next = self.log.last().index.next();
+        let Role::Leader(leader) = &mut self.role else { return };
+        let members = membership.replicas();
+        leader.progress.retain(|replica, _| members.contains(replica));
+        for replica in members {
+            if replica == self.settings.replica {
+                continue;
+            }
+            let incarnation =
+                membership.member(replica).map_or(Incarnation::default(), |m| m.incarnation);
+            leader
+                .progress
+                .entry(replica)
+                .or_insert_with(|| Progress::new(incarnation, next, self.now));
+        }
+    }
+
+    pub(super) fn on_propose(&mut self, proposal: ProposalId, payload: Bytes) {
+        let open = matches!(&self.role, Role::Leader(leader) if leader.handover.is_none());
+        if !open {
+            let leader_address = self.leader_address();
+            let failure = ProposalFailure::NotLeader { leader_address };
+            self.outputs.committed.push(Committed::ProposalFailed { proposal, failure });
+            return;
+        }
+        let index = self.append_as_leader(EntryPayload::Command(payload));
+        if let Role::Leader(leader) = &mut self.role {
+            leader.proposals.insert(index, proposal);
+        }
+    }
+
+    /// Reports everything that waits for this leader as unanswered.
+    pub(super) fn fail_pending(&mut self, state: LeaderState) {
+        for proposal in state.proposals.into_values() {
+            let failure = ProposalFailure::Unknown;
+            self.outputs.committed.push(Committed::ProposalFailed { proposal, failure });
+        }
+        for read in state.reads.into_unanswered() {
+            self.fail_read(read);
+        }
+        if let Some(change) = state.change {
+            self.outputs.changes.push((change.number, Err(ChangeError::Unknown)));
+        }
+    }
+
+    /// Gives up the lead when a quorum has been silent for an election timeout.
+    pub(super) fn check_quorum_contact(&mut self) {
+        let Role::Leader(leader) = &self.role else { return };
+        let own = self.settings.replica;
+        let in_contact = |replica: ReplicaId| {
+            replica == own
+                || leader.progress.get(&replica).is_some_and(|progress| {
+                    self.now.since(progress.last_response) <= self.settings.election_timeout
+                })
+        };
+        if !self.membership().has_quorum(in_contact) {
+            log::warn!(
+                event = "quorum_lost", replica = own.get(), term = self.hard_state.term.get();
+                "no contact with a quorum for an election timeout; giving up the lead"
+            );
+            self.become_follower(self.hard_state.term, None);
+        }
+    }
+
+    pub(super) fn lead_on_time(&mut self) {
+        self.continue_change();
+        let Role::Leader(leader) = &mut self.role else { return };
+        if leader.handover.as_ref().is_some_and(|handover| self.now >= handover.deadline) {
+            leader.handover = None;
+        }
+        if self.now < leader.next_heartbeat {
+            return;
+        }
+        leader.next_heartbeat = self.now + self.settings.heartbeat;
+        for (replica, progress) in &mut leader.progress {
+            let is_learner =
+                self.memberships[self.memberships.len() - 1].1.voter(*replica).is_none();
+            let silent = self.now.since(progress.last_response) > self.settings.election_timeout;
+            if is_learner && silent && progress.incarnation != Incarnation::default() {
+                // The learner's folder may have been replaced; its successor answers to any.
+                let next = self.log.last().index.next();
+                *progress = Progress::new(Incarnation::default(), next, self.now);
+            }
+        }
+        self.send_heartbeats();
+    }
+
+    pub(super) fn send_heartbeats(&mut self) {
+        let Role::Leader(leader) = &self.role else { return };
+        let round = leader.reads.round();
+        let bodies: Vec<_> = leader
+            .progress
+            .iter()
+            .map(|(replica, progress)| {
+                let commit = self.commit.min(progress.matched);
+                let body = MessageBody::Heartbeat { commit, round };
+                (*replica, progress.incarnation, body)
+            })
+            .collect();
+        for (replica, incarnation, body) in bodies {
+            self.send_now(replica, incarnation, body);
+        }
+    }
+
+    /// Sends every member what it lacks.
+    pub(super) fn replicate(&mut self) {
+        self.start_read_round();
+        let Role::Leader(leader) = &mut self.role else { return };
+        let mut messages = Vec::new();
+        for (replica, progress) in &mut leader.progress {
+            let incarnation = progress.incarnation;
+            while let Some(body) =
+                next_message(progress, &self.log, self.commit, &self.snapshot, self.now)
+            {
+                messages.push((*replica, incarnation, body));
+            }
+        }
+        for (replica, incarnation, body) in messages {
+            self.send_now(replica, incarnation, body);
+        }
+    }
+
+    /// The progress that an answer is about, after noting that the member is alive.
+    pub(super) fn answered(
+        &mut self,
+        from: ReplicaId,
+        incarnation: Incarnation,
+    ) -> Option<&mut Progress> {
+        let next = self.log.last().index.next();
+        let Role::Leader(leader) = &mut self.role else { return None };
+        let progress = leader.progress.get_mut(&from)?;
+        if progress.incarnation == Incarnation::default() {
+            progress.incarnation = incarnation;
+        }
+        if progress.incarnation != incarnation {
+            *progress = Progress::new(incarnation, next, self.now);
+        }
+        progress.last_response = self.now;
+        Some(progress)
+    }
+
+    pub(super) fn on_append_response(
+        &mut self,
+        from: ReplicaId,
+        incarnation: Incarnation,
+        outcome: AppendOutcome,
+    ) {
+        let now = self.now;
+        let last = self.log.last().index;
+        let agreed = match outcome {
+            AppendOutcome::Rejected { hint, .. } => {
+                self.log.last_with_term_up_to(hint.index, hint.term).index
+            }
+            AppendOutcome::Accepted { matched } => matched,
+        };
+        let Some(progress) = self.answered(from, incarnation) else { return };
+        match outcome {
+            AppendOutcome::Accepted { matched } => {
+                assert!(matched <= last, "replica {from} acknowledged what was never sent");
+                progress.accept(matched, now);
+            }
+            AppendOutcome::Rejected { previous, .. } => {
+                if previous > progress.matched && previous < progress.next {
+                    progress.reject(agreed.min(previous.previous()));
+                }
+            }
+        }
+        self.advance_commit();
+        self.continue_handover();
+        self.continue_change();
+    }
+
+    /// Commits what a quorum holds on disk, if it is of the own term.
+    pub(super) fn advance_commit(&mut self) {
+        let Role::Leader(leader) = &self.role else { return };
+        let own = self.settings.replica;
+        let held = |replica: ReplicaId| {
+            if replica == own {
+                return self.synced_index;
+            }
+            leader.progress.get(&replica).map_or(LogIndex::default(), |progress| progress.matched)
+        };
+        let index = self.membership().quorum_index(held);
+        // An entry of an older term can still be replaced although a quorum holds it.
+        if index > self.commit && self.log.term_at(index) == Some(self.hard_state.term) {
+            self.advance_commit_to(index);
+            self.on_commit_advanced();
+        }
+    }
+
+    pub(super) fn on_transfer_request(&mut self) {
+        let now = self.now;
+        let deadline = now + self.settings.election_timeout;
+        let own = self.settings.replica;
+        let voters: Vec<ReplicaId> = self.membership().voters.keys().copied().collect();
+        let Role::Leader(leader) = &mut self.role else { return };
+        let recent = |progress: &Progress| {
+            now.since(progress.last_response) <= self.settings.election_timeout
+        };
+        let candidates = voters.into_iter().filter(|replica| *replica != own);
+        let target = candidates
+            .filter_map(|replica| leader.progress.get(&replica).map(|progress| (replica, progress)))
+            .filter(|(_, progress)| recent(progress))
+            .max_by_key(|(_, progress)| progress.matched)
+            .map(|(replica, _)| replica);
+        if let Some(target) = target {
+            leader.handover = Some(Handover { target, deadline, requested: false });
+            self.continue_handover();
+        }
+    }
+
+    fn continue_handover(&mut self) {
+        let last = self.log.last().index;
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(handover) = &mut leader.handover else { return };
+        let target = handover.target;
+        let Some(progress) = leader.progress.get(&target) else { return };
+        if handover.requested || progress.matched < last {
+            return;
+        }
+        handover.requested = true;
+        let incarnation = progress.incarnation;
+        self.send_now(target, incarnation, MessageBody::TimeoutNow);
+    }
+}
+
+/// The next message that brings a member forward, if one may be sent now.
+fn next_message(
+    progress: &mut Progress,
+    log: &crate::replicated_log::Log,
+    commit: LogIndex,
+    snapshot: &Option<crate::persistence::StateSnapshot>,
+    now: TimestampMs,
+) -> Option<MessageBody> {
+    if let Mode::Snapshot(transfer) = &mut progress.mode {
+        return transfer.next_chunk(now);
+    }
+    let previous = progress.next.previous();
+    let Some(term) = log.term_at(previous) else {
+        let snapshot = snapshot.clone()?;
+        let transfer = Transfer { snapshot, offset_bytes: 0, sent_at: None };
+        progress.mode = Mode::Snapshot(transfer);
+        return next_message(progress, log, commit, &None, now);
+    };
+    match &mut progress.mode {
+        Mode::Probe { waiting: true } => return None,
+        Mode::Probe { waiting } => *waiting = true,
+        Mode::Stream => {
+            let outstanding = progress.next.get() - progress.matched.next().get();
+            if progress.next > log.last().index || outstanding > WINDOW_ENTRY_COUNT {
+                return None;
+            }
+            if outstanding == 0 {
+                progress.last_progress = now;
+            }
+        }
+        Mode::Snapshot(_) => return None,
+    }
+    let entries = log.slice(progress.next, APPEND_LIMIT_BYTES).to_vec();
+    if matches!(progress.mode, Mode::Stream) {
+        progress.next = entries.last().map_or(progress.next, |entry| entry.index.next());
+    }
+    let previous = LogPosition { index: previous, term };
+    Some(MessageBody::Append { previous, entries, commit })
+}
--- /dev/null
+++ b/crates/yuccatack_replication/src/state/snapshots.rs
@@ -0,0 +1,180 @@
+//! Taking, sending and installing snapshots.
+
+use bytes::Bytes;
+use yuccatack_core::{Incarnation, TimestampMs};
+
+use super::Replica;
+use super::progress::{Mode, Progress, Transfer};
+use crate::identifiers::{LogIndex, ReplicaId};
+use crate::membership::Membership;
+use crate::message::{AppendOutcome, MessageBody};
+use crate::persistence::{PersistOperation, StateSnapshot};
+use crate::replicated_log::LogPosition;
+
+/// How much of a snapshot one message carries, so that heartbeats wait behind little.
+const CHUNK_BYTES: u64 = 512 * 1024;
+
+/// How many entries before a snapshot are kept, so that a member that lags a little needs no
+/// snapshot.
+const KEPT_ENTRY_COUNT: u64 = 1_000;
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+pub(super) struct IncomingSnapshot {
+    last: LogPosition,
+    membership: Membership,
+    total_bytes: u64,
+    data: Vec<u8>,
+}
+
+impl IncomingSnapshot {
+    pub fn new(last: LogPosition, membership: Membership, total_bytes: u64) -> Self {
+        Self { last, membership, total_bytes, data: Vec::new() }
+    }
+}
+
+impl Transfer {
+    /// The part to send now, or nothing while an answer is awaited.
+    pub fn next_chunk(&mut self, now: TimestampMs) -> Option<MessageBody> {
+        if self.sent_at.is_some() {
+            return None;
+        }
+        self.sent_at = Some(now);
+        let total_bytes = self.snapshot.payload.len() as u64;
+        let start = self.offset_bytes.min(total_bytes);
+        let end = (start + CHUNK_BYTES).min(total_bytes);
+        Some(MessageBody::SnapshotChunk {
+            last: self.snapshot.last,
+            membership: self.snapshot.membership.clone(),
+            offset_bytes: start,
+            total_bytes,
+            data: self.snapshot.payload.slice(start as usize..end as usize),
+        })
+    }
+}
+
+impl Replica {
+    pub(super) fn on_store_snapshot(&mut self, index: LogIndex, payload: Bytes) {
+        self.snapshot_wanted = None;
+        let held = self.snapshot.as_ref().map_or(LogIndex::default(), |held| held.last.index);
+        if index <= held {
+            return;
+        }
+        assert!(index <= self.delivered, "a snapshot of entries that were never delivered");
+        let Some(term) = self.log.term_at(index) else { return };
+        let last = LogPosition { index, term };
+        let membership = self.membership_at(index);
+        let snapshot = StateSnapshot { last, membership, payload };
+        self.operations.push(PersistOperation::Snapshot(snapshot.clone()));
+        self.snapshot = Some(snapshot);
+        let kept = KEPT_ENTRY_COUNT.min(self.settings.snapshot_entry_count);
+        let compacted = LogIndex::new(index.get().saturating_sub(kept));
+        if compacted > self.log.base().index {
+            self.log.compact(compacted);
+            self.restart_stored_log();
+        }
+        self.reload_memberships();
+    }
+
+    fn membership_at(&self, index: LogIndex) -> Membership {
+        let newest = self.memberships.iter().rev().find(|(set_at, _)| *set_at <= index);
+        newest.map_or_else(Membership::default, |(_, membership)| membership.clone())
+    }
+
+    fn restart_stored_log(&mut self) {
+        let entries = self.log.entries().to_vec();
+        self.operations.push(PersistOperation::RestartLog { base: self.log.base(), entries });
+    }
+
+    pub(super) fn on_snapshot_chunk(
+        &mut self,
+        from: ReplicaId,
+        incarnation: Incarnation,
+        chunk: IncomingSnapshot,
+        offset_bytes: u64,
+        data: &[u8],
+    ) {
+        if chunk.last.index <= self.commit {
+            let outcome = AppendOutcome::Accepted { matched: self.commit };
+            return self.send_after_sync(from, incarnation, MessageBody::AppendResponse(outcome));
+        }
+        let same = self
+            .incoming_snapshot
+            .as_ref()
+            .is_some_and(|held| held.last == chunk.last && held.total_bytes == chunk.total_bytes);
+        if !same {
+            self.incoming_snapshot = Some(chunk);
+        }
+        let Some(incoming) = &mut self.incoming_snapshot else { return };
+        let index = incoming.last.index;
+        if incoming.data.len() as u64 == offset_bytes {
+            incoming.data.extend_from_slice(data);
+        }
+        let received_bytes = incoming.data.len() as u64;
+        if received_bytes >= incoming.total_bytes
+            && let Some(complete) = self.incoming_snapshot.take()
+        {
+            self.install(complete);
+        }
+        let body = MessageBody::SnapshotResponse { index, received_bytes };
+        self.send_after_sync(from, incarnation, body);
+    }
+
+    fn install(&mut self, incoming: IncomingSnapshot) {
+        let IncomingSnapshot { last, membership, data, .. } = incoming;
+        let payload = Bytes::from(data);
+        let snapshot = StateSnapshot { last, membership, payload };
+        self.operations.push(PersistOperation::Snapshot(snapshot.clone()));
+        self.snapshot = Some(snapshot);
+        if self.log.term_at(last.index) == Some(last.term) {
+            self.log.compact(last.index);
+        } else {
+            // What is uncommitted here conflicts with the snapshot and counts as unsynced.
+            let agreed = self.commit;
+            self.synced_index = self.synced_index.min(agreed);
+            for (_, covered) in &mut self.unsynced {
+                *covered = agreed.min(*covered);
+            }
+            self.log.reset(last);
+        }
+        self.restart_stored_log();
+        self.reload_memberships();
+        self.advance_commit_to(last.index);
+        self.snapshot_wanted = None;
+    }
+
+    pub(super) fn forget_incoming_snapshot(&mut self) {
+        self.incoming_snapshot = None;
+    }
+
+    pub(super) fn on_snapshot_response(
+        &mut self,
+        from: ReplicaId,
+        incarnation: Incarnation,
+        index: LogIndex,
+        received_bytes: u64,
+    ) {
+        let now = self.now;
+        let Some(progress) = self.answered(from, incarnation) else { return };
+        progress.on_chunk_received(index, received_bytes, now);
+        self.advance_commit();
+        self.continue_change();
+    }
+}
+
+impl Progress {
+    fn on_chunk_received(&mut self, index: LogIndex, received_bytes: u64, now: TimestampMs) {
+        let Mode::Snapshot(transfer) = &mut self.mode else { return };
+        if transfer.snapshot.last.index != index {
+            return;
+        }
+        if received_bytes >= transfer.snapshot.payload.len() as u64 {
+            self.next = index.next();
+            self.accept(index, now);
+        } else if received_bytes != transfer.offset_bytes {
+            transfer.offset_bytes = received_bytes;
+            transfer.sent_at = None;
+            self.last_progress = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_replication/tests/cluster/mod.rs
@@ -0,0 +1,201 @@
+//! A cluster of replicas in one process, on loopback and with real files.
+#![allow(clippy::unwrap_used, missing_docs, dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use yuccatack_replication::{
+    Committed, Leadership, LogIndex, ProposalId, ReadId, ReplicaId, ReplicationConfig,
+    ReplicationHandle, start,
+};
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub struct Node {
+    pub handle: ReplicationHandle,
+    pub committed: mpsc::Receiver<Committed>,
+    pub applied: Vec<(LogIndex, Bytes)>,
+    pub snapshot: Option<(LogIndex, Bytes)>,
+    shutdown: Option<oneshot::Sender<()>>,
+    server: tokio::task::JoinHandle<()>,
+}
+
+pub struct Cluster {
+    pub folder: tempfile::TempDir,
+    pub addresses: BTreeMap<ReplicaId, SocketAddr>,
+    pub voters: BTreeMap<ReplicaId, SocketAddr>,
+    pub nodes: BTreeMap<ReplicaId, Node>,
+    pub snapshot_entry_count: u64,
+}
+
+pub fn replica(number: u64) -> ReplicaId {
+    ReplicaId::new(number)
+}
+
+impl Cluster {
+    pub async fn new(voter_count: u64, snapshot_entry_count: u64) -> Self {
+        let mut cluster = Self {
+            folder: tempfile::tempdir().unwrap(),
+            addresses: BTreeMap::new(),
+            voters: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            snapshot_entry_count,
+        };
+        let mut listeners = BTreeMap::new();
+        for number in 1..=voter_count {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            cluster.addresses.insert(replica(number), listener.local_addr().unwrap());
+            listeners.insert(replica(number), listener);
+        }
+        cluster.voters = cluster.addresses.clone();
+        for (id, listener) in listeners {
+            cluster.start_on(id, listener).await;
+        }
+        cluster
+    }
+
+    pub fn data_folder(&self, id: ReplicaId) -> PathBuf {
+        self.folder.path().join(format!("replica-{id}"))
+    }
+
+    pub fn config(&self, id: ReplicaId) -> ReplicationConfig {
+        ReplicationConfig {
+            replica: id,
+            address: self.addresses[&id],
+            initial_voters: self.voters.clone(),
+            heartbeat_ms: 50,
+            election_timeout_ms: 250,
+            snapshot_entry_count: self.snapshot_entry_count,
+            data_folder: self.data_folder(id),
+        }
+    }
+
+    async fn start_on(&mut self, id: ReplicaId, listener: TcpListener) {
+        let (handle, committed, service) = start(self.config(id)).await.unwrap();
+        let (shutdown, stopped) = oneshot::channel::<()>();
+        let server = tokio::spawn(async move {
+            let served = Server::builder().add_service(service).serve_with_incoming_shutdown(
+                TcpIncoming::from(listener),
+                async {
+                    let _ = stopped.await;
+                },
+            );
+            served.await.unwrap();
+        });
+        let node = Node {
+            handle,
+            committed,
+            applied: Vec::new(),
+            snapshot: None,
+            shutdown: Some(shutdown),
+            server,
+        };
+        self.nodes.insert(id, node);
+    }
+
+    pub async fn start(&mut self, id: ReplicaId) {
+        let address = *self.addresses.entry(id).or_insert("127.0.0.1:0".parse().unwrap());
+        let listener = TcpListener::bind(address).await.unwrap();
+        self.addresses.insert(id, listener.local_addr().unwrap());
+        self.start_on(id, listener).await;
+    }
+
+    pub async fn stop(&mut self, id: ReplicaId) {
+        let mut node = self.nodes.remove(&id).unwrap();
+        node.handle.clone().stop().await;
+        let _ = node.shutdown.take().unwrap().send(());
+        timeout(PATIENCE, node.server).await.unwrap().unwrap();
+    }
+
+    /// Waits until some replica leads and has everything of earlier terms.
+    pub async fn leader(&mut self) -> ReplicaId {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        loop {
+            for (id, node) in &mut self.nodes {
+                while let Ok(item) = node.committed.try_recv() {
+                    let leads = matches!(item, Committed::Leadership(Leadership::Leader { .. }));
+                    node.take(item);
+                    if leads {
+                        return *id;
+                    }
+                }
+            }
+            assert!(tokio::time::Instant::now() < deadline, "no leader in time");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    pub fn node(&mut self, id: ReplicaId) -> &mut Node {
+        self.nodes.get_mut(&id).unwrap()
+    }
+}
+
+impl Node {
+    /// Applies one item; the state is the list of commands.
+    pub fn take(&mut self, item: Committed) {
+        match item {
+            Committed::Entry { index, payload, .. } => self.applied.push((index, payload)),
+            Committed::Snapshot { index, payload } => {
+                self.applied.clear();
+                self.snapshot = Some((index, payload));
+            }
+            Committed::SnapshotWanted { index } => {
+                self.handle.store_snapshot(index, Bytes::from(format!("state at {index}")));
+            }
+            _ => {}
+        }
+    }
+
+    /// Applies items until `is_wanted` accepts one.
+    pub async fn until(&mut self, is_wanted: impl Fn(&Committed) -> bool) -> Committed {
+        timeout(PATIENCE, async {
+            loop {
+                let item = self.committed.recv().await.expect("the replica stopped");
+                self.take(item.clone());
+                if is_wanted(&item) {
+                    return item;
+                }
+            }
+        })
+        .await
+        .expect("nothing in time")
+    }
+
+    pub async fn propose(&mut self, number: u64, payload: &str) -> Committed {
+        let id = ProposalId::new(number);
+        self.handle.propose(id, Bytes::copy_from_slice(payload.as_bytes()));
+        self.until(|item| match item {
+            Committed::Entry { proposal, .. } => *proposal == Some(id),
+            Committed::ProposalFailed { proposal, .. } => *proposal == id,
+            _ => false,
+        })
+        .await
+    }
+
+    pub async fn read(&mut self, number: u64) -> Committed {
+        let id = ReadId::new(number);
+        self.handle.read(id);
+        self.until(|item| match item {
+            Committed::ReadReady { read } | Committed::ReadFailed { read, .. } => *read == id,
+            _ => false,
+        })
+        .await
+    }
+
+    pub async fn until_entry(&mut self, payload: &str) {
+        let wanted = Bytes::copy_from_slice(payload.as_bytes());
+        if self.applied.iter().any(|(_, applied)| *applied == wanted) {
+            return;
+        }
+        self.until(|item| matches!(item, Committed::Entry { payload, .. } if *payload == wanted))
+            .await;
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_replication/tests/log_service.rs
@@ -0,0 +1,90 @@
+//! Proposals, reads, restarts and hand-over of the whole replica on loopback with real files.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod cluster;
+
+use cluster::{Cluster, replica};
+use yuccatack_replication::{Committed, ProposalFailure};
+
+/// Guards against losing acknowledged entries on a restart.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn committed_entries_survive_restarts_of_all_replicas() {
+    for voter_count in [1, 3, 5] {
+        let mut cluster = Cluster::new(voter_count, 10_000).await;
+        let leader = cluster.leader().await;
+        for number in 0..20 {
+            let item = cluster.node(leader).propose(number, &format!("command {number}")).await;
+            assert!(matches!(item, Committed::Entry { .. }), "{item:?}");
+        }
+        let ids: Vec<_> = cluster.nodes.keys().copied().collect();
+        for id in &ids {
+            cluster.stop(*id).await;
+        }
+        for id in &ids {
+            cluster.start(*id).await;
+        }
+        let leader = cluster.leader().await;
+        assert!(matches!(cluster.node(leader).read(1).await, Committed::ReadReady { .. }));
+        let applied = &cluster.node(leader).applied;
+        assert_eq!(applied.len(), 20, "{voter_count} voters");
+        for id in ids {
+            cluster.node(id).until_entry("command 19").await;
+            assert_eq!(cluster.node(id).applied.len(), 20);
+        }
+    }
+}
+
+/// Guards against a follower that accepts proposals or reads, or hides the leader's address.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn followers_refuse_and_name_the_leader() {
+    let mut cluster = Cluster::new(3, 10_000).await;
+    let leader = cluster.leader().await;
+    cluster.node(leader).propose(1, "first").await;
+    let expected = Some(cluster.addresses[&leader]);
+    let followers: Vec<_> = cluster.nodes.keys().copied().filter(|id| *id != leader).collect();
+    for id in followers {
+        cluster.node(id).until_entry("first").await;
+        let item = cluster.node(id).propose(2, "second").await;
+        let Committed::ProposalFailed { failure, .. } = item else { panic!("{item:?}") };
+        assert_eq!(failure, ProposalFailure::NotLeader { leader_address: expected });
+        assert!(matches!(cluster.node(id).read(3).await, Committed::ReadFailed { .. }));
+    }
+}
+
+/// Guards against a planned stop that waits for an election timeout or loses entries.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn handover_moves_the_lead() {
+    let mut cluster = Cluster::new(3, 10_000).await;
+    let old = cluster.leader().await;
+    cluster.node(old).propose(1, "before").await;
+    cluster.node(old).handle.transfer_leadership().await;
+    let new = cluster.leader().await;
+    assert_ne!(old, new);
+    cluster.stop(old).await;
+    cluster.node(new).propose(2, "after").await;
+    let applied: Vec<_> = cluster.node(new).applied.iter().map(|(_, p)| p.clone()).collect();
+    assert_eq!(applied, ["before", "after"]);
+}
+
+/// Guards against a restart that replays compacted entries, and against a follower that cannot
+/// catch up once the entries that it needs are compacted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn snapshots_replace_the_log() {
+    let mut cluster = Cluster::new(3, 50).await;
+    let leader = cluster.leader().await;
+    let late = if leader == replica(3) { replica(2) } else { replica(3) };
+    cluster.stop(late).await;
+    for number in 0..300 {
+        cluster.node(leader).propose(number, &format!("command {number}")).await;
+    }
+    cluster.start(late).await;
+    cluster.node(late).until_entry("command 299").await;
+    let (index, payload) = cluster.node(late).snapshot.clone().expect("a snapshot");
+    assert_eq!(payload, format!("state at {index}"));
+    assert!(cluster.node(late).applied.len() < 150);
+
+    cluster.stop(late).await;
+    cluster.start(late).await;
+    cluster.node(late).until(|item| matches!(item, Committed::Snapshot { .. })).await;
+    cluster.node(late).until_entry("command 299").await;
+}
--- /dev/null
+++ b/crates/yuccatack_storage/src/log_store.rs
@@ -0,0 +1,172 @@
+//! The log file.
+//!
+//! The file is append-only. An entry whose index is not above the last one replaces everything
+//! from that index on, so that resolving a conflict costs the same single sync as an append.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+
+use bytes::Bytes;
+
+use crate::error::{CorruptedSnafu, StorageError};
+use crate::file::{DurableFile, open_for_append, read_if_present, replace_file};
+use crate::folder::DataFolder;
+use crate::format::{u32_at, u64_at};
+use crate::log_entry::{StoredEntry, decode_entry, encode_entry};
+
+const LOG_FILE: &str = "log";
+const MAGIC: &[u8; 8] = b"yuclog1\n";
+const FILE_HEADER_BYTES: usize = 8 + 8 + 8 + 4;
+
+/// The position just before the first entry of the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LogBase {
+    /// The index of the last entry that was compacted away; 0 for none.
+    pub index: u64,
+    /// The term of that entry.
+    pub term: u64,
+}
+
+/// The log file of a data folder.
+pub struct LogStore {
+    folder: DataFolder,
+    path: PathBuf,
+    file: Box<dyn DurableFile>,
+    buffer: Vec<u8>,
+}
+
+/// What [`LogStore::open`] found.
+#[derive(Debug)]
+pub struct OpenedLog {
+    /// Where the entries start.
+    pub base: LogBase,
+    /// The entries after the base, without gaps.
+    pub entries: Vec<StoredEntry>,
+    /// How many bytes of a torn last write were cut off.
+    pub torn_bytes: u64,
+}
+
+impl LogStore {
+    /// Opens the log file, creates it if needed, and cuts off a torn last write.
+    pub fn open(folder: &DataFolder) -> Result<(Self, OpenedLog), StorageError> {
+        Self::open_with(folder, |file| Box::new(file))
+    }
+
+    /// Like [`LogStore::open`], with the opened file wrapped by `wrap`.
+    pub fn open_with(
+        folder: &DataFolder,
+        wrap: impl FnOnce(File) -> Box<dyn DurableFile>,
+    ) -> Result<(Self, OpenedLog), StorageError> {
+        let path = folder.path().join(LOG_FILE);
+        let opened = match read_if_present(&path)? {
+            Some(content) => read_log(&path, &Bytes::from(content))?,
+            None => {
+                replace_file(folder.path(), LOG_FILE, &[&encode_header(LogBase::default())])?;
+                OpenedLog { base: LogBase::default(), entries: Vec::new(), torn_bytes: 0 }
+            }
+        };
+        let file = open_for_append(&path)?;
+        if opened.torn_bytes > 0 {
+            cut_tail(&path, &file, opened.torn_bytes)?;
+        }
+        let store = Self { folder: folder.clone(), path, file: wrap(file), buffer: Vec::new() };
+        Ok((store, opened))
+    }
+
+    /// Appends `entries` as one group with one sync.
+    pub fn append(&mut self, entries: &[StoredEntry]) -> Result<(), StorageError> {
+        if entries.is_empty() {
+            return Ok(());
+        }
+        self.buffer.clear();
+        for (position, entry) in entries.iter().enumerate() {
+            encode_entry(entry, position == 0, &mut self.buffer);
+        }
+        let Self { folder, path, file, buffer } = self;
+        folder.guard(|| {
+            file.append(buffer).map_err(|source| StorageError::from_io(path, source))?;
+            file.sync().map_err(|source| StorageError::from_sync(path, source))
+        })
+    }
+
+    /// Replaces the file by one that starts at `base` and holds `entries`.
+    pub fn rewrite(&mut self, base: LogBase, entries: &[StoredEntry]) -> Result<(), StorageError> {
+        self.buffer.clear();
+        self.buffer.extend_from_slice(&encode_header(base));
+        for (position, entry) in entries.iter().enumerate() {
+            encode_entry(entry, position == 0, &mut self.buffer);
+        }
+        let Self { folder, path, file, buffer } = self;
+        let reopened = folder.guard(|| {
+            replace_file(folder.path(), LOG_FILE, &[buffer])?;
+            open_for_append(path)
+        })?;
+        *file = Box::new(reopened);
+        // A compaction can be large; its buffer is not kept.
+        self.buffer = Vec::new();
+        Ok(())
+    }
+}
+
+fn cut_tail(path: &Path, file: &File, torn_bytes: u64) -> Result<(), StorageError> {
+    let length = file.metadata().map_err(|source| StorageError::from_io(path, source))?.len();
+    file.set_len(length.saturating_sub(torn_bytes))
+        .map_err(|source| StorageError::from_io(path, source))?;
+    file.sync_all().map_err(|source| StorageError::from_sync(path, source))?;
+    log::warn!(
+        event = "torn_tail_cut", torn_bytes = torn_bytes;
+        "cut an unfinished last write off the log"
+    );
+    Ok(())
+}
+
+fn encode_header(base: LogBase) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(FILE_HEADER_BYTES);
+    bytes.extend_from_slice(MAGIC);
+    bytes.extend_from_slice(&base.index.to_le_bytes());
+    bytes.extend_from_slice(&base.term.to_le_bytes());
+    let checksum = crc32fast::hash(&bytes);
+    bytes.extend_from_slice(&checksum.to_le_bytes());
+    bytes
+}
+
+fn decode_header(bytes: &[u8]) -> Option<LogBase> {
+    let header = bytes.get(..FILE_HEADER_BYTES)?;
+    if !header.starts_with(MAGIC) || u32_at(header, 24) != crc32fast::hash(&header[..24]) {
+        return None;
+    }
+    Some(LogBase { index: u64_at(header, 8), term: u64_at(header, 16) })
+}
+
+fn read_log(path: &Path, file: &Bytes) -> Result<OpenedLog, StorageError> {
+    let corrupted = |offset: usize, detail| {
+        CorruptedSnafu { path, offset_bytes: offset as u64, detail }.build()
+    };
+    // The header is written by a rename, so it is never torn.
+    let base = decode_header(file).ok_or_else(|| corrupted(0, "wrong header"))?;
+    let mut entries: Vec<StoredEntry> = Vec::new();
+    let mut offset = FILE_HEADER_BYTES;
+    while offset < file.len() {
+        let Some(found) = decode_entry(file, offset) else {
+            if later_group_starts(file, offset + 1) {
+                return Err(corrupted(offset, "wrong checksum before the last write"));
+            }
+            break;
+        };
+        let first_free = base.index + 1 + entries.len() as u64;
+        if found.entry.index <= base.index || found.entry.index > first_free {
+            return Err(corrupted(offset, "gap between entries"));
+        }
+        entries.truncate((found.entry.index - base.index - 1) as usize);
+        entries.push(found.entry);
+        offset += found.length_bytes;
+    }
+    let torn_bytes = (file.len() - offset.min(file.len())) as u64;
+    Ok(OpenedLog { base, entries, torn_bytes })
+}
+
+/// Looks for the start of a group at any byte from `offset` on.
+fn later_group_starts(file: &Bytes, offset: usize) -> bool {
+    (offset..file.len())
+        .any(|candidate| decode_entry(file, candidate).is_some_and(|found| found.starts_group))
+}
