--- a/crates/yuccatack_cli/src/arguments.rs
+++ b/crates/yuccatack_cli/src/arguments.rs
@@ -23,7 +23,7 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .max_term_width(100)
+        .term_width(100)
         .after_help(EXIT_CODES)
         .args([address(), output(), timeout()])
         .subcommands([
@@ -74,6 +74,7 @@
         .arg(
             Arg::new("log-level")
                 .long("log-level")
+                .value_name("LEVEL")
                 .value_parser(PossibleValuesParser::new(["error", "warn", "info", "debug"]))
                 .default_value("info")
                 .help("The lowest level that is logged"),
@@ -153,9 +154,13 @@
 }
 
 fn completions() -> Command {
-    Command::new("completions")
-        .about("Prints a completion script")
-        .arg(Arg::new("shell").value_parser(value_parser!(Shell)).required(true).help("The shell"))
+    Command::new("completions").about("Prints a completion script").arg(
+        Arg::new("shell")
+            .value_name("SHELL")
+            .value_parser(value_parser!(Shell))
+            .required(true)
+            .help("The shell"),
+    )
 }
 
 fn file(help: &'static str) -> Arg {
--- a/crates/yuccatack_cli/src/record_check.rs
+++ b/crates/yuccatack_cli/src/record_check.rs
@@ -4,9 +4,9 @@
 
 /// Names every problem of a record, each with its remedy.
 pub(crate) fn check_record(document: &Value) -> Vec<String> {
-    ["schema_version", "kind", "name"]
-        .into_iter()
-        .filter(|key| document.get(key).is_none())
-        .map(|key| format!("`{key}` is missing; add it"))
-        .collect()
+    // The same bytes that `apply` sends, so that what passes here is not refused for its content.
+    match yuccatack_records::decode(document.to_string().as_bytes()) {
+        Ok(_) => Vec::new(),
+        Err(problems) => problems.iter().map(ToString::to_string).collect(),
+    }
 }
