--- a/crates/yuccatack_agent/src/process.rs
+++ b/crates/yuccatack_agent/src/process.rs
@@ -9,7 +9,9 @@
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_requests::generated::agent::attempts_server::AttemptsServer;
 use yuccatack_settings::AgentSettings;
-use yuccatack_view::{MinionState, MinionStatus, ViewHandle};
+use yuccatack_view::{
+    MinionState, MinionStatus, NodeRole, SubscriberConfig, ViewHandle, ViewSubscriber,
+};
 
 use crate::actor::{Actor, ActorInputs};
 use crate::error::{AgentError, ListenSnafu, ServeSnafu};
@@ -30,21 +32,19 @@
 }
 
 /// Runs an agent until it has drained.
-///
-/// `subscribe` connects the node's view: it gets the incarnation and the agent's reports.
-pub async fn run<Subscribe>(
-    settings: AgentSettings,
-    subscribe: Subscribe,
-    shutdown: Shutdown,
-) -> Result<(), AgentError>
-where
-    Subscribe: FnOnce(Incarnation, watch::Receiver<Option<MinionStatus>>) -> ViewHandle,
-{
+pub async fn run(settings: AgentSettings, shutdown: Shutdown) -> Result<(), AgentError> {
     let address = settings.listen_address;
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
     let incarnation = Incarnation::random();
     let (reports, reports_receiver) = watch::channel(None);
-    let view = subscribe(incarnation, reports_receiver);
+    let subscription = SubscriberConfig {
+        node: settings.node.clone(),
+        incarnation,
+        role: NodeRole::Agent,
+        data_centre: settings.data_centre.clone(),
+        control_addresses: settings.control_addresses.clone(),
+    };
+    let view = ViewSubscriber::spawn(subscription, reports_receiver);
     serve(settings, AgentInputs { listener, incarnation, view, reports }, shutdown).await
 }
 
--- a/crates/yuccatack_cli/src/run.rs
+++ b/crates/yuccatack_cli/src/run.rs
@@ -88,14 +88,27 @@
 }
 
 /// Hands over to the crate of the role.
-async fn run_role(settings: Settings, _shutdown: Shutdown) -> Result<(), RunError> {
+async fn run_role(settings: Settings, shutdown: Shutdown) -> Result<(), RunError> {
     match settings {
-        Settings::Control(_) => RoleMissingSnafu { role: "control" }.fail(),
-        Settings::Entry(_) => RoleMissingSnafu { role: "entry" }.fail(),
-        Settings::Agent(_) => RoleMissingSnafu { role: "agent" }.fail(),
+        Settings::Control(settings) => {
+            role_result("control", yuccatack_control::run(settings, shutdown).await)
+        }
+        Settings::Entry(settings) => {
+            role_result("entry", yuccatack_entry::run(settings, shutdown).await)
+        }
+        Settings::Agent(settings) => {
+            role_result("agent", yuccatack_agent::run(settings, shutdown).await)
+        }
     }
 }
 
+fn role_result<Failure>(role: &'static str, result: Result<(), Failure>) -> Result<(), RunError>
+where
+    Failure: std::error::Error + Send + Sync + 'static,
+{
+    result.map_err(|error| RunError::Role { role, source: Box::new(error) })
+}
+
 fn node(settings: &Settings) -> &NodeName {
     match settings {
         Settings::Control(control) => &control.node,
--- /dev/null
+++ b/crates/yuccatack_control/src/actor.rs
@@ -0,0 +1,416 @@
+//! The control actor: owns the replicated state and everything that only the leader keeps.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bytes::Bytes;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use yuccatack_core::prelude::*;
+use yuccatack_leases::{LeaseCommand, Volatile};
+use yuccatack_records::{Change, ChangeOutcome, RecordKey};
+use yuccatack_replication::{
+    Committed, Leadership, LogIndex, ProposalId, ReadFailure, ReadId, ReplicationHandle,
+};
+use yuccatack_requests::claims::{ClaimCommand, ClaimLimits, ClaimOutcome};
+use yuccatack_view::{PublishedRecord, RecordUpdate, ViewPublisher};
+
+use crate::clock::Clock;
+use crate::error::ControlFailure;
+use crate::heartbeat;
+use crate::message::{ControlMessage, HeartbeatAnswer, Query, QueryAnswer, Reply};
+use crate::pending::{Pending, PendingProposal, PendingRead, not_leader};
+use crate::queries;
+use crate::state::{ControlCommand, ControlOutcome, ControlState};
+use crate::wire;
+
+/// How many entries lie between two comparisons of the state hash among the replicas. Hashing reads
+/// the whole state, so it must stay rare.
+const HASH_INTERVAL_ENTRIES: u64 = 4_096;
+
+/// What the actor starts with.
+pub struct ControlArguments {
+    /// The replicated log.
+    pub replication: ReplicationHandle,
+    /// The publisher of the read view.
+    pub publisher: ViewPublisher,
+    /// Bounds of the claim table.
+    pub claim_limits: ClaimLimits,
+}
+
+/// The actor; its state is [`ControlActorState`].
+pub struct ControlActor;
+
+/// What the leader keeps beside the replicated state.
+struct Lead {
+    volatile: Volatile,
+    /// Answers that grant leases; they wait until a leadership check that began later succeeds.
+    unconfirmed: Vec<(Reply<HeartbeatAnswer>, HeartbeatAnswer)>,
+    /// The answers that the leadership check on its way will release.
+    confirming: Vec<(Reply<HeartbeatAnswer>, HeartbeatAnswer)>,
+    checking: bool,
+}
+
+impl Lead {
+    fn new(now: TimestampMs) -> Self {
+        Self {
+            volatile: Volatile::new(now),
+            unconfirmed: Vec::new(),
+            confirming: Vec::new(),
+            checking: false,
+        }
+    }
+}
+
+/// Whether this replica leads.
+enum Role {
+    Leader(Lead),
+    Follower { leader_address: Option<SocketAddr> },
+}
+
+/// The state of the control actor.
+pub struct ControlActorState {
+    replication: ReplicationHandle,
+    publisher: ViewPublisher,
+    clock: Clock,
+    state: ControlState,
+    applied_index: LogIndex,
+    pending: Pending,
+    role: Role,
+    draining: bool,
+}
+
+impl Actor for ControlActor {
+    type Msg = ControlMessage;
+    type State = ControlActorState;
+    type Arguments = ControlArguments;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        arguments: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        Ok(ControlActorState {
+            replication: arguments.replication,
+            publisher: arguments.publisher,
+            clock: Clock::new(),
+            state: ControlState::new(arguments.claim_limits),
+            applied_index: LogIndex::default(),
+            pending: Pending::default(),
+            role: Role::Follower { leader_address: None },
+            draining: false,
+        })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        message: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            ControlMessage::Committed(committed) => state.committed(committed).await?,
+            ControlMessage::Tick => state.tick()?,
+            ControlMessage::SubmitChange { change, reply } => state.submit_change(change, reply)?,
+            ControlMessage::Read { query, reply } => state.read(query, reply),
+            ControlMessage::Claim { command, reply } => state.claim(command, reply)?,
+            ControlMessage::Heartbeat { worker, body_json, reply } => {
+                state.heartbeat(&worker, &body_json, reply)?;
+            }
+            ControlMessage::Drain { reply } => {
+                state.draining = true;
+                state.replication.transfer_leadership().await;
+                // The process may have given up waiting; it then ends anyway.
+                let _ = reply.send(());
+            }
+            ControlMessage::WaitingCount { reply } => {
+                let _ = reply.send(state.pending.count());
+            }
+        }
+        Ok(())
+    }
+}
+
+impl ControlActorState {
+    async fn committed(&mut self, committed: Committed) -> Result<(), ActorProcessingErr> {
+        match committed {
+            Committed::Entry { index, proposal, payload, .. } => {
+                self.apply(index, proposal, &payload).await?;
+            }
+            Committed::Snapshot { index, payload } => self.restore(index, &payload).await?,
+            Committed::SnapshotWanted { index } => self.store_snapshot(index)?,
+            Committed::ProposalFailed { proposal, failure } => self.pending.fail(proposal, failure),
+            Committed::ReadReady { read } => self.answer_read(read).await,
+            Committed::ReadFailed { read, failure } => self.fail_read(read, failure),
+            Committed::Leadership(leadership) => self.change_role(leadership).await,
+        }
+        Ok(())
+    }
+
+    async fn apply(
+        &mut self,
+        index: LogIndex,
+        proposal: Option<ProposalId>,
+        payload: &[u8],
+    ) -> Result<(), ActorProcessingErr> {
+        let command: ControlCommand = wire::decode(payload)?;
+        let revision_before = self.state.records().revision();
+        let changed_key = changed_key(&command);
+        let outcome = self.state.apply(command);
+        self.applied_index = index;
+        if self.state.records().revision() != revision_before
+            && let Some(key) = changed_key
+        {
+            self.publish(key).await;
+        }
+        if let ControlOutcome::Leases(events) = &outcome {
+            for event in events {
+                log::info!(event = "lease_event"; "{event:?}");
+            }
+        }
+        if let Some(proposal) = proposal {
+            self.pending.complete(proposal, outcome);
+        }
+        if index.get() % HASH_INTERVAL_ENTRIES == 0 {
+            let hash = wire::state_hash(&self.state)?;
+            self.replication.report_state_hash(index, hash);
+        }
+        Ok(())
+    }
+
+    async fn publish(&self, key: RecordKey) {
+        let revision = self.state.records().revision();
+        let published = PublishedRecord::is_published(key.kind);
+        let (changed, removed) = match self.state.records().get(&key) {
+            Some(stored) if published => (vec![PublishedRecord::from((&key, stored))], Vec::new()),
+            None if published => (Vec::new(), vec![key]),
+            Some(_) | None => (Vec::new(), Vec::new()),
+        };
+        self.publisher.publish(RecordUpdate { revision, changed, removed }).await;
+    }
+
+    async fn restore(&mut self, index: LogIndex, payload: &[u8]) -> Result<(), ActorProcessingErr> {
+        self.state = wire::decode(payload)?;
+        self.applied_index = index;
+        let records = self.state.records();
+        let published = records
+            .iter()
+            .filter(|(key, _)| PublishedRecord::is_published(key.kind))
+            .map(PublishedRecord::from)
+            .collect();
+        self.publisher.reset(records.revision(), published).await;
+        Ok(())
+    }
+
+    fn store_snapshot(&self, index: LogIndex) -> Result<(), ActorProcessingErr> {
+        let payload = wire::encode(&self.state)?;
+        self.replication.store_snapshot(index, payload.into());
+        Ok(())
+    }
+
+    async fn change_role(&mut self, leadership: Leadership) {
+        match leadership {
+            Leadership::Leader { term } => {
+                log::info!(event = "leadership_gained", term = term.get(); "this replica leads");
+                self.role = Role::Leader(Lead::new(self.clock.now()));
+                self.publisher.become_leader().await;
+                self.check_leadership();
+            }
+            Leadership::Follower { leader_address } => {
+                self.role = Role::Follower { leader_address };
+                self.publisher.become_follower(leader_address).await;
+            }
+        }
+    }
+
+    /// Asks the log for a confirmation that this replica still leads. Without one, nodes start no
+    /// new work and workers get no lease.
+    fn check_leadership(&mut self) {
+        let Role::Leader(lead) = &mut self.role else { return };
+        if lead.checking {
+            return;
+        }
+        lead.checking = true;
+        lead.confirming.append(&mut lead.unconfirmed);
+        let read = self.pending.add_read(PendingRead::LeadershipCheck(Instant::now()));
+        self.replication.read(read);
+    }
+
+    async fn leadership_confirmed(&mut self, requested_at: Instant) {
+        self.publisher.confirm_leadership(requested_at).await;
+        let Role::Leader(lead) = &mut self.role else { return };
+        lead.checking = false;
+        for (reply, answer) in lead.confirming.drain(..) {
+            // A worker that gave up sends its next heartbeat.
+            let _ = reply.send(Ok(answer));
+        }
+        if !lead.unconfirmed.is_empty() {
+            self.check_leadership();
+        }
+    }
+
+    fn tick(&mut self) -> Result<(), ActorProcessingErr> {
+        let now = self.clock.now();
+        let Role::Leader(lead) = &mut self.role else { return Ok(()) };
+        let scheduling = self.pending.is_scheduling();
+        let commands =
+            if scheduling { Vec::new() } else { lead.volatile.schedule(self.state.leases(), now) };
+        self.check_leadership();
+        self.propose_leases(commands, PendingProposal::Schedule)
+    }
+
+    fn propose_leases(
+        &mut self,
+        commands: Vec<LeaseCommand>,
+        waiting: PendingProposal,
+    ) -> Result<(), ActorProcessingErr> {
+        if commands.is_empty() {
+            return Ok(());
+        }
+        self.propose(&ControlCommand::Leases { commands }, waiting)
+    }
+
+    fn propose(
+        &mut self,
+        command: &ControlCommand,
+        waiting: PendingProposal,
+    ) -> Result<(), ActorProcessingErr> {
+        let payload = Bytes::from(wire::encode(command)?);
+        let proposal = self.pending.add_proposal(waiting);
+        self.replication.propose(proposal, payload);
+        Ok(())
+    }
+
+    fn submit_change(
+        &mut self,
+        change: Change,
+        reply: Reply<ChangeOutcome>,
+    ) -> Result<(), ActorProcessingErr> {
+        let Some(reply) = self.admit(reply) else { return Ok(()) };
+        let now = self.clock.now();
+        self.propose(&ControlCommand::Change { change, now }, PendingProposal::Change(reply))
+    }
+
+    fn claim(
+        &mut self,
+        command: ClaimCommand,
+        reply: Reply<ClaimOutcome>,
+    ) -> Result<(), ActorProcessingErr> {
+        let Some(reply) = self.admit(reply) else { return Ok(()) };
+        let now = self.clock.now();
+        self.propose(&ControlCommand::Claim { command, now }, PendingProposal::Claim(reply))
+    }
+
+    fn read(&mut self, query: Query, reply: Reply<QueryAnswer>) {
+        let Some(reply) = self.admit(reply) else { return };
+        let read = self.pending.add_read(PendingRead::Query(query, reply));
+        self.replication.read(read);
+    }
+
+    /// Gives the reply port back if this replica leads and is not stopping; else answers it.
+    fn admit<Answer>(&self, reply: Reply<Answer>) -> Option<Reply<Answer>>
+    where
+        Answer: Send + 'static,
+    {
+        let failure = match &self.role {
+            Role::Leader(_) if self.draining => ControlFailure::Stopping,
+            Role::Leader(_) => return Some(reply),
+            Role::Follower { leader_address } => not_leader(*leader_address),
+        };
+        // A caller that gave up needs no answer.
+        let _ = reply.send(Err(failure));
+        None
+    }
+
+    async fn answer_read(&mut self, read: ReadId) {
+        match self.pending.take_read(read) {
+            Some(PendingRead::Query(query, reply)) => {
+                let answer = self.answer(query).await;
+                let _ = reply.send(Ok(answer));
+            }
+            Some(PendingRead::LeadershipCheck(requested_at)) => {
+                self.leadership_confirmed(requested_at).await;
+            }
+            None => {}
+        }
+    }
+
+    fn fail_read(&mut self, read: ReadId, failure: ReadFailure) {
+        let ReadFailure::NotLeader { leader_address } = failure;
+        match self.pending.take_read(read) {
+            Some(PendingRead::Query(_, reply)) => {
+                let _ = reply.send(Err(not_leader(leader_address)));
+            }
+            Some(PendingRead::LeadershipCheck(_)) => {
+                let Role::Leader(lead) = &mut self.role else { return };
+                lead.checking = false;
+                for (reply, _) in lead.confirming.drain(..) {
+                    let _ = reply.send(Err(not_leader(leader_address)));
+                }
+            }
+            None => {}
+        }
+    }
+
+    async fn answer(&self, query: Query) -> QueryAnswer {
+        match query {
+            Query::Record(kind, name) => {
+                let key = RecordKey { kind, name };
+                let record = self.state.records().get(&key);
+                QueryAnswer::Record(record.map(|stored| (key, stored.clone())))
+            }
+            Query::Records(kind) => {
+                let records = self.state.records().list(kind);
+                QueryAnswer::Records(
+                    records.map(|(key, stored)| (key.clone(), stored.clone())).collect(),
+                )
+            }
+            Query::Change(change_id) => {
+                let status = queries::change_status(&self.state, &self.publisher, &change_id).await;
+                QueryAnswer::Change(status)
+            }
+            Query::Status => {
+                let replication = self.replication.status().borrow().clone();
+                let volatile = match &self.role {
+                    Role::Leader(lead) => Some((&lead.volatile, self.clock.now())),
+                    Role::Follower { .. } => None,
+                };
+                let document =
+                    queries::status(&self.state, &replication, &self.publisher, volatile).await;
+                QueryAnswer::Document(document)
+            }
+            Query::Job(name) => QueryAnswer::Document(queries::job(&self.state, &name)),
+        }
+    }
+
+    fn heartbeat(
+        &mut self,
+        worker: &WorkerName,
+        body_json: &[u8],
+        reply: Reply<HeartbeatAnswer>,
+    ) -> Result<(), ActorProcessingErr> {
+        let Some(reply) = self.admit(reply) else { return Ok(()) };
+        let report = match heartbeat::decode(worker, body_json) {
+            Ok(report) => report,
+            Err(answer) => {
+                let _ = reply.send(Ok(answer));
+                return Ok(());
+            }
+        };
+        let now = self.clock.now();
+        let Role::Leader(lead) = &mut self.role else { return Ok(()) };
+        let (answer, commands) = lead.volatile.heartbeat(self.state.leases(), report, now);
+        lead.unconfirmed.push((reply, heartbeat::encode(answer)));
+        self.check_leadership();
+        self.propose_leases(commands, PendingProposal::Reports)
+    }
+}
+
+/// The record that a command may change.
+fn changed_key(command: &ControlCommand) -> Option<RecordKey> {
+    match command {
+        ControlCommand::Change { change, .. } => {
+            yuccatack_records::decode_key(change.document.as_bytes()).ok()
+        }
+        ControlCommand::Leases { .. } | ControlCommand::Claim { .. } => None,
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_control/src/process.rs
@@ -0,0 +1,189 @@
+//! Start, service and graceful shutdown of the process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ractor::rpc::CallResult;
+use ractor::{Actor, ActorRef};
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use yuccatack_core::prelude::*;
+use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
+use yuccatack_records::generated::records::operators_server::OperatorsServer;
+use yuccatack_replication::{Committed, ReplicaId, ReplicationConfig, ReplicationService};
+use yuccatack_requests::claims::ClaimLimits;
+use yuccatack_requests::generated::claims::claims_server::ClaimsServer;
+use yuccatack_settings::ControlSettings;
+use yuccatack_view::{ViewPublisher, ViewService};
+
+use crate::actor::{ControlActor, ControlArguments};
+use crate::claims::ClaimsService;
+use crate::error::{ActorSnafu, ControlError, ListenSnafu, ReplicationSnafu};
+use crate::forward::{Forwarder, WorkersService};
+use crate::generated::workers::workers_server::WorkersServer;
+use crate::message::ControlMessage;
+use crate::operators::OperatorsService;
+use crate::workers::serve_workers;
+
+/// How often the leader looks for work to schedule and confirms its lead to the nodes.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How often a draining process looks whether calls still wait.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Streams of other processes do not end by themselves; they get this long to notice the shutdown.
+const STREAM_GRACE: Duration = Duration::from_millis(500);
+
+/// Runs a control replica until the shutdown, which hands the lead over and answers waiting calls.
+pub async fn run(settings: ControlSettings, mut shutdown: Shutdown) -> Result<(), ControlError> {
+    let listener = listen(settings.listen_address, "listen_address").await?;
+    let worker_listener = listen(settings.worker_address, "worker_address").await?;
+    let (replication, committed, replication_service) =
+        yuccatack_replication::start(replication_config(&settings))
+            .await
+            .context(ReplicationSnafu)?;
+    let publisher = ViewPublisher::spawn();
+    let arguments = ControlArguments {
+        replication: replication.clone(),
+        publisher: publisher.clone(),
+        claim_limits: claim_limits(&settings),
+    };
+    let (actor, actor_task) =
+        Actor::spawn(None, ControlActor, arguments).await.context(ActorSnafu)?;
+
+    let mut feed = tokio::spawn(feed(committed, actor.clone()));
+    let ticker = tokio::spawn(tick(actor.clone()));
+    let workers = tokio::spawn(serve_workers(
+        worker_listener,
+        actor.clone(),
+        Forwarder::spawn(),
+        shutdown.clone(),
+    ));
+    let mut server = tokio::spawn(serve(listener, actor.clone(), publisher, replication_service));
+    log::info!(
+        event = "control_started", address = settings.listen_address.to_string();
+        "control replica {} answers", settings.replica_id
+    );
+
+    let result = tokio::select! {
+        () = shutdown.reached(ShutdownPhase::Draining) => drain(&actor, &mut shutdown).await,
+        _ = &mut feed => Err(ControlError::LogStopped),
+        ended = &mut server => Err(server_failure(ended)),
+    };
+    workers.abort();
+    ticker.abort();
+    replication.stop().await;
+    let _ = tokio::time::timeout(STREAM_GRACE, &mut server).await;
+    server.abort();
+    actor.stop(None);
+    let _ = actor_task.await;
+    result
+}
+
+async fn listen(address: SocketAddr, setting: &'static str) -> Result<TcpListener, ControlError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address, setting })
+}
+
+fn replication_config(settings: &ControlSettings) -> ReplicationConfig {
+    let initial_voters = settings
+        .initial_replicas
+        .iter()
+        .map(|replica| (ReplicaId::new(replica.replica_id), replica.address))
+        .collect();
+    ReplicationConfig {
+        replica: ReplicaId::new(settings.replica_id),
+        address: settings.listen_address,
+        initial_voters,
+        heartbeat_ms: settings.heartbeat_ms,
+        election_timeout_ms: settings.election_timeout_ms,
+        snapshot_entry_count: settings.snapshot_entry_count,
+        data_folder: settings.data_folder.clone(),
+    }
+}
+
+fn claim_limits(settings: &ControlSettings) -> ClaimLimits {
+    ClaimLimits {
+        age: DurationMs::new(settings.claim_age_limit_ms),
+        count: settings.claim_count_limit,
+        ..ClaimLimits::default()
+    }
+}
+
+/// Passes what the log delivers to the actor, until either of them stops.
+async fn feed(mut committed: mpsc::Receiver<Committed>, actor: ActorRef<ControlMessage>) {
+    while let Some(item) = committed.recv().await {
+        if actor.cast(ControlMessage::Committed(item)).is_err() {
+            return;
+        }
+    }
+}
+
+async fn tick(actor: ActorRef<ControlMessage>) {
+    let mut interval = tokio::time::interval(TICK_INTERVAL);
+    // After a pause of the process one tick is enough; a burst would only repeat the same decision.
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if actor.cast(ControlMessage::Tick).is_err() {
+            return;
+        }
+    }
+}
+
+async fn serve(
+    listener: TcpListener,
+    actor: ActorRef<ControlMessage>,
+    publisher: ViewPublisher,
+    replication: ReplicationService,
+) -> Result<(), tonic::transport::Error> {
+    Server::builder()
+        .add_service(OperatorsServer::new(OperatorsService::new(actor.clone())))
+        .add_service(ClaimsServer::new(ClaimsService::new(actor.clone())))
+        .add_service(WorkersServer::new(WorkersService::new(actor)))
+        .add_service(ViewService::new(publisher).into_server())
+        .add_service(replication)
+        .serve_with_incoming(TcpIncoming::from(listener).with_nodelay(Some(true)))
+        .await
+}
+
+fn server_failure(
+    ended: Result<Result<(), tonic::transport::Error>, tokio::task::JoinError>,
+) -> ControlError {
+    let message = match ended {
+        Ok(Ok(())) => "it ended".to_owned(),
+        Ok(Err(error)) => error.to_string(),
+        Err(error) => error.to_string(),
+    };
+    ControlError::Server { setting: "listen_address", message }
+}
+
+/// Hands the lead over and waits until every call that was accepted has its answer.
+async fn drain(
+    actor: &ActorRef<ControlMessage>,
+    shutdown: &mut Shutdown,
+) -> Result<(), ControlError> {
+    let finish = async {
+        let _ = actor.call(|reply| ControlMessage::Drain { reply }, None).await;
+        while waiting_count(actor).await > 0 {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        () = finish => Ok(()),
+        () = shutdown.reached(ShutdownPhase::Aborting) => {
+            let waiting_count = waiting_count(actor).await;
+            Err(ControlError::Aborted { waiting_count })
+        }
+    }
+}
+
+async fn waiting_count(actor: &ActorRef<ControlMessage>) -> usize {
+    match actor.call(|reply| ControlMessage::WaitingCount { reply }, None).await {
+        Ok(CallResult::Success(count)) => count,
+        Ok(CallResult::Timeout | CallResult::SenderError) | Err(_) => 0,
+    }
+}
--- a/crates/yuccatack_entry/src/lib.rs
+++ b/crates/yuccatack_entry/src/lib.rs
@@ -6,14 +6,17 @@
 mod balancer;
 mod call;
 mod caller;
+mod claims;
 mod error;
 mod link;
 mod links;
+mod operators;
 mod process;
 mod routes;
 mod server;
 
 pub use balancer::BalancerSettings;
 pub use error::EntryError;
+pub use operators::{OperatorAnswer, OperatorRoute};
 pub use process::{EntryInputs, run, serve};
 pub use routes::Route;
--- a/crates/yuccatack_entry/src/process.rs
+++ b/crates/yuccatack_entry/src/process.rs
@@ -1,18 +1,23 @@
 //! The entry process: start, drain and end.
 
+use std::time::Duration;
+
 use hyper_util::server::graceful::GracefulShutdown;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
+use yuccatack_control_client::{ControlClient, ControlClientConfig};
 use yuccatack_core::prelude::*;
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
-use yuccatack_requests::claims::ClaimClient;
+use yuccatack_requests::claims::{ClaimClient, claim_channel};
 use yuccatack_requests::dispatch::DispatchSettings;
 use yuccatack_requests::routing::{Router, RoutingSettings};
 use yuccatack_settings::EntrySettings;
-use yuccatack_view::ViewHandle;
+use yuccatack_view::{NodeRole, SubscriberConfig, ViewHandle, ViewSubscriber};
 
 use crate::balancer::{Balancer, BalancerSettings};
 use crate::call::CallContext;
+use crate::claims::forward_claims;
 use crate::error::{EntryError, ListenSnafu};
 use crate::links::Links;
 use crate::server::{ServerContext, serve_connection};
@@ -26,6 +31,8 @@
     pub view: ViewHandle,
     /// Claims of non-idempotent keys.
     pub claims: ClaimClient,
+    /// The control leader, for operators.
+    pub control: ControlClient,
     /// Times and bounds of dispatching.
     pub dispatch: DispatchSettings,
     /// Times and bounds of the choice of minions.
@@ -34,24 +41,33 @@
     pub admission: BalancerSettings,
 }
 
+/// How long a call to the control leader may take; it covers an election.
+const CONTROL_CALL_LIMIT: Duration = Duration::from_secs(5);
+
 /// Runs an entry until it has drained.
-///
-/// `subscribe` connects the node's view and the claims: it gets the entry's incarnation.
-pub async fn run<Subscribe>(
-    settings: EntrySettings,
-    subscribe: Subscribe,
-    shutdown: Shutdown,
-) -> Result<(), EntryError>
-where
-    Subscribe: FnOnce(Incarnation) -> (ViewHandle, ClaimClient),
-{
+pub async fn run(settings: EntrySettings, shutdown: Shutdown) -> Result<(), EntryError> {
     let address = settings.listen_address;
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
-    let (view, claims) = subscribe(Incarnation::random());
+    let subscription = SubscriberConfig {
+        node: settings.node.clone(),
+        incarnation: Incarnation::random(),
+        role: NodeRole::Entry,
+        data_centre: settings.data_centre.clone(),
+        control_addresses: settings.control_addresses.clone(),
+    };
+    let (_no_minion, reports) = watch::channel(None);
+    let view = ViewSubscriber::spawn(subscription, reports);
+    let control = ControlClient::spawn(ControlClientConfig {
+        control_addresses: settings.control_addresses.clone(),
+        call_deadline: CONTROL_CALL_LIMIT,
+    });
+    let (claims, claim_messages) = claim_channel();
+    tokio::spawn(forward_claims(claim_messages, control.clone()));
     let inputs = EntryInputs {
         listener,
         view,
         claims,
+        control,
         dispatch: DispatchSettings::default(),
         routing: RoutingSettings::default(),
         admission: BalancerSettings::default(),
@@ -75,7 +91,7 @@
         settings: inputs.dispatch,
         body_limit_bytes: settings.body_limit_bytes,
     };
-    let context = ServerContext::new(call, inputs.view, &settings);
+    let context = ServerContext::new(call, inputs.view, inputs.control, &settings);
     let graceful = GracefulShutdown::new();
     accept(&inputs.listener, &context, &graceful, &mut shutdown).await;
     drop(inputs.listener);
--- a/crates/yuccatack_entry/src/routes.rs
+++ b/crates/yuccatack_entry/src/routes.rs
@@ -2,8 +2,9 @@
 
 use yuccatack_core::prelude::*;
 
-/// What a path stands for. Operators' routes are added here as further variants and matched in
-/// [`Route::of`]; `server::respond` answers them.
+use crate::operators::OperatorRoute;
+
+/// What a path stands for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Route {
     /// A caller's request to a service: `/v1/requests/{service}` with an optional path for the
@@ -14,6 +15,8 @@
         /// The path for the minion, with its query.
         minion_path: String,
     },
+    /// An operator's call.
+    Operator(OperatorRoute),
     /// Nothing is served here.
     NotFound,
 }
@@ -24,7 +27,7 @@
     /// Finds the route of a path and its query.
     pub fn of(path: &str, query: Option<&str>) -> Self {
         let Some(rest) = path.strip_prefix(REQUESTS_PREFIX) else {
-            return Self::NotFound;
+            return OperatorRoute::of(path).map_or(Self::NotFound, Self::Operator);
         };
         let (service, minion_path) = match rest.find('/') {
             Some(position) => rest.split_at(position),
--- a/crates/yuccatack_entry/src/server.rs
+++ b/crates/yuccatack_entry/src/server.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::Watcher;
 use tokio::net::TcpStream;
+use yuccatack_control_client::ControlClient;
 use yuccatack_requests::http_mapping::HttpResponse;
 use yuccatack_requests::prelude::*;
 use yuccatack_settings::EntrySettings;
@@ -21,6 +22,7 @@
 use crate::balancer::service_record;
 use crate::call::{CallContext, run_call};
 use crate::caller::CallerRequest;
+use crate::operators::{self, OperatorAnswer, OperatorRoute, problem};
 use crate::routes::Route;
 
 /// The largest head of a request.
@@ -35,6 +37,8 @@
     pub call: CallContext,
     /// The node's view.
     pub view: ViewHandle,
+    /// For operators.
+    pub control: ControlClient,
     /// The largest request body.
     pub body_limit_bytes: u64,
     /// How long a caller may take to send its request.
@@ -43,10 +47,16 @@
 
 impl ServerContext {
     /// Takes the bounds from the settings.
-    pub fn new(call: CallContext, view: ViewHandle, settings: &EntrySettings) -> Self {
+    pub fn new(
+        call: CallContext,
+        view: ViewHandle,
+        control: ControlClient,
+        settings: &EntrySettings,
+    ) -> Self {
         Self {
             call,
             view,
+            control,
             body_limit_bytes: settings.body_limit_bytes,
             receive_limit: Duration::from_millis(settings.receive_limit_ms),
         }
@@ -82,6 +92,9 @@
                 Err(not_run) => not_run.into(),
             }
         }
+        Route::Operator(route) => {
+            return operator_response(run_operator(&context, route, request).await);
+        }
         Route::NotFound => return not_found(),
     };
     http_response(outcome.into())
@@ -105,6 +118,28 @@
     })
 }
 
+async fn run_operator(
+    context: &ServerContext,
+    route: OperatorRoute,
+    request: Request<Incoming>,
+) -> OperatorAnswer {
+    if request.method() != route.method() {
+        let message = format!("use {} for this path", route.method());
+        return problem(StatusCode::METHOD_NOT_ALLOWED, "wrong_method", message);
+    }
+    match read_body(context, request.into_body()).await {
+        Ok(body) => operators::respond(route, &body, &context.control).await,
+        Err(not_run) => problem(StatusCode::BAD_REQUEST, "incomplete", not_run.detail.to_string()),
+    }
+}
+
+fn operator_response(answer: OperatorAnswer) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(answer.body_json));
+    *response.status_mut() = answer.status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 fn too_large(limit_bytes: u64) -> NotRun {
     let detail = format!("the body is larger than {limit_bytes} bytes");
     NotRun::permanent(NotRunReason::TooLarge, &detail)
