--- a/crates/yuccatack_control/src/message.rs
+++ b/crates/yuccatack_control/src/message.rs
@@ -1,6 +1,5 @@
 //! The messages of the control actor.
 
-
 use bytes::Bytes;
 use ractor::RpcReplyPort;
 use yuccatack_core::prelude::*;
@@ -109,4 +108,3 @@
     /// The JSON body.
     pub body_json: Bytes,
 }
-
--- a/examples/quick_start/main.rs
+++ b/examples/quick_start/main.rs
@@ -25,6 +25,7 @@
 
     submit(&operator, "organisation", organisation()).await?;
     submit(&operator, "service", service()).await?;
+    wait_for_worker(&operator).await?;
     submit(&operator, "guarantee", guarantee()).await?;
     submit(&operator, "job", job()).await?;
     let state = wait_for_job(&operator, "rank-age-groups").await?;
@@ -58,8 +59,8 @@
     json!({
         "schema_version": 2, "kind": "guarantee", "name": "putrajaya-club-pair",
         "organisation": "putrajaya-club",
-        "tasks": 1, "accelerators_per_task": 2, "cores_per_task_milli": 2000,
-        "memory_per_task_bytes": 4_294_967_296_u64, "adjacency": "worker", "shape_count": 1,
+        "tasks": 1, "accelerators_per_task": 2, "cores_milli_per_task": 2000,
+        "memory_bytes_per_task": 4_294_967_296_u64, "adjacency": "worker", "shape_count": 1,
     })
 }
 
@@ -67,8 +68,8 @@
     json!({
         "schema_version": 2, "kind": "job", "name": "rank-age-groups",
         "organisation": "putrajaya-club",
-        "tasks": 2, "accelerators_per_task": 1, "cores_per_task_milli": 1000,
-        "memory_per_task_bytes": 1_073_741_824_u64, "adjacency": "rack", "class": "urgent",
+        "tasks": 2, "accelerators_per_task": 1, "cores_milli_per_task": 1000,
+        "memory_bytes_per_task": 1_073_741_824_u64, "adjacency": "rack", "class": "urgent",
         "declared_run_time_s": 1, "idempotent": true, "checkpointable": false,
         "command": ["rank", "--age-groups"],
     })
@@ -88,6 +89,11 @@
             println!("{kind}: {}", answer.json());
             return Ok(());
         }
+        if let Ok(answer) = &answer
+            && answer.status.is_client_error()
+        {
+            return Err(format!("{kind} was refused: {}", answer.json()).into());
+        }
         if Instant::now() > deadline {
             return Err(format!("{kind} was not accepted in time: {answer:?}").into());
         }
@@ -95,6 +101,21 @@
     }
 }
 
+/// Waits for the first worker; a guarantee is accepted only on capacity that exists.
+async fn wait_for_worker(operator: &CallerStandIn) -> Result<(), Box<dyn Error>> {
+    let deadline = Instant::now() + STEP_LIMIT;
+    loop {
+        let status = operator.get("/v1/status").await?.json();
+        if status["workers"].as_array().is_some_and(|workers| !workers.is_empty()) {
+            return Ok(());
+        }
+        if Instant::now() > deadline {
+            return Err(format!("no worker joined in time: {status}").into());
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 async fn wait_for_job(operator: &CallerStandIn, job: &str) -> Result<String, Box<dyn Error>> {
     let deadline = Instant::now() + STEP_LIMIT;
     loop {
--- a/tests/role_restart.rs
+++ b/tests/role_restart.rs
@@ -4,7 +4,9 @@
 
 mod support;
 
-use support::{Deployment, complete_request, job, organisation, service, submit, wait_for_job};
+use support::{
+    Deployment, complete_request, job, organisation, service, submit, wait_for_job, wait_for_worker,
+};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn path_survives_kills() {
@@ -12,6 +14,7 @@
     let operator = deployment.operator();
     submit(&operator, "organisation-1", organisation()).await;
     let first = submit(&operator, "service-1", service()).await;
+    wait_for_worker(&operator).await;
     submit(&operator, "job-1", job("rank-1")).await;
     wait_for_job(&operator, "rank-1", "succeeded").await;
     complete_request(&operator, "bib 1").await;
@@ -35,6 +38,7 @@
     let operator = deployment.operator();
     submit(&operator, "organisation-1", organisation()).await;
     submit(&operator, "service-1", service()).await;
+    wait_for_worker(&operator).await;
     complete_request(&operator, "bib 1").await;
     for number in 1..=3 {
         let name = format!("control-{number}");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -232,8 +232,8 @@
 pub fn job(name: &str) -> Value {
     json!({
         "schema_version": 2, "kind": "job", "name": name, "organisation": "putrajaya-club",
-        "tasks": 2, "accelerators_per_task": 1, "cores_per_task_milli": 1000,
-        "memory_per_task_bytes": 1_073_741_824_u64, "adjacency": "worker", "class": "urgent",
+        "tasks": 2, "accelerators_per_task": 1, "cores_milli_per_task": 1000,
+        "memory_bytes_per_task": 1_073_741_824_u64, "adjacency": "worker", "class": "urgent",
         "declared_run_time_s": 1, "idempotent": true, "checkpointable": false,
         "command": ["rank"],
     })
@@ -254,6 +254,21 @@
     }
 }
 
+/// Waits until a worker has joined; jobs are accepted only on capacity that exists.
+pub async fn wait_for_worker(operator: &CallerStandIn) {
+    let deadline = Instant::now() + STEP_LIMIT;
+    loop {
+        let answer = operator.get("/v1/status").await;
+        if let Ok(answer) = &answer
+            && answer.json()["workers"].as_array().is_some_and(|workers| !workers.is_empty())
+        {
+            return;
+        }
+        assert!(Instant::now() < deadline, "no worker in time: {answer:?}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Sends an idempotent request until it is completed.
 pub async fn complete_request(caller: &CallerStandIn, body: &str) -> CallerAnswer {
     let deadline = Instant::now() + STEP_LIMIT;
