--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -170,7 +170,7 @@
         if let Some(proposal) = proposal {
             self.pending.complete(proposal, outcome);
         }
-        if index.get() % HASH_INTERVAL_ENTRIES == 0 {
+        if index.get().is_multiple_of(HASH_INTERVAL_ENTRIES) {
             let hash = wire::state_hash(&self.state)?;
             self.replication.report_state_hash(index, hash);
         }
--- a/crates/yuccatack_entry/tests/common/mod.rs
+++ b/crates/yuccatack_entry/tests/common/mod.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use yuccatack_agent::{AgentError, AgentInputs};
+use yuccatack_control_client::{ControlClient, ControlClientConfig};
 use yuccatack_core::prelude::*;
 use yuccatack_entry::{BalancerSettings, EntryError, EntryInputs};
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase, ShutdownTrigger, shutdown_channel};
@@ -183,7 +184,12 @@
             body_limit_bytes: 1024 * 1024,
             receive_limit_ms: 1_000,
         };
+        let control = ControlClient::spawn(ControlClientConfig {
+            control_addresses: Vec::new(),
+            call_deadline: Duration::from_secs(1),
+        });
         let mut inputs = EntryInputs {
+            control,
             listener,
             view: view.handle(),
             claims,
