--- a/examples/quick_start/main.rs
+++ b/examples/quick_start/main.rs
@@ -3,6 +3,8 @@
 //!
 //! `cargo run --example quick_start`
 
+#![allow(clippy::print_stdout)]
+
 mod deployment;
 
 use std::error::Error;
