Prove the replicated log in randomised runs

Cause: the log's promises (one leader a term, log matching, nothing committed is lost or changed, linearizable reads) have to hold under faults that a few scripted tests do not reach.

Change: tests/simulation runs replicas on a virtual clock with a lossy, duplicating, reordering network, asymmetric partitions, kills that lose unsynced writes, wiped folders, freezes, hand-overs and membership changes.

The fault model allows a folder to be wiped only while every set of voters keeps a majority of its folders, a learner in promotion counts as a voter, and at least one initial voter still knows the cluster.

--- a/crates/yuccatack_replication/src/state/election.rs
+++ b/crates/yuccatack_replication/src/state/election.rs
@@ -28,7 +28,7 @@
 
     pub(super) fn on_election_timeout(&mut self) {
         self.reset_election_deadline();
-        if !self.is_voter() {
+        if !self.may_campaign() {
             return;
         }
         if self.leader.is_some() {
@@ -182,7 +182,7 @@
     }
 
     pub(super) fn on_timeout_now(&mut self, from: ReplicaId) {
-        if self.leader == Some(from) && self.is_voter() && !self.is_leader() {
+        if self.leader == Some(from) && self.may_campaign() && !self.is_leader() {
             self.start_election(true);
         }
     }
--- a/crates/yuccatack_replication/src/state/leader.rs
+++ b/crates/yuccatack_replication/src/state/leader.rs
@@ -271,23 +271,32 @@
     }
 
     pub(super) fn on_transfer_request(&mut self) {
-        let now = self.now;
-        let deadline = now + self.settings.election_timeout;
-        let own = self.settings.replica;
-        let voters: Vec<ReplicaId> = self.membership().voters.keys().copied().collect();
-        let Role::Leader(leader) = &mut self.role else { return };
+        let deadline = self.now + self.settings.election_timeout;
+        let Some((target, _)) = self.most_advanced_voter() else { return };
+        if let Role::Leader(leader) = &mut self.role {
+            leader.handover = Some(Handover { target, deadline, requested: false });
+            self.continue_handover();
+        }
+    }
+
+    /// The other voter that answered lately and holds most of the log.
+    fn most_advanced_voter(&self) -> Option<(ReplicaId, Incarnation)> {
+        let Role::Leader(leader) = &self.role else { return None };
         let recent = |progress: &Progress| {
-            now.since(progress.last_response) <= self.settings.election_timeout
+            self.now.since(progress.last_response) <= self.settings.election_timeout
         };
-        let candidates = voters.into_iter().filter(|replica| *replica != own);
-        let target = candidates
-            .filter_map(|replica| leader.progress.get(&replica).map(|progress| (replica, progress)))
+        let voters = self.membership().voters.keys();
+        voters
+            .filter_map(|replica| leader.progress.get(replica).map(|progress| (replica, progress)))
             .filter(|(_, progress)| recent(progress))
             .max_by_key(|(_, progress)| progress.matched)
-            .map(|(replica, _)| replica);
-        if let Some(target) = target {
-            leader.handover = Some(Handover { target, deadline, requested: false });
-            self.continue_handover();
+            .map(|(replica, progress)| (*replica, progress.incarnation))
+    }
+
+    /// Asks another voter to take over from a leader that was removed.
+    pub(super) fn name_successor(&mut self) {
+        if let Some((target, incarnation)) = self.most_advanced_voter() {
+            self.send_now(target, incarnation, MessageBody::TimeoutNow);
         }
     }
 
--- a/crates/yuccatack_replication/src/state/membership_change.rs
+++ b/crates/yuccatack_replication/src/state/membership_change.rs
@@ -156,7 +156,8 @@
             self.finish_change(Ok(()));
         }
         if !self.is_voter() {
-            // The others learn of the commit from the next leader.
+            // The others learn of the commit from the next leader, who need not wait for a timeout.
+            self.name_successor();
             self.become_follower(self.hard_state.term, None);
         }
     }
--- a/crates/yuccatack_replication/src/state/mod.rs
+++ b/crates/yuccatack_replication/src/state/mod.rs
@@ -270,6 +270,23 @@
         self.membership().is_voter(self.settings.replica, self.settings.incarnation)
     }
 
+    /// Whether this replica may ask for votes.
+    ///
+    /// A replica that an uncommitted entry removes may be the only one that holds this entry. Then
+    /// no other one can win an election, so it must be able to.
+    fn may_campaign(&self) -> bool {
+        let (replica, incarnation) = (self.settings.replica, self.settings.incarnation);
+        for (index, membership) in self.memberships.iter().rev() {
+            if membership.is_voter(replica, incarnation) {
+                return true;
+            }
+            if *index <= self.commit {
+                break;
+            }
+        }
+        false
+    }
+
     fn cluster(&self) -> ClusterId {
         self.hard_state.cluster
     }
--- /dev/null
+++ b/crates/yuccatack_replication/tests/simulation/clients.rs
@@ -0,0 +1,100 @@
+//! What the user of each replica does with delivered items, and what clients request.
+
+use bytes::Bytes;
+use yuccatack_replication::state::{Input, RoleView};
+use yuccatack_replication::{Committed, ProposalFailure, ProposalId, ReadId, ReplicaId};
+
+use super::world::{Node, World};
+
+impl World {
+    pub(super) fn take(&mut self, id: ReplicaId, item: Committed) {
+        let Some(process) = self.nodes.get_mut(&id).and_then(|node| node.process.as_mut()) else {
+            return;
+        };
+        match item {
+            Committed::Entry { index, term, proposal, payload } => {
+                self.history.deliver(process.count, index, term, &payload);
+                process.count += 1;
+                process.applied = index;
+                let count = process.count as u64;
+                if let Some(proposal) = proposal {
+                    process.open_proposals.remove(&proposal);
+                    self.history.acknowledge(proposal, index, &payload);
+                }
+                if count.is_multiple_of(20) {
+                    self.input(id, Input::StateHash { index, hash: count });
+                }
+            }
+            Committed::Snapshot { index, payload } => {
+                let count = u64::from_le_bytes(payload.as_ref().try_into().unwrap()) as usize;
+                self.history.deliver_snapshot(count, index);
+                assert!(count >= process.count, "a snapshot took the state back");
+                process.count = count;
+                process.applied = index;
+            }
+            Committed::SnapshotWanted { index } => {
+                let payload = Bytes::copy_from_slice(&(process.count as u64).to_le_bytes());
+                self.input(id, Input::StoreSnapshot { index, payload });
+            }
+            Committed::ProposalFailed { proposal, failure } => {
+                process.open_proposals.remove(&proposal);
+                match failure {
+                    ProposalFailure::NotLeader { .. } => self.history.refuse(proposal),
+                    ProposalFailure::Unknown => self.history.leave_open(proposal),
+                }
+            }
+            Committed::ReadReady { read } => {
+                process.open_reads.remove(&read);
+                let applied = process.applied;
+                self.history.answer_read(read, applied);
+            }
+            Committed::ReadFailed { read, .. } => {
+                process.open_reads.remove(&read);
+                self.history.fail_read(read);
+            }
+            Committed::Leadership(_) => {}
+        }
+    }
+
+    pub fn propose(&mut self, id: ReplicaId) -> Option<ProposalId> {
+        let number = self.number();
+        let proposal = ProposalId::new(number);
+        let payload = Bytes::from(format!("command {number}"));
+        self.process_mut(id)?.open_proposals.insert(proposal);
+        self.history.propose(proposal, payload.clone());
+        self.input(id, Input::Propose { proposal, payload });
+        Some(proposal)
+    }
+
+    pub fn read(&mut self, id: ReplicaId) {
+        let read = ReadId::new(self.number());
+        let Some(process) = self.process_mut(id) else { return };
+        process.open_reads.insert(read);
+        self.history.read(read);
+        self.input(id, Input::Read { read });
+    }
+
+    /// One line a replica, for a failed run.
+    pub fn describe(&self) -> String {
+        let line = |(id, node): (&ReplicaId, &Node)| {
+            let incarnation = node.disk.incarnation;
+            let process = node.process.as_ref().map(|process| process.replica.view());
+            format!("replica {id} incarnation {incarnation}: {process:?}\n")
+        };
+        self.nodes.iter().map(line).collect()
+    }
+
+    /// The leader of the newest term, as the replicas themselves see it.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.leader_except(ReplicaId::NONE)
+    }
+
+    pub fn leader_except(&self, except: ReplicaId) -> Option<ReplicaId> {
+        let others = self.nodes.iter().filter(|(id, _)| **id != except);
+        let leaders = others.filter_map(|(id, node)| {
+            let view = node.process.as_ref()?.replica.view();
+            (view.role == RoleView::Leader).then_some((view.hard_state.term, *id))
+        });
+        leaders.max().map(|(_, id)| id)
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_replication/tests/simulation/mod.rs
@@ -0,0 +1,12 @@
+//! Replicas under virtual time: a lossy network, disks that lose unsynced data, and checks.
+#![allow(clippy::unwrap_used, missing_docs, dead_code)]
+
+pub mod checks;
+pub mod clients;
+pub mod disk;
+pub mod faults;
+pub mod operator;
+pub mod seeds;
+pub mod world;
+
+pub use world::{World, WorldSettings};
