--- /dev/null
+++ b/crates/yuccatack_leases/src/claim.rs
@@ -0,0 +1,132 @@
+//! The choice of a guaranteed shape to claim.
+
+use yuccatack_core::prelude::*;
+use yuccatack_placement::{Assignment, Holding, WorkerIndex, place, slot_count};
+
+use crate::job::JobEntry;
+use crate::message::Claim;
+use crate::schedule::Pass;
+use crate::table::GuaranteeEntry;
+
+/// The longest wait for a borrower's checkpoint.
+const RECLAIM_DELAY_S: f64 = 3.0;
+
+impl<'a> Pass<'a> {
+    /// Unclaimed shapes that the job may claim, the smallest guarantee first.
+    fn claimable(&self, job: &JobEntry) -> Vec<(&'a GuaranteeEntry, u32)> {
+        let Some(entries) = self.guarantees.get(&job.spec.organisation) else { return Vec::new() };
+        let accelerators = |entry: &GuaranteeEntry| {
+            u64::from(entry.spec.shape.task_count)
+                * u64::from(entry.spec.shape.task.accelerator_count)
+        };
+        // A small job that is not urgent would keep a large shape from the job it is meant for.
+        let worthwhile = |entry: &GuaranteeEntry| {
+            job.spec.class == PriorityClass::Urgent
+                || 2 * job.spec.accelerator_count() >= accelerators(entry)
+        };
+        let mut entries: Vec<&GuaranteeEntry> = entries
+            .iter()
+            .copied()
+            .filter(|entry| entry.spec.covers(&job.spec) && worthwhile(entry))
+            .collect();
+        entries.sort_by_key(|entry| accelerators(entry));
+        let mut found = Vec::new();
+        for entry in entries {
+            for (number, instance) in entry.instances.iter().enumerate() {
+                let key = (&entry.spec.name, number as u32);
+                let open = instance.claimed_by.is_none() && !instance.binding.is_empty();
+                if open && !self.claimed.contains(&key) {
+                    found.push((entry, key.1));
+                }
+            }
+        }
+        found
+    }
+
+    /// The job's tasks laid into a binding.
+    fn lay_out(job: &JobEntry, binding: &[(WorkerIndex, u32)]) -> Vec<Assignment> {
+        let mut missing = job.spec.shape.task_count;
+        let mut parts = Vec::new();
+        for (worker, slots) in binding {
+            let task_count = missing.min(*slots);
+            if task_count > 0 {
+                parts.push(Assignment { worker: *worker, task_count });
+                missing -= task_count;
+            }
+        }
+        parts
+    }
+
+    fn is_free(&self, job: &JobEntry, parts: &[Assignment]) -> bool {
+        parts.iter().all(|part| {
+            let free = self.overlay.free(part.worker);
+            slot_count(&free, &job.spec.shape.task) >= part.task_count
+        })
+    }
+
+    /// A claim that needs nothing reclaimed: inside a binding, or by moving a binding.
+    pub(crate) fn claim_free(&mut self, job: &JobEntry) -> Option<(Vec<Assignment>, Claim)> {
+        let claimable = self.claimable(job);
+        for (entry, number) in &claimable {
+            let instance = &entry.instances[*number as usize];
+            let parts = Self::lay_out(job, &instance.binding);
+            if self.is_free(job, &parts) {
+                let guarantee = entry.spec.name.clone();
+                let claim = Claim { guarantee, instance: *number, binding: Vec::new() };
+                return Some((parts, claim));
+            }
+        }
+        let (entry, number) = *claimable.first()?;
+        let instance = &entry.instances[number as usize];
+        let amounts: Vec<(WorkerIndex, Resources)> = instance
+            .binding
+            .iter()
+            .filter_map(|(worker, count)| {
+                Some((*worker, entry.spec.shape.task.checked_mul(*count)?))
+            })
+            .collect();
+        for (worker, amount) in &amounts {
+            self.overlay.unreserve(*worker, amount);
+        }
+        let centres = self.table.guaranteed_shape(&entry.spec).data_centres;
+        let mut request = self.request(job, &[]);
+        request.shape = entry.spec.shape;
+        request.data_centres = &centres;
+        request.holding = Holding::Firm;
+        request.reservation = None;
+        let found = place(&self.overlay, &request);
+        self.search_count += 1;
+        for (worker, amount) in &amounts {
+            self.overlay.rereserve(*worker, amount);
+        }
+        let binding: Vec<(WorkerIndex, u32)> =
+            found?.assignments.iter().map(|part| (part.worker, part.task_count)).collect();
+        let guarantee = entry.spec.name.clone();
+        let parts = Self::lay_out(job, &binding);
+        let binding = self.named(binding.iter().copied());
+        Some((parts, Claim { guarantee, instance: number, binding }))
+    }
+
+    /// A claim for which borrowers give way; the one with the fewest borrowers.
+    pub(crate) fn claim_reclaim(&mut self, job: &JobEntry) -> Option<(Vec<Assignment>, Claim)> {
+        let policy = &self.table.policy;
+        let cost = |parts: &[Assignment]| {
+            let short: u64 = parts
+                .iter()
+                .map(|part| {
+                    let free = slot_count(&self.overlay.free(part.worker), &job.spec.shape.task);
+                    u64::from(part.task_count.saturating_sub(free))
+                })
+                .sum();
+            policy.completion_weight * RECLAIM_DELAY_S * short as f64
+        };
+        let options = self.claimable(job).into_iter().map(|(entry, number)| {
+            let parts = Self::lay_out(job, &entry.instances[number as usize].binding);
+            (cost(&parts), parts, entry, number)
+        });
+        let (_, parts, entry, instance) =
+            options.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        let guarantee = entry.spec.name.clone();
+        Some((parts, Claim { guarantee, instance, binding: Vec::new() }))
+    }
+}
--- a/crates/yuccatack_leases/src/lib.rs
+++ b/crates/yuccatack_leases/src/lib.rs
@@ -6,10 +6,14 @@
 
 mod apply;
 mod attempt;
+mod begin;
 mod binding;
 mod check;
+mod claim;
 mod estimate;
 mod explain;
+mod health;
+mod heartbeat;
 mod invariant;
 mod job;
 mod message;
@@ -25,6 +29,10 @@
 pub use check::{GuaranteeRefusal, JobRefusal};
 pub use estimate::RunTimeEstimate;
 pub use explain::{Explanation, JobStatus, WaitReason};
+pub use heartbeat::{
+    CommandKind, HeartbeatReply, HeartbeatReport, ReportedState, ReportedTask, TaskReference,
+    WorkerCommand,
+};
 pub use job::{Attempt, AttemptPhase, JobEntry, JobPhase, TaskSlot, TaskState};
 pub use message::{
     BeginAttempt, Claim, LeaseCommand, LeaseEvent, StopReason, TaskOutcome, WorkerRegistration,
@@ -32,10 +40,7 @@
 };
 pub use spec::{GuaranteeSpec, JobSpec, PolicySpec, QuotaSpec};
 pub use table::{GuaranteeEntry, LeaseTable, OrganisationEntry, ShapeInstance};
-pub use volatile::{
-    CommandKind, HeartbeatReply, HeartbeatReport, ReportedState, ReportedTask, TaskReference,
-    Volatile, WorkerCommand,
-};
+pub use volatile::Volatile;
 pub use worker::{TaskKey, WorkerEntry, WorkerHealth};
 
 use yuccatack_core::DurationMs;
--- a/crates/yuccatack_leases/src/table.rs
+++ b/crates/yuccatack_leases/src/table.rs
@@ -23,6 +23,7 @@
     pub(crate) policy: PolicySpec,
     pub(crate) deadlines: BTreeSet<(TimestampMs, JobName)>,
     pub(crate) ready: BTreeSet<JobName>,
+    pub(crate) active: BTreeSet<JobName>,
     pub(crate) finished: BTreeSet<(TimestampMs, JobName)>,
     pub(crate) quarantined: BTreeSet<WorkerName>,
     pub(crate) lost: BTreeSet<(TimestampMs, WorkerName)>,
--- a/crates/yuccatack_leases/src/wire.rs
+++ b/crates/yuccatack_leases/src/wire.rs
@@ -4,11 +4,11 @@
 use snafu::Snafu;
 use yuccatack_core::prelude::*;
 
-use crate::message::WorkerRegistration;
-use crate::volatile::{
+use crate::heartbeat::{
     CommandKind, HeartbeatReply, HeartbeatReport, ReportedState, ReportedTask, TaskReference,
     WorkerCommand,
 };
+use crate::message::WorkerRegistration;
 
 /// The body of `POST /v1/workers/{worker}/heartbeat`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/yuccatack_stand_ins/src/lib.rs
+++ b/crates/yuccatack_stand_ins/src/lib.rs
@@ -4,4 +4,4 @@
 mod worker_model;
 
 pub use worker::{WorkerSettings, WorkerStandIn};
-pub use worker_model::{Behaviour, TaskRecord, WorkerModel};
+pub use worker_model::{Behaviour, SharedAccelerator, TaskRecord, WorkerModel};
--- a/crates/yuccatack_stand_ins/src/worker.rs
+++ b/crates/yuccatack_stand_ins/src/worker.rs
@@ -15,7 +15,7 @@
 use yuccatack_leases::wire::{HeartbeatBody, HeartbeatReplyBody};
 use yuccatack_leases::{HEARTBEAT_INTERVAL, HeartbeatReply, HeartbeatReport, WorkerRegistration};
 
-use crate::worker_model::{Behaviour, TaskRecord, WorkerModel};
+use crate::worker_model::{Behaviour, SharedAccelerator, TaskRecord, WorkerModel};
 
 /// A held reply comes within a heartbeat interval; later ones are given up.
 const REPLY_LIMIT: Duration = Duration::from_millis(3_000);
@@ -39,7 +39,7 @@
     Behave(Behaviour),
     Restart,
     Records(oneshot::Sender<Vec<TaskRecord>>),
-    Violations(oneshot::Sender<Vec<String>>),
+    Violations(oneshot::Sender<Vec<SharedAccelerator>>),
 }
 
 /// A running worker. It ends when this is dropped.
@@ -85,7 +85,7 @@
     }
 
     /// Commands that no correct scheduler sends.
-    pub async fn violations(&self) -> Vec<String> {
+    pub async fn violations(&self) -> Vec<SharedAccelerator> {
         let (reply, answer) = oneshot::channel();
         self.send(Message::Violations(reply));
         answer.await.unwrap_or_default()
