--- a/crates/yuccatack_stand_ins/src/lib.rs
+++ b/crates/yuccatack_stand_ins/src/lib.rs
@@ -8,4 +8,4 @@
 pub use caller::{CallerAnswer, CallerStandIn};
 pub use minion::{MinionBehaviour, MinionFault, MinionRun, MinionStandIn};
 pub use worker::{WorkerSettings, WorkerStandIn};
-pub use worker_model::{Behaviour, TaskRecord, WorkerModel};
+pub use worker_model::{Behaviour, SharedAccelerator, TaskRecord, WorkerModel};
