--- /dev/null
+++ b/crates/yuccatack_control_client/tests/leader_hints.rs
@@ -0,0 +1,182 @@
+//! Finding the leader, and telling what a failed call means.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tonic::{Request, Response, Status};
+use yuccatack_control_client::{ControlClient, ControlClientConfig, ControlError};
+use yuccatack_core::prelude::*;
+use yuccatack_records::generated::records as wire;
+use yuccatack_records::generated::records::operators_server::{Operators, OperatorsServer};
+use yuccatack_records::{Change, ChangeOutcome, Operation, RecordKey, RecordKind};
+
+/// How a replica behaves.
+#[derive(Clone, Copy)]
+enum Behaviour {
+    Leads,
+    PointsTo(Option<SocketAddr>),
+    /// Takes the call and never answers.
+    Hangs,
+    /// Takes the call, and its first answer is lost.
+    LosesFirstAnswer,
+    Refuses,
+}
+
+#[derive(Clone)]
+struct Replica {
+    behaviour: Behaviour,
+    calls: Arc<AtomicU64>,
+}
+
+impl Replica {
+    async fn behave(&self) -> Result<(), Status> {
+        let call = self.calls.fetch_add(1, Ordering::Relaxed);
+        match self.behaviour {
+            Behaviour::Leads => Ok(()),
+            Behaviour::PointsTo(leader) => {
+                let mut status = Status::failed_precondition("does not lead");
+                if let Some(leader) = leader {
+                    let value = leader.to_string().parse().unwrap();
+                    status.metadata_mut().insert("yuccatack-leader", value);
+                }
+                Err(status)
+            }
+            Behaviour::Hangs => std::future::pending().await,
+            Behaviour::LosesFirstAnswer if call == 0 => Err(Status::unavailable("lost")),
+            Behaviour::LosesFirstAnswer => Ok(()),
+            Behaviour::Refuses => Err(Status::resource_exhausted("too many calls")),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Operators for Replica {
+    async fn submit_change(
+        &self,
+        _request: Request<wire::SubmitChangeRequest>,
+    ) -> Result<Response<wire::SubmitChangeResponse>, Status> {
+        self.behave().await?;
+        let outcome =
+            ChangeOutcome::Accepted { generation: Generation::new(1), revision: Revision::new(7) };
+        Ok(Response::new((&outcome).into()))
+    }
+
+    async fn read_record(
+        &self,
+        _request: Request<wire::ReadRecordRequest>,
+    ) -> Result<Response<wire::ReadRecordResponse>, Status> {
+        self.behave().await?;
+        Ok(Response::new(wire::ReadRecordResponse { record: None }))
+    }
+
+    async fn list_records(
+        &self,
+        _request: Request<wire::ListRecordsRequest>,
+    ) -> Result<Response<wire::ListRecordsResponse>, Status> {
+        Err(Status::unimplemented("not used"))
+    }
+
+    async fn read_change(
+        &self,
+        _request: Request<wire::ReadChangeRequest>,
+    ) -> Result<Response<wire::ReadChangeResponse>, Status> {
+        Err(Status::unimplemented("not used"))
+    }
+
+    async fn read_status(
+        &self,
+        _request: Request<wire::ReadStatusRequest>,
+    ) -> Result<Response<wire::DocumentResponse>, Status> {
+        Err(Status::unimplemented("not used"))
+    }
+
+    async fn explain_job(
+        &self,
+        _request: Request<wire::ExplainJobRequest>,
+    ) -> Result<Response<wire::DocumentResponse>, Status> {
+        Err(Status::unimplemented("not used"))
+    }
+}
+
+async fn serve(behaviour: Behaviour) -> (SocketAddr, Arc<AtomicU64>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let calls = Arc::new(AtomicU64::new(0));
+    let replica = Replica { behaviour, calls: Arc::clone(&calls) };
+    let incoming = tokio_stream::wrappers::TcpListenerStream::new(listener);
+    let server = tonic::transport::Server::builder().add_service(OperatorsServer::new(replica));
+    tokio::spawn(server.serve_with_incoming(incoming));
+    (address, calls)
+}
+
+/// An address at which nothing listens.
+async fn dead_address() -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn client(control_addresses: Vec<SocketAddr>) -> ControlClient {
+    let call_deadline = Duration::from_secs(3);
+    ControlClient::spawn(ControlClientConfig { control_addresses, call_deadline })
+}
+
+fn change() -> Change {
+    Change {
+        change_id: ChangeId::new("a"),
+        operation: Operation::Submit,
+        replaces_generation: Generation::default(),
+        document: Arc::from("{}"),
+    }
+}
+
+/// Guards against a client that ignores the hint, or asks the follower again on each call.
+#[tokio::test]
+async fn hint_is_followed() {
+    let (leader, leader_calls) = serve(Behaviour::Leads).await;
+    let (follower, follower_calls) = serve(Behaviour::PointsTo(Some(leader))).await;
+    let client = client(vec![follower]);
+    for _ in 0..3 {
+        let outcome = client.submit_change(&change()).await.unwrap();
+        assert_eq!(outcome.revision(), Some(Revision::new(7)));
+    }
+    assert_eq!(leader_calls.load(Ordering::Relaxed), 3);
+    assert_eq!(follower_calls.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against a client that stops at a dead, hung or leaderless replica.
+#[tokio::test]
+async fn other_replicas_are_tried() {
+    let dead = dead_address().await;
+    let (hung, _) = serve(Behaviour::Hangs).await;
+    let (follower, _) = serve(Behaviour::PointsTo(Some(dead))).await;
+    let (leader, _) = serve(Behaviour::Leads).await;
+    let client = client(vec![dead, hung, follower, leader]);
+    let key = RecordKey { kind: RecordKind::Job, name: RecordName::new("j").unwrap() };
+    assert_eq!(client.read_record(&key).await, Ok(None));
+}
+
+/// Guards against a lost answer that is reported although a resend brings it.
+#[tokio::test]
+async fn lost_answer_is_asked_for() {
+    let (leader, calls) = serve(Behaviour::LosesFirstAnswer).await;
+    assert!(client(vec![leader]).submit_change(&change()).await.is_ok());
+    assert_eq!(calls.load(Ordering::Relaxed), 2);
+}
+
+/// Guards against "not sent" for a call that a replica may have taken, and the reverse.
+#[tokio::test]
+async fn failures_are_told_apart() {
+    let dead = dead_address().await;
+    let (follower, _) = serve(Behaviour::PointsTo(None)).await;
+    let error = client(vec![dead, follower]).submit_change(&change()).await.unwrap_err();
+    assert!(matches!(error, ControlError::NotSent { .. }), "{error}");
+    let (hung, _) = serve(Behaviour::Hangs).await;
+    let error = client(vec![hung, dead]).submit_change(&change()).await.unwrap_err();
+    assert!(matches!(error, ControlError::AnswerLost { .. }), "{error}");
+    let (refusing, _) = serve(Behaviour::Refuses).await;
+    let error = client(vec![refusing]).submit_change(&change()).await.unwrap_err();
+    assert!(matches!(error, ControlError::Refused { .. }), "{error}");
+}
