--- a/crates/yuccatack_records/tests/support/mod.rs
+++ b/crates/yuccatack_records/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers that build changes for the tests.
 #![allow(dead_code, clippy::unwrap_used, missing_docs)]
 
+pub mod seeds;
+
 use std::sync::Arc;
 
 use yuccatack_core::prelude::*;
