Add the burn report

Objectives were records without an effect. Names that no record has are not counted, and 4,000 series are the limit.

--- a/crates/yuccatack_telemetry/src/lib.rs
+++ b/crates/yuccatack_telemetry/src/lib.rs
@@ -3,10 +3,12 @@
 //! Logs are JSON lines with a stable event name each; `docs/logs.md` lists the names. Metrics have
 //! one struct per duty; `docs/metrics.md` lists them. [`MetricsServer`] serves them over HTTP.
 
+pub mod burn;
 pub mod logging;
 pub mod metrics;
 mod server;
 
+pub use burn::{BurnReport, BurnReporter};
 pub use logging::{LogDestination, Logging, LoggingError, init_logging};
 pub use metrics::Metrics;
 pub use server::{MetricsServer, MetricsServerError, Readiness};
--- a/crates/yuccatack_telemetry/src/metrics/catalogue.rs
+++ b/crates/yuccatack_telemetry/src/metrics/catalogue.rs
@@ -93,7 +93,7 @@
         Count,
         Counter,
         &["organisation", "service", "class", "outcome"],
-        "Requests that got their outcome, by `completed`, `not_run` or `unknown`.",
+        "Requests that got their outcome, by `completed`, `not_run`, `invalid` or `unknown`.",
     ),
     MetricDescription::new(
         "request_latency",
@@ -235,4 +235,18 @@
         &[],
         "Nodes that have not confirmed the latest revision and are not known to be stopped.",
     ),
+    MetricDescription::new(
+        "objective_events",
+        Count,
+        Counter,
+        &["objective", "organisation"],
+        "Events that an objective covers.",
+    ),
+    MetricDescription::new(
+        "objective_good_events",
+        Count,
+        Counter,
+        &["objective", "organisation"],
+        "Events among them that succeeded within the threshold of the objective.",
+    ),
 ];
--- a/crates/yuccatack_telemetry/src/metrics/jobs.rs
+++ b/crates/yuccatack_telemetry/src/metrics/jobs.rs
@@ -10,7 +10,7 @@
 
 use super::catalogue::register;
 use super::labels::{ClassLabel, NameLabel};
-use super::{JobOutcome, JobPhase};
+use super::{JobOutcome, JobPhase, ObjectiveMetrics};
 
 /// Upper bounds of the buckets of job start times. One is the 8.3 s target of urgent jobs; batch
 /// jobs may wait for hours.
@@ -28,6 +28,7 @@
     outcomes: Family<OutcomeLabels, Counter>,
     start: Family<StartLabels, Histogram, fn() -> Histogram>,
     reclaim: Family<GuaranteeLabels, Histogram, fn() -> Histogram>,
+    objectives: ObjectiveMetrics,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
@@ -63,7 +64,7 @@
 }
 
 impl JobMetrics {
-    pub(super) fn register(registry: &mut Registry) -> Self {
+    pub(super) fn register(registry: &mut Registry, objectives: ObjectiveMetrics) -> Self {
         let start = Family::new_with_constructor(start_histogram as fn() -> Histogram);
         let reclaim = Family::new_with_constructor(reclaim_histogram as fn() -> Histogram);
         Self {
@@ -71,6 +72,7 @@
             outcomes: register(registry, "job_outcomes", Family::default()),
             start: register(registry, "job_start", start),
             reclaim: register(registry, "guarantee_reclaim", reclaim),
+            objectives,
         }
     }
 
@@ -99,6 +101,7 @@
         class: PriorityClass,
         wait: DurationMs,
     ) {
+        self.objectives.observe_start(organisation, class, wait);
         let organisation = NameLabel(organisation.clone());
         let labels = StartLabels { organisation, class: ClassLabel(class) };
         self.start.get_or_create(&labels).observe(seconds(wait));
@@ -106,6 +109,7 @@
 
     /// Records how long the reclaim of guaranteed capacity took.
     pub fn observe_reclaim(&self, guarantee: &RecordName, time: DurationMs) {
+        self.objectives.observe_reclaim(guarantee, time);
         let labels = GuaranteeLabels { guarantee: NameLabel(guarantee.clone()) };
         self.reclaim.get_or_create(&labels).observe(seconds(time));
     }
--- a/crates/yuccatack_telemetry/src/metrics/labels.rs
+++ b/crates/yuccatack_telemetry/src/metrics/labels.rs
@@ -28,7 +28,8 @@
     }
 }
 
-const fn class_name(class: PriorityClass) -> &'static str {
+/// The label value of a class.
+pub(crate) const fn class_name(class: PriorityClass) -> &'static str {
     match class {
         PriorityClass::Urgent => "urgent",
         PriorityClass::Standard => "standard",
@@ -68,8 +69,10 @@
     RequestOutcome {
         /// The caller got the answer.
         Completed => "completed",
-        /// Nothing ran.
+        /// Nothing ran, for a reason on the side of the system.
         NotRun => "not_run",
+        /// Nothing ran, because the request itself is wrong; objectives do not count it.
+        Invalid => "invalid",
         /// Whether it ran is not known.
         Unknown => "unknown",
     }
--- a/crates/yuccatack_telemetry/src/metrics/mod.rs
+++ b/crates/yuccatack_telemetry/src/metrics/mod.rs
@@ -8,6 +8,7 @@
 mod catalogue;
 mod jobs;
 mod labels;
+mod objectives;
 mod replication;
 mod requests;
 mod view;
@@ -22,7 +23,9 @@
 pub use capacity::CapacityMetrics;
 pub use catalogue::{CATALOGUE, MetricDescription, MetricType, MetricUnit};
 pub use jobs::JobMetrics;
+pub(crate) use labels::class_name;
 pub use labels::{JobOutcome, JobPhase, RequestOutcome, WorkerHealth};
+pub use objectives::ObjectiveMetrics;
 pub use replication::ReplicationMetrics;
 pub use requests::{RequestLabels, RequestMetrics};
 pub use view::ViewMetrics;
@@ -45,6 +48,8 @@
     pub replication: ReplicationMetrics,
     /// The read view, at entries and agents; its spread, at the control leader.
     pub view: ViewMetrics,
+    /// Good and all events of each objective, for the burn report.
+    pub objectives: ObjectiveMetrics,
     registry: Arc<Registry>,
 }
 
@@ -56,14 +61,15 @@
     /// Registers every metric.
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix(PREFIX);
-        let requests = RequestMetrics::register(&mut registry);
+        let objectives = ObjectiveMetrics::register(&mut registry);
+        let requests = RequestMetrics::register(&mut registry, objectives.clone());
         let agent = AgentMetrics::register(&mut registry);
-        let jobs = JobMetrics::register(&mut registry);
+        let jobs = JobMetrics::register(&mut registry, objectives.clone());
         let capacity = CapacityMetrics::register(&mut registry);
         let replication = ReplicationMetrics::register(&mut registry);
         let view = ViewMetrics::register(&mut registry);
         let registry = Arc::new(registry);
-        Self { requests, agent, jobs, capacity, replication, view, registry }
+        Self { requests, agent, jobs, capacity, replication, view, objectives, registry }
     }
 
     /// All values in the OpenMetrics text format.
--- /dev/null
+++ b/crates/yuccatack_telemetry/src/metrics/objectives.rs
@@ -0,0 +1,198 @@
+//! Counters of good and of all events of each objective.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+use tokio::sync::watch;
+use yuccatack_core::prelude::*;
+use yuccatack_records::{Indicator, ObjectiveRecord};
+
+use super::catalogue::register;
+use super::labels::NameLabel;
+use crate::burn::ObjectiveReading;
+
+/// The most pairs of objective and organisation that are counted: twice the design size of 190
+/// organisations with ten objectives each. Further ones are left out and logged.
+const MAXIMUM_SERIES_COUNT: usize = 4_000;
+
+/// Counters of the objectives in force.
+#[derive(Clone, Debug)]
+pub struct ObjectiveMetrics {
+    events: Family<SeriesLabels, Counter>,
+    good_events: Family<SeriesLabels, Counter>,
+    index: watch::Sender<Arc<Index>>,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct SeriesLabels {
+    objective: NameLabel<RecordName>,
+    organisation: Option<NameLabel<OrganisationName>>,
+}
+
+/// The counters by what is observed, so that an event finds its own without a search.
+#[derive(Debug, Default)]
+struct Index {
+    requests: FastHashMap<(OrganisationName, ServiceName), Vec<Series>>,
+    job_starts: FastHashMap<(OrganisationName, PriorityClass), Vec<Series>>,
+    reclaims: FastHashMap<RecordName, Vec<Series>>,
+    labels: Vec<SeriesLabels>,
+}
+
+#[derive(Clone, Debug)]
+struct Series {
+    objective: ObjectiveRecord,
+    organisation: Option<OrganisationName>,
+    events: Counter,
+    good_events: Counter,
+}
+
+impl ObjectiveMetrics {
+    pub(super) fn register(registry: &mut Registry) -> Self {
+        Self {
+            events: register(registry, "objective_events", Family::default()),
+            good_events: register(registry, "objective_good_events", Family::default()),
+            index: watch::Sender::new(Arc::default()),
+        }
+    }
+
+    /// Counts for these objectives from now on. An objective without an organisation counts for
+    /// each of `organisations` apart.
+    pub fn set_objectives(
+        &self,
+        objectives: &[ObjectiveRecord],
+        organisations: &[OrganisationName],
+    ) {
+        let mut index = Index::default();
+        for objective in objectives {
+            for organisation in covered(objective, organisations) {
+                if index.labels.len() >= MAXIMUM_SERIES_COUNT {
+                    log::warn!(
+                        event = "objective_series_limit", objective:% = objective.name;
+                        "more than {MAXIMUM_SERIES_COUNT} series of objectives; withdraw some"
+                    );
+                    break;
+                }
+                self.add(&mut index, objective, organisation);
+            }
+        }
+        let previous = self.index.send_replace(Arc::new(index));
+        self.forget_missing(&previous);
+    }
+
+    fn add(
+        &self,
+        index: &mut Index,
+        objective: &ObjectiveRecord,
+        organisation: Option<OrganisationName>,
+    ) {
+        let labels = SeriesLabels {
+            objective: NameLabel(objective.name.clone()),
+            organisation: organisation.clone().map(NameLabel),
+        };
+        let series = Series {
+            objective: objective.clone(),
+            organisation: organisation.clone(),
+            events: self.events.get_or_create_owned(&labels),
+            good_events: self.good_events.get_or_create_owned(&labels),
+        };
+        let list = match (&objective.indicator, organisation) {
+            (Indicator::RequestLatency(service), Some(organisation)) => {
+                index.requests.entry((organisation, service.clone())).or_default()
+            }
+            (Indicator::JobStart(class), Some(organisation)) => {
+                index.job_starts.entry((organisation, *class)).or_default()
+            }
+            (Indicator::GuaranteeReclaim(guarantee), _) => {
+                index.reclaims.entry(guarantee.clone()).or_default()
+            }
+            (Indicator::RequestLatency(_) | Indicator::JobStart(_), None) => return,
+        };
+        list.push(series);
+        index.labels.push(labels);
+    }
+
+    fn forget_missing(&self, previous: &Index) {
+        let current = Arc::clone(&self.index.borrow());
+        let kept: FastHashSet<&SeriesLabels> = current.labels.iter().collect();
+        for labels in previous.labels.iter().filter(|labels| !kept.contains(labels)) {
+            self.events.remove(labels);
+            self.good_events.remove(labels);
+        }
+    }
+
+    pub(super) fn observe_request(
+        &self,
+        organisation: &OrganisationName,
+        service: &ServiceName,
+        completed_after: Option<Duration>,
+    ) {
+        let index = Arc::clone(&self.index.borrow());
+        let key = (organisation.clone(), service.clone());
+        count(index.requests.get(&key), completed_after);
+    }
+
+    pub(super) fn observe_start(
+        &self,
+        organisation: &OrganisationName,
+        class: PriorityClass,
+        wait: DurationMs,
+    ) {
+        let index = Arc::clone(&self.index.borrow());
+        count(index.job_starts.get(&(organisation.clone(), class)), Some(wait.into()));
+    }
+
+    pub(super) fn observe_reclaim(&self, guarantee: &RecordName, time: DurationMs) {
+        let index = Arc::clone(&self.index.borrow());
+        count(index.reclaims.get(guarantee), Some(time.into()));
+    }
+
+    /// The counters as they stand now.
+    pub fn read(&self) -> Vec<ObjectiveReading> {
+        let index = Arc::clone(&self.index.borrow());
+        let requests = index.requests.values();
+        let lists = requests.chain(index.job_starts.values()).chain(index.reclaims.values());
+        lists.flatten().map(Series::read).collect()
+    }
+}
+
+/// The organisations that an objective counts apart; `None` stands for the holder of a guarantee.
+fn covered(
+    objective: &ObjectiveRecord,
+    organisations: &[OrganisationName],
+) -> Vec<Option<OrganisationName>> {
+    match (&objective.indicator, &objective.organisation) {
+        (Indicator::GuaranteeReclaim(_), _) => vec![None],
+        (_, Some(organisation)) => vec![Some(organisation.clone())],
+        (_, None) => organisations.iter().cloned().map(Some).collect(),
+    }
+}
+
+/// Counts one event; `time` is `None` for one that never succeeded.
+fn count(list: Option<&Vec<Series>>, time: Option<Duration>) {
+    for series in list.into_iter().flatten() {
+        let threshold = Duration::from_millis(series.objective.threshold_ms);
+        // The good ones first: a reading between the two counts a bad event too few, not a good
+        // one too many.
+        if time.is_some_and(|time| time <= threshold) {
+            series.good_events.inc();
+        }
+        series.events.inc();
+    }
+}
+
+impl Series {
+    fn read(&self) -> ObjectiveReading {
+        // All events before the good ones would count an event between the two as good only.
+        let good_count = self.good_events.get();
+        ObjectiveReading {
+            objective: self.objective.clone(),
+            organisation: self.organisation.clone(),
+            good_count,
+            total_count: self.events.get().max(good_count),
+        }
+    }
+}
--- a/crates/yuccatack_telemetry/src/metrics/requests.rs
+++ b/crates/yuccatack_telemetry/src/metrics/requests.rs
@@ -10,9 +10,9 @@
 use prometheus_client::registry::Registry;
 use yuccatack_core::prelude::*;
 
-use super::RequestOutcome;
 use super::catalogue::register;
 use super::labels::{ClassLabel, NameLabel};
+use super::{ObjectiveMetrics, RequestOutcome};
 
 /// Upper bounds of the latency buckets: 1 ms to 30 s, closer together where callers notice.
 const LATENCY_BUCKETS_S: [f64; 14] =
@@ -25,6 +25,7 @@
     latency: Family<LatencyLabels, Histogram, fn() -> Histogram>,
     in_flight: Family<ServiceLabels, Gauge>,
     retries: Family<ServiceLabels, Counter>,
+    objectives: ObjectiveMetrics,
 }
 
 /// What a request is counted under.
@@ -63,22 +64,28 @@
 }
 
 impl RequestMetrics {
-    pub(super) fn register(registry: &mut Registry) -> Self {
+    pub(super) fn register(registry: &mut Registry, objectives: ObjectiveMetrics) -> Self {
         let latency = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
         Self {
             requests: register(registry, "requests", Family::default()),
             latency: register(registry, "request_latency", latency),
             in_flight: register(registry, "requests_in_flight", Family::default()),
             retries: register(registry, "request_retries", Family::default()),
+            objectives,
         }
     }
 
     /// Counts a request that got its outcome `latency` after its arrival.
     pub fn observe(&self, labels: &RequestLabels, outcome: RequestOutcome, latency: Duration) {
+        let completed_after = (outcome == RequestOutcome::Completed).then_some(latency);
+        if outcome != RequestOutcome::Invalid {
+            let (organisation, service) = (&labels.organisation, &labels.service);
+            self.objectives.observe_request(organisation, service, completed_after);
+        }
         let organisation = NameLabel(labels.organisation.clone());
         let service = NameLabel(labels.service.clone());
         let class = ClassLabel(labels.class);
-        if outcome == RequestOutcome::Completed {
+        if let Some(latency) = completed_after {
             let labels = LatencyLabels {
                 organisation: organisation.clone(),
                 service: service.clone(),
--- a/crates/yuccatack_telemetry/src/server.rs
+++ b/crates/yuccatack_telemetry/src/server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,7 +21,7 @@
 use tokio::sync::watch;
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 
-use crate::Metrics;
+use crate::{BurnReport, Metrics};
 
 /// How long a client may take to send the head of a request.
 const HEADER_READ_LIMIT: Duration = Duration::from_secs(5);
@@ -52,7 +53,7 @@
     },
 }
 
-/// Serves `/metrics`, `/health` and `/ready`.
+/// Serves `/metrics`, `/health`, `/ready` and, if a reporter publishes there, `/burn`.
 #[derive(Debug)]
 pub struct MetricsServer {
     listener: TcpListener,
@@ -63,6 +64,7 @@
 struct Content {
     metrics: Metrics,
     readiness: watch::Receiver<Readiness>,
+    burn: Option<watch::Receiver<Arc<BurnReport>>>,
 }
 
 impl MetricsServer {
@@ -73,7 +75,13 @@
         readiness: watch::Receiver<Readiness>,
     ) -> Result<Self, MetricsServerError> {
         let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
-        Ok(Self { listener, content: Content { metrics, readiness } })
+        Ok(Self { listener, content: Content { metrics, readiness, burn: None } })
+    }
+
+    /// Also serves the reports that a [`BurnReporter`](crate::BurnReporter) publishes.
+    pub fn with_burn_reports(mut self, reports: watch::Receiver<Arc<BurnReport>>) -> Self {
+        self.content.burn = Some(reports);
+        self
     }
 
     /// The address at which the server listens.
@@ -128,7 +136,15 @@
             "/metrics" => self.metrics(),
             "/health" => plain(StatusCode::OK, "alive\n"),
             "/ready" => self.ready(),
-            _ => plain(StatusCode::NOT_FOUND, "use /metrics, /health or /ready\n"),
+            "/burn" => self.burn(),
+            _ => plain(StatusCode::NOT_FOUND, "use /metrics, /health, /ready or /burn\n"),
+        }
+    }
+
+    fn burn(&self) -> Response<Full<Bytes>> {
+        match &self.burn {
+            Some(reports) => json(StatusCode::OK, &**reports.borrow()),
+            None => plain(StatusCode::NOT_FOUND, "this process counts no objectives\n"),
         }
     }
 
