--- a/crates/yuccatack_cli/src/arguments.rs
+++ b/crates/yuccatack_cli/src/arguments.rs
@@ -141,12 +141,17 @@
                 Arg::new("metrics-address")
                     .long("metrics-address")
                     .value_name("IP:PORT")
-                    .help("Reads from the metrics address of a process instead of an entry"),
+                    .action(ArgAction::Append)
+                    .help(
+                        "Reads from the metrics address of a process instead; the reports of \
+                         several are added up",
+                    ),
             )
             .arg(
                 Arg::new("html")
                     .long("html")
                     .value_name("FILE")
+                    .value_parser(value_parser!(std::path::PathBuf))
                     .value_hint(ValueHint::FilePath)
                     .help("Also writes one self-contained page with plots"),
             ),
--- a/crates/yuccatack_cli/src/commands/report.rs
+++ b/crates/yuccatack_cli/src/commands/report.rs
@@ -1,13 +1,30 @@
 //! `report`: reports on the system.
 
+use std::path::PathBuf;
+
 use clap::ArgMatches;
-use serde_json::Value;
+use snafu::ResultExt;
+use yuccatack_telemetry::burn::{Alert, BurnReport, SeriesReport, Window, html_page};
 
-use super::{client, client_at, options, text, wants_json};
+use super::{client, client_at, options, wants_json};
+use crate::client::EntryClient;
 use crate::context::Context;
-use crate::error::{CliError, ExitStatus};
+use crate::error::{CliError, ExitStatus, WriteFileSnafu};
 use crate::output;
 
+const BURN_HEADINGS: [&str; 10] = [
+    "objective",
+    "organisation",
+    "indicator",
+    "target",
+    "limit ms",
+    "5 min",
+    "30 min",
+    "1 h",
+    "6 h",
+    "alert",
+];
+
 pub(super) async fn run(
     matches: &ArgMatches,
     context: &mut Context<'_>,
@@ -22,19 +39,65 @@
     matches: &ArgMatches,
     context: &mut Context<'_>,
 ) -> Result<ExitStatus, CliError> {
-    let (client, path) = match text(matches, "metrics-address") {
-        Some(address) => (client_at(address, matches)?, "/burn"),
-        None => (client(matches, context)?, "/v1/burn"),
-    };
-    let report: Option<Value> = client.read(path).await?;
-    let Some(report) = report else {
-        let reason = "this address has no burn report; give the address of an entry".to_owned();
-        return Err(CliError::RefusedRead { status: 404, reason });
-    };
+    let report = read_reports(matches, context).await?;
+    if let Some(path) = matches.get_one::<PathBuf>("html") {
+        std::fs::write(path, html_page(&report)).context(WriteFileSnafu { path })?;
+    }
     let text = match wants_json(matches) {
         true => serde_json::to_string_pretty(&report)?,
-        false => output::document(&report),
+        false => burn_table(&report),
     };
     context.result(&text)?;
     Ok(ExitStatus::Done)
 }
+
+/// Reads the report of the entry, or merges those of the given processes.
+async fn read_reports(matches: &ArgMatches, context: &Context<'_>) -> Result<BurnReport, CliError> {
+    let addresses: Vec<&String> =
+        matches.get_many("metrics-address").into_iter().flatten().collect();
+    let Some((first, others)) = addresses.split_first() else {
+        return read_report(&client(matches, context)?, "/v1/burn").await;
+    };
+    let mut report = read_report(&client_at(first, matches)?, "/burn").await?;
+    for address in others {
+        report = report.merge(read_report(&client_at(address, matches)?, "/burn").await?);
+    }
+    Ok(report)
+}
+
+async fn read_report(client: &EntryClient, path: &str) -> Result<BurnReport, CliError> {
+    client.read(path).await?.ok_or_else(|| CliError::RefusedRead {
+        status: 404,
+        reason: format!(
+            "there is no burn report at {path}; give the address of an entry, or the metrics \
+             address of an entry or control replica"
+        ),
+    })
+}
+
+fn burn_table(report: &BurnReport) -> String {
+    let rows: Vec<Vec<String>> = report.series.iter().map(burn_row).collect();
+    let observed = report.observed_s;
+    format!("{}\ncounted for {observed} s\n", output::table(&BURN_HEADINGS, &rows))
+}
+
+fn burn_row(series: &SeriesReport) -> Vec<String> {
+    let organisation = series.organisation.as_ref().map_or("-".to_owned(), ToString::to_string);
+    let mut row = vec![
+        series.objective.to_string(),
+        organisation,
+        series.indicator.clone(),
+        series.target_ratio.to_string(),
+        series.threshold_ms.to_string(),
+    ];
+    row.extend(Window::ALL.map(|window| format!("{:.2}", series.burn_rate(window))));
+    row.push(
+        match series.alert {
+            Alert::None => "-",
+            Alert::Ticket => "ticket",
+            Alert::Page => "page",
+        }
+        .to_owned(),
+    );
+    row
+}
--- a/crates/yuccatack_cli/src/error.rs
+++ b/crates/yuccatack_cli/src/error.rs
@@ -60,6 +60,14 @@
         /// What the operating system said.
         source: io::Error,
     },
+    /// An output file could not be written.
+    #[snafu(display("cannot write {}: {source}; check the folder and its permissions", path.display()))]
+    WriteFile {
+        /// The file.
+        path: PathBuf,
+        /// What the operating system said.
+        source: io::Error,
+    },
     /// An input file is not what the command needs.
     #[snafu(display("{}: {problem}", path.display()))]
     InvalidFile {
@@ -156,6 +164,7 @@
             Self::NoAnswer { .. } | Self::AnswerLost { .. } => ExitStatus::Unknown,
             Self::RefusedRead { .. }
             | Self::Run { .. }
+            | Self::WriteFile { .. }
             | Self::Output { .. }
             | Self::Encode { .. } => ExitStatus::Refused,
         }
