--- a/crates/yuccatack_cli/tests/burn_report.rs
+++ b/crates/yuccatack_cli/tests/burn_report.rs
@@ -10,9 +10,10 @@
 
 /// One objective of which `good` of 1000 events in every window were good.
 fn report(good: u32) -> Value {
+    let burn_rate = f64::from(1000 - good) / 1000.0 / 0.01;
     let window = |seconds: u32| {
         json!({
-            "window_s": seconds, "good": good, "total": 1000, "burn_rate": 0.0,
+            "window_s": seconds, "good": good, "total": 1000, "burn_rate": burn_rate,
         })
     };
     json!({
