--- a/crates/yuccatack_cli/src/run.rs
+++ b/crates/yuccatack_cli/src/run.rs
@@ -7,10 +7,13 @@
 use log::LevelFilter;
 use snafu::{ResultExt, Snafu};
 use yuccatack_core::NodeName;
-use yuccatack_lifecycle::{Shutdown, ShutdownPhase, shutdown_channel};
+use yuccatack_lifecycle::{Shutdown, ShutdownPhase, ShutdownTrigger, shutdown_channel};
 use yuccatack_settings::{Settings, SettingsError};
 use yuccatack_telemetry::{LogDestination, LoggingError, init_logging};
 
+/// How long an aborted role may take to log what it leaves unfinished.
+const ABORT_REPORT_LIMIT: Duration = Duration::from_secs(1);
+
 /// Why a process role did not start or ended with an error.
 #[derive(Debug, Snafu)]
 pub enum RunError {
@@ -38,6 +41,12 @@
         /// The role.
         role: &'static str,
     },
+    /// The drain was cut short.
+    #[snafu(display(
+        "the process ended with work in flight; the log names it; raise `drain_limit_ms` if it \
+         needs more time"
+    ))]
+    DrainIncomplete,
     /// The role failed.
     #[snafu(display("the {role} process failed: {source}"))]
     Role {
@@ -75,16 +84,38 @@
 
 async fn run_until_stopped(settings: Settings) -> Result<(), RunError> {
     let (trigger, shutdown) = shutdown_channel();
-    let mut aborting = shutdown.clone();
-    tokio::spawn(trigger.follow_signals(drain_limit(&settings)));
+    let aborting = shutdown.clone();
+    tokio::spawn(follow_signals(trigger, drain_limit(&settings)));
     log::info!(event = "process_started", role = role(&settings); "started");
     tokio::select! {
-        outcome = run_role(settings, shutdown) => outcome,
-        () = aborting.reached(ShutdownPhase::Aborting) => {
-            log::warn!(event = "process_aborted"; "the drain limit or a second signal ended it");
-            Ok(())
-        }
+        outcome = run_role(settings, shutdown.clone()) => outcome?,
+        () = abort_finished(aborting) => {}
+    }
+    if shutdown.phase() == ShutdownPhase::Aborting {
+        log::warn!(event = "process_aborted"; "the drain limit or a second signal ended the drain");
+        return DrainIncompleteSnafu.fail();
+    }
+    log::info!(event = "process_stopped"; "stopped with nothing left");
+    Ok(())
+}
+
+async fn follow_signals(trigger: ShutdownTrigger, drain_limit: Duration) {
+    if let Err(error) = trigger.follow_signals(drain_limit).await {
+        log::error!(
+            event = "signals_unavailable", error:% = error;
+            "cannot receive signals; the process can only be killed"
+        );
+    }
+}
+
+/// Ends a little after the abort, so that the role can log what it leaves unfinished.
+async fn abort_finished(mut shutdown: Shutdown) {
+    shutdown.reached(ShutdownPhase::Aborting).await;
+    if shutdown.phase() != ShutdownPhase::Aborting {
+        // The trigger is gone, so that no abort can come.
+        std::future::pending::<()>().await;
     }
+    tokio::time::sleep(ABORT_REPORT_LIMIT).await;
 }
 
 /// Hands over to the crate of the role.
--- a/crates/yuccatack_cli/tests/help_text.rs
+++ b/crates/yuccatack_cli/tests/help_text.rs
@@ -4,6 +4,8 @@
 
 mod support;
 
+use std::path::Path;
+
 use support::run;
 use yuccatack_cli::ExitStatus;
 
@@ -34,6 +36,21 @@
     insta::assert_snapshot!(text);
 }
 
+/// Guards against a page that describes other options than the program has.
+#[test]
+fn page_quotes_help() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/command-line.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    for command in COMMANDS {
+        let mut arguments = command.to_vec();
+        arguments.push("--help");
+        let help = run(&arguments).results;
+        let help: Vec<&str> = help.lines().map(str::trim_end).collect();
+        let quoted = format!("```text\n{}\n```", help.join("\n"));
+        assert!(page.contains(&quoted), "docs/command-line.md must quote:\n{quoted}");
+    }
+}
+
 #[test]
 fn definition_is_consistent() {
     yuccatack_cli::command().debug_assert();
