Prove dispatch, attempts and claims under virtual time

Cause: own answer, whole answer, at most once and true refusal were only argued for.

Change: a model of callers, entries, agents, minions and the control leader drives the real decision code with delay, loss, duplication, crossing, truncation, silence, kills and restarts. It found that a refusal could speak for a key that another sending had taken in between; a refusal now says whether it speaks of this sending or of the whole key (`yuccatack-not-run-scope`), and speaks of the key only while it holds the claim. The wire message Unknown has a field for its reason.

--- a/crates/yuccatack_entry/src/link.rs
+++ b/crates/yuccatack_entry/src/link.rs
@@ -8,13 +8,13 @@
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Request, Status, Streaming};
 use yuccatack_core::prelude::*;
-use yuccatack_requests::answer_check::AnswerCollector;
+use yuccatack_requests::answer_check::{AnswerCollector, AnswerPart};
 use yuccatack_requests::attempts::Resolution;
 use yuccatack_requests::claims::ClaimedAttempt;
 use yuccatack_requests::generated::agent as wire;
 use yuccatack_requests::generated::agent::attempts_client::AttemptsClient;
 use yuccatack_requests::prelude::*;
-use yuccatack_requests::wire::attempts::{AnswerPart, attempt_parts};
+use yuccatack_requests::wire::attempts::attempt_parts;
 
 /// How long connecting to an agent may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -117,40 +117,9 @@
     loop {
         let part = stream.message().await.map_err(broken)?;
         let part = part.ok_or_else(|| broken("the answer ended before its last part"))?;
-        match AnswerPart::try_from(part).map_err(broken)? {
-            AnswerPart::Head(head) => answer.head(head).map_err(broken)?,
-            AnswerPart::Chunk(chunk) => answer.chunk(&chunk).map_err(broken)?,
-            AnswerPart::End(seal) => {
-                let answer = answer.finish(&seal).map_err(broken)?;
-                return Ok(Resolution::Ended(Outcome::Completed(answer).into()));
-            }
-            AnswerPart::NotRun(found, not_run) => {
-                check_attempt(attempt, found, &answer)?;
-                return Ok(Resolution::NotRun(not_run));
-            }
-            AnswerPart::Unknown(found, unknown) => {
-                check_attempt(attempt, found, &answer)?;
-                return Ok(Resolution::Unknown(unknown));
-            }
-            AnswerPart::Running(found) => {
-                check_attempt(attempt, found, &answer)?;
-                return Ok(Resolution::Running);
-            }
+        let part = AnswerPart::try_from(part).map_err(broken)?;
+        if let Some(resolution) = answer.push(part).map_err(broken)? {
+            return Ok(resolution);
         }
     }
 }
-
-/// A result without an answer must be for this attempt and must not follow an answer's head.
-fn check_attempt(
-    expected: AttemptId,
-    found: AttemptId,
-    answer: &AnswerCollector,
-) -> Result<(), LinkError> {
-    if expected != found {
-        return Err(broken(format!("the result is for attempt {found}, not {expected}")));
-    }
-    if answer.has_head() {
-        return Err(broken("a result without an answer follows the head of one"));
-    }
-    Ok(())
-}
--- a/crates/yuccatack_requests/src/answer_check.rs
+++ b/crates/yuccatack_requests/src/answer_check.rs
@@ -1,10 +1,13 @@
 //! Checks of streamed bodies: only whole content of the right attempt is passed on.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
 use yuccatack_core::prelude::*;
 
-use crate::outcome::{Answer, Header};
+use crate::attempts::Resolution;
+use crate::outcome::{Answer, Header, NotRun, Outcome, Unknown};
 
 /// Length and digest at the end of a body.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -121,7 +124,24 @@
     pub headers: Vec<Header>,
 }
 
-/// Puts an answer together and checks that it is the caller's own and whole.
+/// A part of an agent's account of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AnswerPart {
+    /// The head of an answer.
+    Head(AnswerHead),
+    /// A piece of the body.
+    Chunk(Bytes),
+    /// The end of the answer.
+    End(BodySeal),
+    /// The attempt did not run.
+    NotRun(AttemptId, NotRun),
+    /// The attempt may have run.
+    Unknown(AttemptId, Unknown),
+    /// The attempt runs.
+    Running(AttemptId),
+}
+
+/// Puts an account together and checks that it is the caller's own and whole.
 #[derive(Debug)]
 pub struct AnswerCollector {
     expected_attempt: AttemptId,
@@ -131,7 +151,7 @@
 }
 
 impl AnswerCollector {
-    /// Expects the answer to `attempt` of `organisation`.
+    /// Expects the account of `attempt` of `organisation`.
     pub fn new(attempt: AttemptId, organisation: OrganisationName, limit_bytes: u64) -> Self {
         Self {
             expected_attempt: attempt,
@@ -141,44 +161,57 @@
         }
     }
 
-    /// Whether a head was taken.
-    pub fn has_head(&self) -> bool {
-        self.head.is_some()
+    /// Takes the next part, and gives the account once it is whole.
+    pub fn push(&mut self, part: AnswerPart) -> Result<Option<Resolution>, BodyCheckError> {
+        match part {
+            AnswerPart::Head(head) => {
+                self.check_attempt(head.attempt)?;
+                self.check_organisation(&head.organisation)?;
+                self.head = Some(head);
+                Ok(None)
+            }
+            AnswerPart::Chunk(chunk) => {
+                snafu::ensure!(self.head.is_some(), OutOfOrderSnafu);
+                self.body.push(&chunk)?;
+                Ok(None)
+            }
+            AnswerPart::End(seal) => self.finish(&seal).map(Some),
+            AnswerPart::NotRun(attempt, not_run) => {
+                self.check_attempt(attempt)?;
+                Ok(Some(Resolution::NotRun(not_run)))
+            }
+            AnswerPart::Unknown(attempt, unknown) => {
+                self.check_attempt(attempt)?;
+                Ok(Some(Resolution::Unknown(unknown)))
+            }
+            AnswerPart::Running(attempt) => {
+                self.check_attempt(attempt)?;
+                Ok(Some(Resolution::Running))
+            }
+        }
     }
 
-    /// Takes the head.
-    pub fn head(&mut self, head: AnswerHead) -> Result<(), BodyCheckError> {
-        if self.head.is_some() {
-            return Err(BodyCheckError::OutOfOrder);
-        }
-        if head.attempt != self.expected_attempt {
-            return Err(BodyCheckError::OtherAttempt {
-                expected: self.expected_attempt,
-                found: head.attempt,
-            });
-        }
-        if *head.organisation != *self.expected_organisation.as_str() {
-            return Err(BodyCheckError::OtherOrganisation {
-                expected: self.expected_organisation.clone(),
-                found: head.organisation,
-            });
-        }
-        self.head = Some(head);
+    /// Checks the attempt of a first part.
+    fn check_attempt(&self, found: AttemptId) -> Result<(), BodyCheckError> {
+        snafu::ensure!(self.head.is_none(), OutOfOrderSnafu);
+        let expected = self.expected_attempt;
+        snafu::ensure!(found == expected, OtherAttemptSnafu { expected, found });
         Ok(())
     }
 
-    /// Takes the next chunk.
-    pub fn chunk(&mut self, chunk: &[u8]) -> Result<(), BodyCheckError> {
-        if self.head.is_none() {
-            return Err(BodyCheckError::OutOfOrder);
-        }
-        self.body.push(chunk)
+    fn check_organisation(&self, found: &str) -> Result<(), BodyCheckError> {
+        let expected = &self.expected_organisation;
+        snafu::ensure!(
+            found == expected.as_str(),
+            OtherOrganisationSnafu { expected: expected.clone(), found }
+        );
+        Ok(())
     }
 
-    /// Gives the whole answer.
-    pub fn finish(self, seal: &BodySeal) -> Result<Answer, BodyCheckError> {
-        let head = self.head.ok_or(BodyCheckError::OutOfOrder)?;
-        let body = self.body.finish(seal)?;
-        Ok(Answer { status: head.status, headers: head.headers, body })
+    fn finish(&mut self, seal: &BodySeal) -> Result<Resolution, BodyCheckError> {
+        let head = self.head.take().ok_or(BodyCheckError::OutOfOrder)?;
+        let body = std::mem::replace(&mut self.body, BodyCollector::new(0)).finish(seal)?;
+        let answer = Answer { status: head.status, headers: head.headers, body };
+        Ok(Resolution::Ended(Arc::new(Outcome::Completed(answer))))
     }
 }
--- a/crates/yuccatack_requests/src/attempts/state.rs
+++ b/crates/yuccatack_requests/src/attempts/state.rs
@@ -202,6 +202,7 @@
             return StartDecision::Refuse(refusal);
         }
         self.running_count += 1;
+        assert!(self.running_count <= self.limits.slot_count, "more attempts run than slots");
         let record = AttemptRecord {
             organisation: organisation.clone(),
             state: RecordState::Running,
--- a/crates/yuccatack_requests/src/claims/state.rs
+++ b/crates/yuccatack_requests/src/claims/state.rs
@@ -73,6 +73,7 @@
     pub fn apply(&mut self, command: ClaimCommand, now: TimestampMs) -> ClaimOutcome {
         self.newest_now = self.newest_now.max(now);
         self.expire();
+        assert_eq!(self.claims.len(), self.by_issue_time.len(), "a claim without an expiry");
         match command {
             ClaimCommand::Claim { organisation, key, content, attempt } => {
                 self.claim((organisation, key), content, attempt)
--- a/crates/yuccatack_requests/src/dispatch/claiming.rs
+++ b/crates/yuccatack_requests/src/dispatch/claiming.rs
@@ -6,7 +6,7 @@
 use super::message::DispatchCommand;
 use super::state::Dispatch;
 use crate::claims::{ClaimCallError, ClaimOutcome, ClaimRefusal, ClaimState, ClaimedAttempt};
-use crate::outcome::{NotRun, NotRunReason, Outcome, Unknown, UnknownReason};
+use crate::outcome::{NotRun, NotRunReason, NotRunScope, Outcome, Unknown, UnknownReason};
 
 /// What is under way with the control leader.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -16,6 +16,9 @@
     own: Option<ClaimedAttempt>,
     claim_count: usize,
     failure_count: u32,
+    /// Whether every attempt that ever held the key provably never ran, provided that the own
+    /// attempt did not.
+    key_unused: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -92,7 +95,11 @@
             Ok(ClaimOutcome::Existing { attempt, state }) => {
                 self.claim_existing(own, attempt, state, now);
             }
-            Ok(ClaimOutcome::Refused(reason)) => self.finish(refusal(reason).into()),
+            Ok(ClaimOutcome::Refused(reason)) => {
+                // A young key without a claim has never been dispatched.
+                claiming.key_unused = matches!(reason, ClaimRefusal::TableFull { .. });
+                self.finish(refusal(reason).into());
+            }
             Ok(ClaimOutcome::Settled(_))
             | Err(ClaimCallError::Unavailable { .. } | ClaimCallError::Unconfirmed) => {
                 self.claim_later(now);
@@ -104,6 +111,7 @@
         if let Some(claiming) = &mut self.claiming {
             claiming.own = None;
             claiming.failure_count = 0;
+            claiming.key_unused = true;
         }
         self.execute(own, now);
     }
@@ -116,6 +124,9 @@
         now: TimestampMs,
     ) {
         if holder.attempt != own.attempt {
+            if let Some(claiming) = &mut self.claiming {
+                claiming.key_unused = false;
+            }
             return self.follow(holder);
         }
         match state {
@@ -160,16 +171,19 @@
     }
 
     /// Frees the key of an attempt that provably never ran, before the key is claimed again.
-    pub(super) fn release_then_retry(&mut self, leg: &Leg, now: TimestampMs) {
+    pub(super) fn release_then_retry(&mut self, leg: &Leg) {
         let Some(claiming) = &mut self.claiming else {
             return;
         };
-        if claiming.claim_count >= self.settings.claim_count {
-            self.commands.push(DispatchCommand::Settle(leg.attempt.attempt, ClaimState::Released));
-            return self.finish_without_attempts();
-        }
-        let _ = now;
+        let spent = claiming.own.is_none() && self.attempt_count >= self.settings.attempt_count;
+        let last = spent || claiming.claim_count >= self.settings.claim_count;
         claiming.stage = Stage::Releasing(leg.attempt.attempt);
+        if last {
+            self.finish_without_attempts();
+        } else {
+            // Once the key is free, another sending may take it and run.
+            claiming.key_unused = false;
+        }
         self.commands.push(DispatchCommand::Settle(leg.attempt.attempt, ClaimState::Released));
     }
 
@@ -229,6 +243,17 @@
         }
     }
 
+    /// Says whether a refusal speaks of the whole key.
+    pub(super) fn with_scope(&self, outcome: Outcome) -> Outcome {
+        let key_unused = self.claiming.as_ref().is_some_and(|claiming| claiming.key_unused);
+        match outcome {
+            Outcome::NotRun(not_run) if key_unused => {
+                NotRun { scope: NotRunScope::Key, ..not_run }.into()
+            }
+            other => other,
+        }
+    }
+
     /// Frees a key that was claimed, or may have been, for an attempt that will never be sent.
     pub(super) fn release_unused_claim(&mut self, outcome: &Outcome) {
         let Some(claiming) = &mut self.claiming else {
--- a/crates/yuccatack_requests/src/dispatch/state.rs
+++ b/crates/yuccatack_requests/src/dispatch/state.rs
@@ -23,7 +23,7 @@
     pub(super) legs: Vec<Leg>,
     /// `Some` for non-idempotent requests.
     pub(super) claiming: Option<Claiming>,
-    attempt_count: usize,
+    pub(super) attempt_count: usize,
     choosing: bool,
     choose_at: Option<TimestampMs>,
     hedge_at: Option<TimestampMs>,
@@ -145,6 +145,7 @@
         }
         self.finished = true;
         self.release_unused_claim(&outcome);
+        let outcome = self.with_scope(outcome);
         self.commands.push(DispatchCommand::Finish(outcome));
     }
 
@@ -170,7 +171,10 @@
         self.choosing = false;
         let permanent = not_run.retry_after_ms.is_none();
         let final_word = permanent || !matches!(not_run.reason, NotRunReason::NoSlot);
-        self.last_refusal = Some(not_run);
+        // The refusal of an attempt says more than the lack of a second choice.
+        if self.attempt_count == 0 || self.last_refusal.is_none() {
+            self.last_refusal = Some(not_run);
+        }
         if !self.legs.is_empty() {
             return;
         }
@@ -182,6 +186,10 @@
 
     /// Sends an attempt to its agent; this is the only place that does.
     pub(super) fn execute(&mut self, attempt: ClaimedAttempt, now: TimestampMs) {
+        assert!(
+            self.claiming.is_none() || self.legs.is_empty(),
+            "a second attempt of a non-idempotent request while one may still run"
+        );
         self.attempt_count += 1;
         self.commands.push(DispatchCommand::Execute(attempt.clone()));
         if self.claiming.is_none() && self.attempt_count == 1 {
@@ -246,7 +254,7 @@
             self.last_refusal = Some(not_run);
         }
         if self.claiming.is_some() {
-            return self.release_then_retry(&leg, now);
+            return self.release_then_retry(&leg);
         }
         if self.legs.is_empty() {
             self.retry(now);
--- a/crates/yuccatack_requests/src/http_mapping.rs
+++ b/crates/yuccatack_requests/src/http_mapping.rs
@@ -10,6 +10,8 @@
 pub const OUTCOME_HEADER: &str = "yuccatack-outcome";
 /// The header that names the reason of an outcome other than `completed`.
 pub const REASON_HEADER: &str = "yuccatack-reason";
+/// The header that tells whether a refusal speaks of this sending or of the key.
+pub const SCOPE_HEADER: &str = "yuccatack-not-run-scope";
 /// The header that gives the exact wait in milliseconds; `retry-after` only has whole seconds.
 pub const RETRY_AFTER_MS_HEADER: &str = "yuccatack-retry-after-ms";
 
@@ -57,8 +59,11 @@
 }
 
 fn not_run_response(not_run: &NotRun) -> HttpResponse {
-    let mut headers =
-        vec![header(OUTCOME_HEADER, "not_run"), header(REASON_HEADER, not_run.reason.as_str())];
+    let mut headers = vec![
+        header(OUTCOME_HEADER, "not_run"),
+        header(REASON_HEADER, not_run.reason.as_str()),
+        header(SCOPE_HEADER, not_run.scope.as_str()),
+    ];
     if let Some(wait_ms) = not_run.retry_after_ms {
         headers.push(header("retry-after", &wait_ms.div_ceil(1000).max(1).to_string()));
         headers.push(header(RETRY_AFTER_MS_HEADER, &wait_ms.to_string()));
--- a/crates/yuccatack_requests/src/lib.rs
+++ b/crates/yuccatack_requests/src/lib.rs
@@ -28,6 +28,6 @@
 pub mod prelude {
     pub use crate::attempt::{AttemptHead, RequestContent};
     pub use crate::outcome::{
-        Answer, Header, NotRun, NotRunReason, Outcome, Unknown, UnknownReason,
+        Answer, Header, NotRun, NotRunReason, NotRunScope, Outcome, Unknown, UnknownReason,
     };
 }
--- a/crates/yuccatack_requests/src/outcome.rs
+++ b/crates/yuccatack_requests/src/outcome.rs
@@ -102,6 +102,26 @@
     }
 }
 
+/// What a refusal speaks of.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NotRunScope {
+    /// This sending. An earlier sending with the same key keeps its own outcome, because the
+    /// refusal came before the claims were asked.
+    Sending,
+    /// The key: no sending with it has run.
+    Key,
+}
+
+impl NotRunScope {
+    /// The stable word in headers.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Sending => "sending",
+            Self::Key => "key",
+        }
+    }
+}
+
 /// The request provably did not run, not even partly.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct NotRun {
@@ -109,6 +129,8 @@
     pub reason: NotRunReason,
     /// When the caller may try again; `None` when trying again cannot help.
     pub retry_after_ms: Option<u64>,
+    /// What the refusal speaks of.
+    pub scope: NotRunScope,
     /// A sentence for people.
     pub detail: Arc<str>,
 }
@@ -116,12 +138,14 @@
 impl NotRun {
     /// A refusal that the caller may repeat after `retry_after_ms`.
     pub fn retryable(reason: NotRunReason, retry_after_ms: u64, detail: &str) -> Self {
-        Self { reason, retry_after_ms: Some(retry_after_ms), detail: Arc::from(detail) }
+        let retry_after_ms = Some(retry_after_ms);
+        Self { reason, retry_after_ms, scope: NotRunScope::Sending, detail: Arc::from(detail) }
     }
 
     /// A refusal that stays, however often the caller tries.
     pub fn permanent(reason: NotRunReason, detail: &str) -> Self {
-        Self { reason, retry_after_ms: None, detail: Arc::from(detail) }
+        let scope = NotRunScope::Sending;
+        Self { reason, retry_after_ms: None, scope, detail: Arc::from(detail) }
     }
 }
 
--- a/crates/yuccatack_requests/src/wire/attempts.rs
+++ b/crates/yuccatack_requests/src/wire/attempts.rs
@@ -6,11 +6,13 @@
 use yuccatack_core::prelude::*;
 
 use super::error::WireError;
-use crate::answer_check::{AnswerHead, BodySeal};
+use crate::answer_check::{AnswerHead, AnswerPart, BodySeal};
 use crate::attempt::{AttemptHead, RequestContent};
 use crate::attempts::Resolution;
 use crate::generated::agent as wire;
-use crate::outcome::{Answer, Header, NotRun, NotRunReason, Outcome, Unknown, UnknownReason};
+use crate::outcome::{
+    Answer, Header, NotRun, NotRunReason, NotRunScope, Outcome, Unknown, UnknownReason,
+};
 
 /// The size of body chunks; well below the message limit of the transport (4 MiB).
 const CHUNK_LENGTH_BYTES: usize = 256 * 1024;
@@ -153,11 +155,10 @@
 }
 
 fn unknown_part(attempt: AttemptId, unknown: &Unknown) -> wire::AnswerPart {
-    // The reason travels as the first word of the detail.
-    let detail = format!("{}: {}", unknown.reason.as_str(), unknown.detail);
     answer_part(wire::answer_part::Part::Unknown(wire::Unknown {
         attempt_id: attempt_bytes(attempt),
-        detail,
+        detail: unknown.detail.as_ref().to_owned(),
+        reason: unknown.reason.as_str().to_owned(),
     }))
 }
 
@@ -182,23 +183,6 @@
     }
 }
 
-/// A decoded part of an answer.
-#[derive(Clone, Debug, PartialEq)]
-pub enum AnswerPart {
-    /// The head of an answer.
-    Head(AnswerHead),
-    /// A piece of the body.
-    Chunk(Bytes),
-    /// The end of the answer.
-    End(BodySeal),
-    /// The attempt did not run.
-    NotRun(AttemptId, NotRun),
-    /// The attempt may have run.
-    Unknown(AttemptId, Unknown),
-    /// The attempt runs.
-    Running(AttemptId),
-}
-
 impl TryFrom<wire::AnswerPart> for AnswerPart {
     type Error = WireError;
 
@@ -244,6 +228,7 @@
         Ok(Self {
             reason,
             retry_after_ms: Some(not_run.retry_after_ms),
+            scope: NotRunScope::Sending,
             detail: Arc::from(not_run.detail),
         })
     }
@@ -251,14 +236,9 @@
 
 impl From<wire::Unknown> for Unknown {
     fn from(unknown: wire::Unknown) -> Self {
-        let known = unknown
-            .detail
-            .split_once(": ")
-            .and_then(|(word, detail)| Some((UnknownReason::from_word(word)?, detail)));
-        match known {
-            Some((reason, detail)) => Self::new(reason, detail),
-            None => Self::new(UnknownReason::AnswerForgotten, &unknown.detail),
-        }
+        // A word of a newer version still means that the attempt may have run.
+        let reason = UnknownReason::from_word(&unknown.reason);
+        Self::new(reason.unwrap_or(UnknownReason::AnswerForgotten), &unknown.detail)
     }
 }
 
--- /dev/null
+++ b/crates/yuccatack_requests/tests/world/callers.rs
@@ -0,0 +1,195 @@
+//! Callers that resend, and the calls that entries carry out for them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::RngExt;
+use yuccatack_core::prelude::*;
+use yuccatack_requests::attempt::attempt_id;
+use yuccatack_requests::claims::RequestKey;
+use yuccatack_requests::dispatch::{Dispatch, DispatchCommand, DispatchEvent};
+use yuccatack_requests::prelude::*;
+
+use super::{Due, World};
+
+const DEADLINE: DurationMs = DurationMs::new(1_500);
+const SENDING_LIMIT: usize = 4;
+/// How long an entry waits for a silent `Resolve` call.
+const RESOLVE_TIMEOUT_MS: u64 = 300;
+
+pub struct Caller {
+    pub organisation: OrganisationName,
+    pub key: RequestKey,
+    pub body: Vec<u8>,
+    pub idempotent: bool,
+    pub sending_count: usize,
+    /// Every attempt that was sent for this caller.
+    pub attempts: BTreeSet<AttemptId>,
+    /// The attempts of which it was said that they did not run.
+    pub refused_attempts: Vec<BTreeSet<AttemptId>>,
+}
+
+impl Caller {
+    pub fn new(index: usize, idempotent: bool, at_ms: u64) -> Self {
+        Self {
+            organisation: OrganisationName::new(&format!("org-{}", index % 3)).unwrap(),
+            key: RequestKey::new(&format!("{at_ms}-{index}")).unwrap(),
+            body: format!("content of caller {index}").into_bytes(),
+            idempotent,
+            sending_count: 0,
+            attempts: BTreeSet::new(),
+            refused_attempts: Vec::new(),
+        }
+    }
+}
+
+/// One sending of a caller's request, at one entry.
+pub struct Call {
+    pub caller: usize,
+    pub entry: usize,
+    pub dispatch: Dispatch,
+    pub alive: bool,
+    /// The attempts that this call sent.
+    pub sent: BTreeSet<AttemptId>,
+    agents: BTreeMap<AttemptId, usize>,
+}
+
+impl Call {
+    pub fn agent_of(&self, attempt: AttemptId) -> usize {
+        self.agents[&attempt]
+    }
+
+    pub fn last_attempt(&self) -> Option<AttemptId> {
+        self.agents.keys().next_back().copied()
+    }
+}
+
+impl World {
+    pub fn send(&mut self, caller: usize) {
+        if self.callers[caller].sending_count >= SENDING_LIMIT {
+            return;
+        }
+        self.callers[caller].sending_count += 1;
+        let deadline = self.now() + DEADLINE;
+        let dispatch = self.new_dispatch(self.callers[caller].idempotent, deadline);
+        let entry = self.random.random_range(0..2);
+        let call = self.calls.len();
+        self.calls.push(Call {
+            caller,
+            entry,
+            dispatch,
+            alive: true,
+            sent: BTreeSet::new(),
+            agents: BTreeMap::new(),
+        });
+        let now = self.now();
+        let commands = self.calls[call].dispatch.start(now);
+        self.carry_out(call, commands);
+        if self.chance(self.faults.impatience) {
+            let delay = self.random.random_range(0..400);
+            self.schedule(delay, Due::Send { caller });
+        }
+    }
+
+    pub fn kill_entry(&mut self, entry: usize) {
+        for index in 0..self.calls.len() {
+            if self.calls[index].entry == entry && self.calls[index].alive {
+                self.calls[index].alive = false;
+                let caller = self.calls[index].caller;
+                self.schedule(50, Due::Send { caller });
+            }
+        }
+    }
+
+    pub fn feed(&mut self, call: usize, event: DispatchEvent) {
+        if !self.calls[call].alive {
+            return;
+        }
+        let now = self.now();
+        let commands = self.calls[call].dispatch.handle(event, now);
+        self.carry_out(call, commands);
+    }
+
+    pub fn timer(&mut self, call: usize) {
+        if self.calls[call].alive && self.calls[call].dispatch.next_timer() <= self.now() {
+            self.feed(call, DispatchEvent::Timer);
+        }
+    }
+
+    fn carry_out(&mut self, call: usize, commands: Vec<DispatchCommand>) {
+        for command in commands {
+            match command {
+                DispatchCommand::Choose(_, excluded) => self.choose(call, &excluded),
+                DispatchCommand::Claim(attempt) => self.send_claim(call, attempt),
+                DispatchCommand::Settle(attempt, state) => self.send_settle(call, attempt, state),
+                DispatchCommand::Execute(claimed) => {
+                    let caller = self.calls[call].caller;
+                    self.calls[call].sent.insert(claimed.attempt);
+                    self.callers[caller].attempts.insert(claimed.attempt);
+                    let agent = self.agent_at(&claimed);
+                    self.calls[call].agents.insert(claimed.attempt, agent);
+                    self.send_to_agent(call, claimed.attempt, |process| Due::Execute {
+                        call,
+                        process,
+                        claimed: claimed.clone(),
+                    });
+                }
+                DispatchCommand::Resolve(claimed) => {
+                    let agent = self.agent_at(&claimed);
+                    self.calls[call].agents.insert(claimed.attempt, agent);
+                    let event = DispatchEvent::Broken(claimed.attempt);
+                    self.schedule(RESOLVE_TIMEOUT_MS, Due::Event { call, event });
+                    self.send_to_agent(call, claimed.attempt, |process| Due::Resolve {
+                        call,
+                        process,
+                        claimed: claimed.clone(),
+                    });
+                }
+                DispatchCommand::Finish(outcome) => self.finished(call, &outcome),
+            }
+        }
+        if self.calls[call].alive {
+            let at = self.calls[call].dispatch.next_timer().since(self.now()).get();
+            self.schedule(at, Due::Timer { call });
+        }
+    }
+
+    fn choose(&mut self, call: usize, excluded: &[NodeName]) {
+        let mut index = self.random.random_range(0..self.agents.len());
+        if excluded.contains(&self.agents[index].node) {
+            index = self.random.random_range(0..self.agents.len());
+        }
+        // The view learns of a restart some time later.
+        let target = self.agents[index].seen_target();
+        if self.random.random_bool(0.5) {
+            self.agents[index].seen_incarnation = self.agents[index].incarnation;
+        }
+        let attempt = attempt_id(self.now(), self.random.random());
+        let event = DispatchEvent::Chosen(Ok((attempt, target)));
+        let delay = self.random.random_range(0..3);
+        self.schedule(delay, Due::Event { call, event });
+    }
+
+    fn finished(&mut self, call: usize, outcome: &Outcome) {
+        self.calls[call].alive = false;
+        let caller = self.calls[call].caller;
+        match outcome {
+            Outcome::Completed(answer) => {
+                self.tally.completed += 1;
+                assert_eq!(answer.body, self.callers[caller].body, "another caller's answer");
+            }
+            Outcome::NotRun(not_run) => {
+                self.tally.not_run += 1;
+                let refused = match not_run.scope {
+                    NotRunScope::Sending => self.calls[call].sent.clone(),
+                    NotRunScope::Key => self.callers[caller].attempts.clone(),
+                };
+                assert_eq!(self.runs_of(&refused), 0, "a request said not to run has run");
+                self.callers[caller].refused_attempts.push(refused);
+            }
+            Outcome::Unknown(_) => {
+                self.tally.unknown += 1;
+                self.schedule(20, Due::Send { caller });
+            }
+        }
+    }
+}
