Tie a refusal's scope to the order of claims

Change: a refusal for the key speaks of this sending and every earlier one; the model compares with the attempts sent before the claim was granted.

--- a/crates/yuccatack_requests/src/dispatch/claiming.rs
+++ b/crates/yuccatack_requests/src/dispatch/claiming.rs
@@ -16,8 +16,8 @@
     own: Option<ClaimedAttempt>,
     claim_count: usize,
     failure_count: u32,
-    /// Whether every attempt that ever held the key provably never ran, provided that the own
-    /// attempt did not.
+    /// Whether every attempt that held the key before the own one provably never ran. A claim is
+    /// only granted again after such an attempt was released.
     key_unused: bool,
 }
 
@@ -180,9 +180,6 @@
         claiming.stage = Stage::Releasing(leg.attempt.attempt);
         if last {
             self.finish_without_attempts();
-        } else {
-            // Once the key is free, another sending may take it and run.
-            claiming.key_unused = false;
         }
         self.commands.push(DispatchCommand::Settle(leg.attempt.attempt, ClaimState::Released));
     }
--- a/crates/yuccatack_requests/src/outcome.rs
+++ b/crates/yuccatack_requests/src/outcome.rs
@@ -108,7 +108,7 @@
     /// This sending. An earlier sending with the same key keeps its own outcome, because the
     /// refusal came before the claims were asked.
     Sending,
-    /// The key: no sending with it has run.
+    /// This sending and every earlier one with the same key.
     Key,
 }
 
