Deliver crossed accounts to other calls in the model

Cause: with the check of the attempt switched off the model still passed, because a crossed account only had another label and not another content.

Change: a crossed account now reaches the call of another request.

--- a/crates/yuccatack_requests/tests/world/mod.rs
+++ b/crates/yuccatack_requests/tests/world/mod.rs
@@ -15,9 +15,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use yuccatack_core::prelude::*;
-use yuccatack_requests::attempts::Resolution;
 use yuccatack_requests::claims::{ClaimCommand, ClaimLimits, ClaimTable, ClaimedAttempt};
 use yuccatack_requests::dispatch::{Dispatch, DispatchEvent};
+use yuccatack_requests::generated::agent as wire;
 use yuccatack_requests::prelude::*;
 
 pub use agents::Agent;
@@ -28,14 +28,14 @@
 pub const START_MS: u64 = 1_767_225_600_000;
 
 /// Something that is due.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum Due {
     Send { caller: usize },
     Event { call: usize, event: DispatchEvent },
     Timer { call: usize },
     Execute { call: usize, process: u64, claimed: ClaimedAttempt },
     Resolve { call: usize, process: u64, claimed: ClaimedAttempt },
-    Account { call: usize, attempt: AttemptId, other: AttemptId, resolution: Resolution },
+    Account { call: usize, expected: AttemptId, parts: Vec<wire::AnswerPart> },
     ExchangeEnd { agent: usize, process: u64, attempt: AttemptId, outcome: Outcome },
     Claim { call: usize, command: ClaimCommand, answered: bool },
     KillAgent { agent: usize },
@@ -132,9 +132,7 @@
             Due::Timer { call } => self.timer(call),
             Due::Execute { call, process, claimed } => self.execute_arrives(call, process, claimed),
             Due::Resolve { call, process, claimed } => self.resolve_arrives(call, process, claimed),
-            Due::Account { call, attempt, other, resolution } => {
-                self.account_arrives(call, attempt, other, &resolution);
-            }
+            Due::Account { call, expected, parts } => self.account_arrives(call, expected, parts),
             Due::ExchangeEnd { agent, process, attempt, outcome } => {
                 self.exchange_ends(agent, process, attempt, outcome);
             }
--- a/crates/yuccatack_requests/tests/world/network.rs
+++ b/crates/yuccatack_requests/tests/world/network.rs
@@ -8,6 +8,7 @@
     ClaimCallError, ClaimCommand, ClaimOutcome, ClaimState, ClaimedAttempt, ContentDigest,
 };
 use yuccatack_requests::dispatch::{DispatchEvent, DispatchSettings};
+use yuccatack_requests::generated::agent as wire;
 use yuccatack_requests::wire::attempts::resolution_parts;
 
 use super::{Due, World};
@@ -114,38 +115,40 @@
         if self.chance(self.faults.breakage) {
             return self.break_exchange(call, attempt);
         }
-        let mut other = attempt;
+        let organisation = self.callers[self.calls[call].caller].organisation.clone();
+        let mut recipient = (call, attempt);
         if self.chance(self.faults.crossing) {
             let index = self.random.random_range(0..self.calls.len());
-            other = self.calls[index].last_attempt().unwrap_or(attempt);
+            let expected = self.calls[index].last_attempt();
+            recipient = expected.map_or(recipient, |expected| (index, expected));
         }
+        let (call, expected) = recipient;
+        let parts = resolution_parts(attempt, &organisation, &resolution);
+        let account = Due::Account { call, expected, parts };
         let delay = self.delay();
-        let account = Due::Account { call, attempt, other, resolution: resolution.clone() };
-        self.schedule(delay, account);
         if self.chance(self.faults.duplication) {
             let delay = delay + self.delay();
-            self.schedule(delay, Due::Account { call, attempt, other, resolution });
+            self.schedule(delay, account.clone());
         }
+        self.schedule(delay, account);
     }
 
-    /// The account of `other` arrives where that of `attempt` is expected; they are the same
-    /// unless answers crossed.
+    /// The account of `attempt` arrives where that of `expected` is; they are the same unless
+    /// answers crossed.
     pub fn account_arrives(
         &mut self,
         call: usize,
-        attempt: AttemptId,
-        other: AttemptId,
-        resolution: &Resolution,
+        expected: AttemptId,
+        parts: Vec<wire::AnswerPart>,
     ) {
-        let organisation = self.callers[self.calls[call].caller].organisation.clone();
-        let parts = resolution_parts(other, &organisation, resolution);
         let mut parts: Vec<AnswerPart> =
             parts.into_iter().map(|part| AnswerPart::try_from(part).unwrap()).collect();
         if self.chance(self.faults.truncation) {
             let position = self.random.random_range(0..parts.len());
             parts.remove(position);
         }
-        let mut collector = AnswerCollector::new(attempt, organisation, BODY_LIMIT_BYTES);
+        let organisation = self.callers[self.calls[call].caller].organisation.clone();
+        let mut collector = AnswerCollector::new(expected, organisation, BODY_LIMIT_BYTES);
         let mut checked = None;
         for part in parts {
             match collector.push(part) {
@@ -154,8 +157,8 @@
             }
         }
         let event = match checked {
-            Some(resolution) => DispatchEvent::Resolved(attempt, resolution),
-            None => DispatchEvent::Broken(attempt),
+            Some(resolution) => DispatchEvent::Resolved(expected, resolution),
+            None => DispatchEvent::Broken(expected),
         };
         self.feed(call, event);
     }
