--- a/crates/yuccatack_agent/src/error.rs
+++ b/crates/yuccatack_agent/src/error.rs
@@ -24,6 +24,12 @@
         /// The cause.
         source: tonic::transport::Error,
     },
+    /// The metrics are not served.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Why.
+        source: yuccatack_telemetry::MetricsServerError,
+    },
     /// The process was ended before the drain completed.
     #[snafu(display(
         "ended during the drain with {attempt_count} attempts still running; their outcome is \
--- a/crates/yuccatack_agent/src/lib.rs
+++ b/crates/yuccatack_agent/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod exchange;
 mod message;
+mod observe;
 mod process;
 mod report;
 mod service;
--- /dev/null
+++ b/crates/yuccatack_agent/src/observe.rs
@@ -0,0 +1,33 @@
+//! Keeps an agent's metrics and readiness in line with its view and its minion.
+
+use std::time::{Duration, Instant};
+
+use tokio::sync::watch;
+use yuccatack_telemetry::Telemetry;
+use yuccatack_view::{MinionState, MinionStatus, ViewHandle};
+
+const OBSERVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Observes the view and the reports until the process ends.
+pub async fn observe_agent(
+    view: ViewHandle,
+    reports: watch::Receiver<Option<MinionStatus>>,
+    telemetry: Telemetry,
+) {
+    let mut interval = tokio::time::interval(OBSERVE_INTERVAL);
+    loop {
+        interval.tick().await;
+        telemetry.metrics.view.set_revision(view.view().revision);
+        let status = reports.borrow().clone();
+        let slots_in_use = status.as_ref().map_or(0, |status| status.slots_in_use);
+        telemetry.metrics.agent.set_slots_in_use(slots_in_use);
+        let mut reasons = Vec::new();
+        if !view.is_fresh(Instant::now()) {
+            reasons.push("the view of records is not confirmed; check the control replicas".into());
+        }
+        if status.is_none_or(|status| status.state != MinionState::Ready) {
+            reasons.push("the minion does not take requests; check it".into());
+        }
+        telemetry.set_readiness(reasons);
+    }
+}
--- a/crates/yuccatack_agent/src/process.rs
+++ b/crates/yuccatack_agent/src/process.rs
@@ -9,13 +9,15 @@
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_requests::generated::agent::attempts_server::AttemptsServer;
 use yuccatack_settings::AgentSettings;
+use yuccatack_telemetry::Telemetry;
 use yuccatack_view::{
     MinionState, MinionStatus, NodeRole, SubscriberConfig, ViewHandle, ViewSubscriber,
 };
 
 use crate::actor::{Actor, ActorInputs};
-use crate::error::{AgentError, ListenSnafu, ServeSnafu};
+use crate::error::{AgentError, ListenSnafu, MetricsSnafu, ServeSnafu};
 use crate::message::AgentMessage;
+use crate::observe::observe_agent;
 use crate::service::AttemptService;
 
 /// What an agent is connected to.
@@ -35,6 +37,9 @@
 pub async fn run(settings: AgentSettings, shutdown: Shutdown) -> Result<(), AgentError> {
     let address = settings.listen_address;
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let telemetry = Telemetry::start(settings.metrics_address, shutdown.clone())
+        .await
+        .context(MetricsSnafu)?;
     let incarnation = Incarnation::random();
     let (reports, reports_receiver) = watch::channel(None);
     let subscription = SubscriberConfig {
@@ -44,8 +49,12 @@
         data_centre: settings.data_centre.clone(),
         control_addresses: settings.control_addresses.clone(),
     };
-    let view = ViewSubscriber::spawn(subscription, reports_receiver);
-    serve(settings, AgentInputs { listener, incarnation, view, reports }, shutdown).await
+    let view = ViewSubscriber::spawn(subscription, reports_receiver.clone());
+    let observer = tokio::spawn(observe_agent(view.clone(), reports_receiver, telemetry));
+    let inputs = AgentInputs { listener, incarnation, view, reports };
+    let result = serve(settings, inputs, shutdown).await;
+    observer.abort();
+    result
 }
 
 /// Runs an agent on inputs that are already connected.
--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -7,11 +7,12 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use yuccatack_core::prelude::*;
 use yuccatack_leases::{LeaseCommand, LeaseEvent, LeaseTable, Volatile};
-use yuccatack_records::{Change, ChangeOutcome, RecordKey};
+use yuccatack_records::{Change, ChangeOutcome, RecordKey, RecordKind};
 use yuccatack_replication::{
     Committed, Leadership, LogIndex, ProposalId, ReadFailure, ReadId, ReplicationHandle,
 };
 use yuccatack_requests::claims::{ClaimCommand, ClaimLimits, ClaimOutcome};
+use yuccatack_telemetry::Telemetry;
 use yuccatack_view::{PublishedRecord, RecordUpdate, ViewPublisher};
 
 use crate::clock::Clock;
@@ -19,6 +20,7 @@
 use crate::heartbeat;
 use crate::held::{Held, HeldHeartbeats, affected_workers};
 use crate::message::{ControlMessage, HeartbeatAnswer, Query, QueryAnswer, Reply};
+use crate::observe;
 use crate::pending::{Pending, PendingProposal, PendingRead, not_leader};
 use crate::queries;
 use crate::state::{ControlCommand, ControlOutcome, ControlState};
@@ -28,6 +30,9 @@
 /// the whole state, so it must stay rare.
 const HASH_INTERVAL_ENTRIES: u64 = 4_096;
 
+/// How often the gauges are set; setting them reads every job.
+const OBSERVE_INTERVAL: DurationMs = DurationMs::from_seconds(5);
+
 /// What the actor starts with.
 pub struct ControlArguments {
     /// The replicated log.
@@ -36,6 +41,8 @@
     pub publisher: ViewPublisher,
     /// Bounds of the claim table.
     pub claim_limits: ClaimLimits,
+    /// Metrics and readiness.
+    pub telemetry: Telemetry,
 }
 
 /// The actor; its state is [`ControlActorState`].
@@ -86,6 +93,8 @@
     pending: Pending,
     role: Role,
     draining: bool,
+    telemetry: Telemetry,
+    observed_at: TimestampMs,
 }
 
 impl Actor for ControlActor {
@@ -107,6 +116,8 @@
             pending: Pending::default(),
             role: Role::Follower { leader_address: None },
             draining: false,
+            telemetry: arguments.telemetry,
+            observed_at: TimestampMs::default(),
         })
     }
 
@@ -169,17 +180,29 @@
         if self.state.records().revision() != revision_before
             && let Some(key) = changed_key
         {
+            if matches!(key.kind, RecordKind::Objective | RecordKind::Organisation) {
+                observe::set_objectives(&self.telemetry.metrics, self.state.records());
+            }
             self.publish(key).await;
         }
         if let ControlOutcome::Leases(events) = &outcome {
             for event in events {
                 log::info!(event = "lease_event"; "{event:?}");
             }
+            if matches!(self.role, Role::Leader(_)) {
+                observe::observe_events(&self.telemetry.metrics, self.state.leases(), events);
+            }
             self.release_affected(events);
         }
+        let leases_changed =
+            matches!(&outcome, ControlOutcome::Leases(events) if !events.is_empty());
         if let Some(proposal) = proposal {
             self.pending.complete(proposal, outcome);
         }
+        if leases_changed {
+            // The next step of a gang need not wait for the next tick.
+            self.schedule(self.clock.now())?;
+        }
         if index.get().is_multiple_of(HASH_INTERVAL_ENTRIES) {
             let hash = wire::state_hash(&self.state)?;
             self.replication.report_state_hash(index, hash);
@@ -218,6 +241,7 @@
             .filter(|(key, _)| PublishedRecord::is_published(key.kind))
             .map(PublishedRecord::from)
             .collect();
+        observe::set_objectives(&self.telemetry.metrics, records);
         self.publisher.reset(records.revision(), published).await;
         Ok(())
     }
@@ -229,6 +253,14 @@
     }
 
     async fn change_role(&mut self, leadership: Leadership) {
+        let leads = matches!(leadership, Leadership::Leader { .. });
+        self.telemetry.metrics.replication.count_leader_change(leads);
+        let known = match leadership {
+            Leadership::Leader { .. } => true,
+            Leadership::Follower { leader_address } => leader_address.is_some(),
+        };
+        let reason = "no leader is known; check that a quorum of control replicas runs";
+        self.telemetry.set_readiness(if known { Vec::new() } else { vec![reason.to_owned()] });
         match leadership {
             Leadership::Leader { term } => {
                 log::info!(event = "leadership_gained", term = term.get(); "this replica leads");
@@ -271,17 +303,38 @@
 
     fn tick(&mut self) -> Result<(), ActorProcessingErr> {
         let now = self.clock.now();
+        self.observe(now);
         let Role::Leader(lead) = &mut self.role else { return Ok(()) };
         for (worker, held) in lead.held.take_expired(now) {
             lead.release(self.state.leases(), &worker, held);
         }
-        let scheduling = self.pending.is_scheduling();
-        let commands =
-            if scheduling { Vec::new() } else { lead.volatile.schedule(self.state.leases(), now) };
         self.check_leadership();
+        self.schedule(now)
+    }
+
+    /// Proposes what the scheduler decides, unless earlier decisions are still on their way.
+    fn schedule(&mut self, now: TimestampMs) -> Result<(), ActorProcessingErr> {
+        let Role::Leader(lead) = &mut self.role else { return Ok(()) };
+        if self.pending.is_scheduling() {
+            return Ok(());
+        }
+        let commands = lead.volatile.schedule(self.state.leases(), now);
         self.propose_leases(commands, PendingProposal::Schedule)
     }
 
+    fn observe(&mut self, now: TimestampMs) {
+        if now.since(self.observed_at) < OBSERVE_INTERVAL {
+            return;
+        }
+        self.observed_at = now;
+        let metrics = &self.telemetry.metrics;
+        metrics.replication.set_committed_index(self.applied_index.get());
+        metrics.view.set_revision(self.state.records().revision());
+        if matches!(self.role, Role::Leader(_)) {
+            observe::observe_state(metrics, self.state.leases());
+        }
+    }
+
     fn propose_leases(
         &mut self,
         commands: Vec<LeaseCommand>,
--- a/crates/yuccatack_control/src/error.rs
+++ b/crates/yuccatack_control/src/error.rs
@@ -27,6 +27,12 @@
         /// Why.
         source: yuccatack_replication::StartError,
     },
+    /// The metrics are not served.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Why.
+        source: yuccatack_telemetry::MetricsServerError,
+    },
     /// The control actor did not start.
     #[snafu(display("the control actor did not start: {source}; start the process again"))]
     Actor {
--- a/crates/yuccatack_control/src/lib.rs
+++ b/crates/yuccatack_control/src/lib.rs
@@ -13,6 +13,7 @@
 mod heartbeat;
 mod held;
 mod message;
+mod observe;
 mod operators;
 mod pending;
 mod process;
--- a/crates/yuccatack_control/src/process.rs
+++ b/crates/yuccatack_control/src/process.rs
@@ -18,11 +18,12 @@
 use yuccatack_requests::claims::ClaimLimits;
 use yuccatack_requests::generated::claims::claims_server::ClaimsServer;
 use yuccatack_settings::ControlSettings;
+use yuccatack_telemetry::Telemetry;
 use yuccatack_view::{ViewPublisher, ViewService};
 
 use crate::actor::{ControlActor, ControlArguments};
 use crate::claims::ClaimsService;
-use crate::error::{ActorSnafu, ControlError, ListenSnafu, ReplicationSnafu};
+use crate::error::{ActorSnafu, ControlError, ListenSnafu, MetricsSnafu, ReplicationSnafu};
 use crate::forward::{Forwarder, WorkersService};
 use crate::generated::workers::workers_server::WorkersServer;
 use crate::message::ControlMessage;
@@ -42,6 +43,9 @@
 pub async fn run(settings: ControlSettings, mut shutdown: Shutdown) -> Result<(), ControlError> {
     let listener = listen(settings.listen_address, "listen_address").await?;
     let worker_listener = listen(settings.worker_address, "worker_address").await?;
+    let telemetry = Telemetry::start(settings.metrics_address, shutdown.clone())
+        .await
+        .context(MetricsSnafu)?;
     let (replication, committed, replication_service) =
         yuccatack_replication::start(replication_config(&settings))
             .await
@@ -51,6 +55,7 @@
         replication: replication.clone(),
         publisher: publisher.clone(),
         claim_limits: claim_limits(&settings),
+        telemetry,
     };
     let (actor, actor_task) =
         Actor::spawn(None, ControlActor, arguments).await.context(ActorSnafu)?;
--- a/crates/yuccatack_entry/src/error.rs
+++ b/crates/yuccatack_entry/src/error.rs
@@ -18,6 +18,12 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// The metrics are not served.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Why.
+        source: yuccatack_telemetry::MetricsServerError,
+    },
     /// The process was ended before the drain completed.
     #[snafu(display(
         "ended during the drain with {connection_count} callers' connections open; callers with a \
--- a/crates/yuccatack_entry/src/lib.rs
+++ b/crates/yuccatack_entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod error;
 mod link;
 mod links;
+mod observe;
 mod operators;
 mod process;
 mod routes;
--- a/crates/yuccatack_entry/src/process.rs
+++ b/crates/yuccatack_entry/src/process.rs
@@ -13,13 +13,15 @@
 use yuccatack_requests::dispatch::DispatchSettings;
 use yuccatack_requests::routing::{Router, RoutingSettings};
 use yuccatack_settings::EntrySettings;
+use yuccatack_telemetry::Telemetry;
 use yuccatack_view::{NodeRole, SubscriberConfig, ViewHandle, ViewSubscriber};
 
 use crate::balancer::{Balancer, BalancerSettings};
 use crate::call::CallContext;
 use crate::claims::forward_claims;
-use crate::error::{EntryError, ListenSnafu};
+use crate::error::{EntryError, ListenSnafu, MetricsSnafu};
 use crate::links::Links;
+use crate::observe::observe_view;
 use crate::server::{ServerContext, serve_connection};
 
 /// What an entry is connected to.
@@ -33,6 +35,8 @@
     pub claims: ClaimClient,
     /// The control leader, for operators.
     pub control: ControlClient,
+    /// Metrics and readiness.
+    pub telemetry: Telemetry,
     /// Times and bounds of dispatching.
     pub dispatch: DispatchSettings,
     /// Times and bounds of the choice of minions.
@@ -48,6 +52,9 @@
 pub async fn run(settings: EntrySettings, shutdown: Shutdown) -> Result<(), EntryError> {
     let address = settings.listen_address;
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let telemetry = Telemetry::start(settings.metrics_address, shutdown.clone())
+        .await
+        .context(MetricsSnafu)?;
     let subscription = SubscriberConfig {
         node: settings.node.clone(),
         incarnation: Incarnation::random(),
@@ -57,6 +64,7 @@
     };
     let (_no_minion, reports) = watch::channel(None);
     let view = ViewSubscriber::spawn(subscription, reports);
+    let observer = tokio::spawn(observe_view(view.clone(), telemetry.clone()));
     let control = ControlClient::spawn(ControlClientConfig {
         control_addresses: settings.control_addresses.clone(),
         call_deadline: CONTROL_CALL_LIMIT,
@@ -68,11 +76,14 @@
         view,
         claims,
         control,
+        telemetry,
         dispatch: DispatchSettings::default(),
         routing: RoutingSettings::default(),
         admission: BalancerSettings::default(),
     };
-    serve(settings, inputs, shutdown).await
+    let result = serve(settings, inputs, shutdown).await;
+    observer.abort();
+    result
 }
 
 /// Runs an entry on inputs that are already connected.
@@ -91,7 +102,8 @@
         settings: inputs.dispatch,
         body_limit_bytes: settings.body_limit_bytes,
     };
-    let context = ServerContext::new(call, inputs.view, inputs.control, &settings);
+    let context =
+        ServerContext::new(call, inputs.view, inputs.control, inputs.telemetry, &settings);
     let graceful = GracefulShutdown::new();
     accept(&inputs.listener, &context, &graceful, &mut shutdown).await;
     drop(inputs.listener);
--- a/crates/yuccatack_entry/src/server.rs
+++ b/crates/yuccatack_entry/src/server.rs
@@ -1,7 +1,7 @@
 //! The HTTP server for callers.
 
 use std::convert::Infallible;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -17,11 +17,13 @@
 use yuccatack_requests::http_mapping::HttpResponse;
 use yuccatack_requests::prelude::*;
 use yuccatack_settings::EntrySettings;
+use yuccatack_telemetry::Telemetry;
 use yuccatack_view::ViewHandle;
 
 use crate::balancer::service_record;
 use crate::call::{CallContext, run_call};
 use crate::caller::CallerRequest;
+use crate::observe::{observe_request, request_labels};
 use crate::operators::{self, OperatorAnswer, OperatorRoute, problem};
 use crate::routes::Route;
 
@@ -39,6 +41,8 @@
     pub view: ViewHandle,
     /// For operators.
     pub control: ControlClient,
+    /// For metrics.
+    pub telemetry: Telemetry,
     /// The largest request body.
     pub body_limit_bytes: u64,
     /// How long a caller may take to send its request.
@@ -51,12 +55,14 @@
         call: CallContext,
         view: ViewHandle,
         control: ControlClient,
+        telemetry: Telemetry,
         settings: &EntrySettings,
     ) -> Self {
         Self {
             call,
             view,
             control,
+            telemetry,
             body_limit_bytes: settings.body_limit_bytes,
             receive_limit: Duration::from_millis(settings.receive_limit_ms),
         }
@@ -88,7 +94,14 @@
             let (parts, body) = request.into_parts();
             let method = parts.method.as_str();
             match CallerRequest::decode(service, method, &minion_path, &parts.headers) {
-                Ok(caller) => run_request(context, caller, body).await,
+                Ok(caller) => {
+                    let received = Instant::now();
+                    let labels = request_labels(&context.view.view(), &caller.content);
+                    let telemetry = context.telemetry.clone();
+                    let outcome = run_request(context, caller, body).await;
+                    observe_request(&telemetry, labels.as_ref(), &outcome, received.elapsed());
+                    outcome
+                }
                 Err(not_run) => not_run.into(),
             }
         }
--- a/crates/yuccatack_entry/tests/common/mod.rs
+++ b/crates/yuccatack_entry/tests/common/mod.rs
@@ -25,6 +25,7 @@
 use yuccatack_requests::routing::RoutingSettings;
 use yuccatack_settings::{AgentSettings, EntrySettings};
 use yuccatack_stand_ins::{MinionBehaviour, MinionStandIn};
+use yuccatack_telemetry::Telemetry;
 use yuccatack_view::{MinionEntry, MinionState, MinionStatus, View, ViewHandle};
 
 pub const SERVICE: &str = "reviews";
@@ -190,6 +191,7 @@
         });
         let mut inputs = EntryInputs {
             control,
+            telemetry: Telemetry::unserved(),
             listener,
             view: view.handle(),
             claims,
--- a/crates/yuccatack_leases/tests/random_faults.rs
+++ b/crates/yuccatack_leases/tests/random_faults.rs
@@ -118,7 +118,7 @@
     platform.table.verify().unwrap();
     let count =
         |status| platform.table.jobs().filter(|(n, _)| platform.status(n) == status).count();
-    println!(
+    eprintln!(
         "seed {seed}: {number} jobs, {} succeeded, {} unknown, {} failed, {} refused, {} cancelled, {} waiting",
         count(JobStatus::Succeeded),
         count(JobStatus::Unknown),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -27,6 +27,7 @@
     pub worker_addresses: Vec<SocketAddr>,
     pub entry_address: SocketAddr,
     pub agent_address: SocketAddr,
+    pub metrics_addresses: Vec<SocketAddr>,
     pub minion: MinionStandIn,
     pub worker: WorkerStandIn,
     processes: Vec<RoleProcess>,
@@ -42,7 +43,8 @@
 impl Deployment {
     pub async fn start(control_count: usize) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let mut addresses = free_addresses(2 * control_count + 2);
+        let mut addresses = free_addresses(2 * control_count + 5);
+        let metrics_addresses = addresses.split_off(2 * control_count + 2);
         let agent_address = addresses.pop().unwrap();
         let entry_address = addresses.pop().unwrap();
         let worker_addresses = addresses.split_off(control_count);
@@ -55,6 +57,7 @@
             worker_addresses,
             entry_address,
             agent_address,
+            metrics_addresses,
             minion,
             worker,
             processes: Vec::new(),
@@ -126,6 +129,7 @@
             "worker_address": self.worker_addresses[number - 1],
             "data_folder": self.folder.path().join(format!("data-{number}")),
             "initial_replicas": replicas,
+            "metrics_address": (number == 1).then_some(self.metrics_addresses[0]),
         });
         self.add(format!("control-{number}"), &settings);
     }
@@ -136,6 +140,7 @@
             "node": "entry-1",
             "data_centre": "putrajaya",
             "listen_address": self.entry_address,
+            "metrics_address": self.metrics_addresses[1],
             "control_addresses": self.control_addresses,
         });
         self.add("entry-1".to_owned(), &settings);
@@ -150,6 +155,7 @@
             "minion": "minion-1",
             "minion_address": self.minion.address(),
             "listen_address": self.agent_address,
+            "metrics_address": self.metrics_addresses[2],
             "control_addresses": self.control_addresses,
         });
         self.add("agent-1".to_owned(), &settings);
