Tell unsent changes from lost ones; log unfinished work whole

An entry without a leader answers that it sent nothing on, but apply reported the change as unknown. It now ends with code 3, unless an earlier answer was lost. The cap on repeated lines would have cut the list of unfinished work after 20 lines; its two events are exempt.

Measured: the tests of telemetry and cli pass, four of them new.

--- a/crates/yuccatack_cli/src/client.rs
+++ b/crates/yuccatack_cli/src/client.rs
@@ -9,6 +9,7 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use tokio::time;
@@ -38,6 +39,16 @@
     body: Bytes,
 }
 
+/// The body of a response that refuses the call itself.
+#[derive(Debug, Deserialize)]
+struct CallProblem {
+    kind: String,
+    message: String,
+}
+
+/// The kind by which an entry tells that it sent nothing on, for example without a leader.
+const NOT_SENT_KIND: &str = "not_sent";
+
 /// Where an exchange failed.
 enum ExchangeError {
     /// No connection was made, so nothing was sent.
@@ -56,26 +67,30 @@
         let body = Bytes::from(serde_json::to_vec(change)?);
         let mut pause = RESEND_PAUSE;
         let mut lost = None;
+        let mut failure = String::new();
         for attempt in 0..=CHANGE_RESEND_COUNT {
-            match self.exchange(Method::POST, "/v1/changes", body.clone()).await {
-                Ok(answer) => match read_change_answer(&answer) {
-                    Ok(answer) => return Ok(answer),
-                    Err(reason) => lost = Some(reason),
-                },
-                Err(ExchangeError::NotSent(reason)) if lost.is_none() => {
-                    return Err(self.not_reachable(reason));
-                }
-                Err(ExchangeError::NotSent(reason) | ExchangeError::Lost(reason)) => {
-                    lost = Some(reason);
-                }
+            match self.submit_once(body.clone()).await {
+                Ok(answer) => return Ok(answer),
+                Err(ExchangeError::NotSent(reason)) => failure = reason,
+                Err(ExchangeError::Lost(reason)) => lost = Some(reason),
             }
             if attempt < CHANGE_RESEND_COUNT {
                 time::sleep(pause).await;
                 pause *= 2;
             }
         }
-        let reason = lost.unwrap_or_default();
-        Err(CliError::AnswerLost { change_id: change.change_id.clone(), reason })
+        // One lost answer is enough for doubt, whatever became of the resends.
+        match lost {
+            Some(reason) => {
+                Err(CliError::AnswerLost { change_id: change.change_id.clone(), reason })
+            }
+            None => Err(self.not_reachable(failure)),
+        }
+    }
+
+    async fn submit_once(&self, body: Bytes) -> Result<ChangeAnswer, ExchangeError> {
+        let answer = self.exchange(Method::POST, "/v1/changes", body).await?;
+        read_change_answer(&answer)
     }
 
     /// What is known about a change.
@@ -191,22 +206,34 @@
 }
 
 impl Answer {
+    fn problem(&self) -> Option<CallProblem> {
+        serde_json::from_slice(&self.body).ok()
+    }
+
+    /// What the entry says, for people.
     fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).trim().to_owned()
+        match self.problem() {
+            Some(problem) => problem.message,
+            None => String::from_utf8_lossy(&self.body).trim().to_owned(),
+        }
     }
 }
 
 /// Reads the response to a change; a 4xx that is no such response is a refusal all the same.
-fn read_change_answer(answer: &Answer) -> Result<ChangeAnswer, String> {
-    match serde_json::from_slice(&answer.body) {
-        Ok(answer) => Ok(answer),
-        Err(_) if answer.status.is_client_error() => Ok(ChangeAnswer::Refused {
-            kind: format!("http_{}", answer.status.as_u16()),
-            message: answer.text(),
-            current_generation: None,
-        }),
-        Err(_) => Err(format!("HTTP status {}: {}", answer.status.as_u16(), answer.text())),
+fn read_change_answer(answer: &Answer) -> Result<ChangeAnswer, ExchangeError> {
+    if let Ok(answer) = serde_json::from_slice(&answer.body) {
+        return Ok(answer);
+    }
+    let status = answer.status.as_u16();
+    let problem = answer.problem();
+    if problem.as_ref().is_some_and(|problem| problem.kind == NOT_SENT_KIND) {
+        return Err(ExchangeError::NotSent(answer.text()));
+    }
+    if !answer.status.is_client_error() {
+        return Err(ExchangeError::Lost(format!("HTTP status {status}: {}", answer.text())));
     }
+    let kind = problem.map_or_else(|| format!("http_{status}"), |problem| problem.kind);
+    Ok(ChangeAnswer::Refused { kind, message: answer.text(), current_generation: None })
 }
 
 /// Escapes everything in a path segment that is not plain.
--- a/crates/yuccatack_cli/tests/operator_commands.rs
+++ b/crates/yuccatack_cli/tests/operator_commands.rs
@@ -182,6 +182,53 @@
     assert!(changes.iter().all(|change| *change == changes[0]), "{changes:?}");
 }
 
+/// Guards against doubt about a change that the entry knows it never sent on.
+#[test]
+fn unsent_change_not_reachable() {
+    let files = Files::new();
+    let entry = Entry::start(|request| match request.method.as_str() {
+        "POST" => Reply::Json(503, json!({"kind": "not_sent", "message": "no leader within 3 s"})),
+        _ => empty_system(request),
+    });
+    let path = files.write("organisation.yaml", ORGANISATION);
+    let outcome = entry.run(&["apply", path.to_str().unwrap()]);
+    assert_eq!(outcome.status, ExitStatus::NotReachable, "{}", outcome.text());
+    assert!(outcome.messages.contains("no leader within 3 s"), "{}", outcome.messages);
+}
+
+/// Guards against a lost answer that a later, unsent resend covers up.
+#[test]
+fn loss_before_unsent_is_unknown() {
+    let files = Files::new();
+    let mut post_count = 0;
+    let entry = Entry::start(move |request| {
+        if request.method != "POST" {
+            return empty_system(request);
+        }
+        post_count += 1;
+        match post_count {
+            1 => Reply::Close,
+            _ => Reply::Json(503, json!({"kind": "not_sent", "message": "no leader"})),
+        }
+    });
+    let path = files.write("organisation.yaml", ORGANISATION);
+    let outcome = entry.run(&["apply", path.to_str().unwrap()]);
+    assert_eq!(outcome.status, ExitStatus::Unknown, "{}", outcome.text());
+}
+
+#[test]
+fn misunderstood_change_refused() {
+    let files = Files::new();
+    let entry = Entry::start(|request| match request.method.as_str() {
+        "POST" => Reply::Json(400, json!({"kind": "invalid_change", "message": "send change_id"})),
+        _ => empty_system(request),
+    });
+    let path = files.write("organisation.yaml", ORGANISATION);
+    let outcome = entry.run(&["apply", path.to_str().unwrap()]);
+    assert_eq!(outcome.status, ExitStatus::Refused);
+    assert!(outcome.results.contains("invalid_change: send change_id"), "{}", outcome.results);
+}
+
 /// Guards against a resend that is built from the record it has itself brought into force.
 #[test]
 fn known_change_not_resent() {
--- a/crates/yuccatack_telemetry/src/logging/writer.rs
+++ b/crates/yuccatack_telemetry/src/logging/writer.rs
@@ -22,6 +22,9 @@
 /// The window of that limit.
 const WINDOW: DurationMs = DurationMs::from_seconds(10);
 
+/// Events that are never left out: the list of what a stopped process leaves must be complete.
+const UNCAPPED_EVENTS: [&str; 2] = ["attempt_left", "requests_left"];
+
 /// What the appender sends to the thread.
 pub(super) enum Message {
     Line(Line),
@@ -112,6 +115,9 @@
 
     fn write_line(&mut self, line: &Line) {
         self.summarise_ended();
+        if UNCAPPED_EVENTS.contains(&&*line.event) {
+            return self.write(&line.text);
+        }
         match self.limiter.offer(&line.event, line.level, self.now()) {
             Decision::Write => self.write(&line.text),
             Decision::Suppress => {}
--- a/crates/yuccatack_telemetry/tests/log_lines.rs
+++ b/crates/yuccatack_telemetry/tests/log_lines.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use chrono::{DateTime, Utc};
-use log::{Level, Record};
+use log::{Level, Log, Record};
 use serde_json::Value;
 use yuccatack_core::NodeName;
 use yuccatack_telemetry::LogDestination;
@@ -46,43 +46,42 @@
     insta::assert_snapshot!(context().encode(&record, time()), @r#"{"time":"2023-11-14T22:13:20.005Z","level":"error","node":"entry-1","event":"library_message","target":"hyper::client","message":"connection reset"}"#);
 }
 
-/// Guards against lines that are still queued when the process ends.
-#[test]
-fn flush_writes_file() {
-    use log::Log;
-
+/// Writes so many lines of one event and reads the file back.
+fn write_lines(event: &str, line_count: usize) -> Vec<Value> {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("entry.log");
     let destination = LogDestination::File(path.clone());
     let lines = JsonLines::open(context(), log::LevelFilter::Info, destination).unwrap();
-    for _ in 0..25 {
-        let pairs: &[(&str, &str)] = &[("event", "minion_lost")];
-        lines.log(
-            &Record::builder()
-                .args(format_args!("lost"))
-                .level(Level::Warn)
-                .target("yuccatack_agent")
-                .key_values(&pairs)
-                .build(),
-        );
+    let pairs: &[(&str, &str)] = &[("event", event)];
+    for _ in 0..line_count {
+        let mut record = Record::builder();
+        record.level(Level::Warn).target("yuccatack_agent").key_values(&pairs);
+        lines.log(&record.args(format_args!("lost")).build());
     }
-    lines.log(
-        &Record::builder()
-            .args(format_args!("pooled"))
-            .level(Level::Info)
-            .target("hyper_util")
-            .build(),
-    );
+    let mut record = Record::builder();
+    record.level(Level::Info).target("hyper_util");
+    lines.log(&record.args(format_args!("details of a library")).build());
     lines.flush();
     let text = std::fs::read_to_string(path).unwrap();
-    let written: Vec<Value> =
-        text.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
-    assert_eq!(written.len(), 21, "20 lines and their summary:\n{text}");
+    text.lines().map(|line| serde_json::from_str(line).unwrap()).collect()
+}
+
+/// Guards against lines that are still queued when the process ends.
+#[test]
+fn flush_writes_file() {
+    let written = write_lines("minion_lost", 25);
+    assert_eq!(written.len(), 21, "20 lines and their summary: {written:?}");
     assert_eq!(written[20]["event"], "repeated_lines");
     assert_eq!(written[20]["repeated_event"], "minion_lost");
     assert_eq!(written[20]["suppressed_count"], 5);
 }
 
+/// Guards against a list of unfinished work that the cap cuts short.
+#[test]
+fn unfinished_work_listed_whole() {
+    assert_eq!(write_lines("attempt_left", 100).len(), 100);
+}
+
 #[test]
 fn missing_folder_named() {
     let folder = tempfile::tempdir().unwrap();
