Test faults of minions, keys and refusals over real sockets

Cause: the request path had only been tested with well-behaved minions.

The stand-in sends the first part of a truncated answer before it breaks.

--- a/crates/yuccatack_entry/tests/common/mod.rs
+++ b/crates/yuccatack_entry/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use yuccatack_agent::{AgentError, AgentInputs};
@@ -99,11 +100,29 @@
     pub incarnation: Incarnation,
     pub trigger: ShutdownTrigger,
     pub task: JoinHandle<Result<(), AgentError>>,
+    /// Its own runtime, so that a test can kill all of its tasks at once.
+    runtime: Option<Runtime>,
     /// Its own view, so that a test can make it stale.
     pub view: HandMadeView,
 }
 
+impl Drop for AgentProcess {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 impl AgentProcess {
+    /// Ends the process without any goodbye, and waits until its sockets are closed.
+    pub async fn kill(mut self) -> SocketAddr {
+        let runtime = self.runtime.take().unwrap();
+        let timeout = Duration::from_secs(5);
+        tokio::task::spawn_blocking(move || runtime.shutdown_timeout(timeout)).await.unwrap();
+        self.address
+    }
+
     pub async fn start(name: &str, minion: SocketAddr, view: &HandMadeView) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         Self::start_on(name, minion, view, listener).await
@@ -135,10 +154,17 @@
         let (reports, reports_receiver) = watch::channel(None);
         view.follow(node.clone(), incarnation, reports_receiver);
         let own_view = HandMadeView::new();
-        let inputs = AgentInputs { listener, incarnation, view: own_view.handle(), reports };
+        let handle = own_view.handle();
         let (trigger, shutdown) = shutdown_channel();
-        let task = tokio::spawn(yuccatack_agent::serve(settings, inputs, shutdown));
-        Self { node, address, incarnation, trigger, task, view: own_view }
+        let listener = listener.into_std().unwrap();
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+        let task = runtime.spawn(async move {
+            let listener = TcpListener::from_std(listener).unwrap();
+            let inputs = AgentInputs { listener, incarnation, view: handle, reports };
+            yuccatack_agent::serve(settings, inputs, shutdown).await
+        });
+        let runtime = Some(runtime);
+        Self { node, address, incarnation, trigger, task, runtime, view: own_view }
     }
 }
 
--- /dev/null
+++ b/crates/yuccatack_entry/tests/minion_faults.rs
@@ -0,0 +1,94 @@
+//! What the caller is told when the minion misbehaves, over real sockets.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{IDEMPOTENT, System, wall_clock};
+use yuccatack_stand_ins::MinionBehaviour;
+
+struct FaultCase {
+    fault: &'static str,
+    reason: &'static str,
+}
+
+const CASES: &[FaultCase] = &[
+    FaultCase { fault: "truncate", reason: "invalid_answer" },
+    FaultCase { fault: "crossed", reason: "invalid_answer" },
+    FaultCase { fault: "oversized", reason: "invalid_answer" },
+    FaultCase { fault: "close_early", reason: "minion_connection" },
+    FaultCase { fault: "silent", reason: "deadline" },
+];
+
+/// Guards against a partial, foreign or missing answer that is passed on as an answer, and
+/// against a second run of a request that may have run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn not_idempotent() {
+    let system = System::start(&[MinionBehaviour::default(); 2]).await;
+    for case in CASES {
+        let before = system.run_count().await;
+        let key = format!("{}-{}", wall_clock().get(), case.fault);
+        let headers = [
+            ("yuccatack-organisation", "lender"),
+            ("yuccatack-key", key.as_str()),
+            ("yuccatack-deadline-ms", "700"),
+            ("stand-in-fault", case.fault),
+        ];
+        let answer = system.post(&headers, "credit review").await;
+        let found = (answer.status, answer.outcome(), answer.reason());
+        assert_eq!(found, (504, "unknown", case.reason), "{}: {answer:?}", case.fault);
+        let again = system.post(&headers, "credit review").await;
+        assert_eq!((again.status, again.outcome()), (504, "unknown"), "{}: {again:?}", case.fault);
+        assert_eq!(system.run_count().await - before, 1, "{} ran twice", case.fault);
+    }
+}
+
+/// Guards against one misbehaving exchange that disturbs later ones: after each fault an ordinary
+/// request gets its own answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn others_undisturbed() {
+    let system = System::start(&[MinionBehaviour::default()]).await;
+    for case in CASES {
+        let mut headers = IDEMPOTENT.to_vec();
+        headers.extend([("stand-in-fault", case.fault), ("yuccatack-deadline-ms", "300")]);
+        let answer = system.post(&headers, "bad").await;
+        assert_eq!(answer.outcome(), "unknown", "{}: {answer:?}", case.fault);
+        system.view.wait_for_ready(1).await;
+        let answer = system.post(IDEMPOTENT, case.fault).await;
+        assert_eq!(answer.body, case.fault.as_bytes(), "{answer:?}");
+    }
+}
+
+/// Guards against a late answer that reaches the next request on the connection: the exchange is
+/// abandoned at its deadline and its connection is closed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_answer() {
+    let system = System::start(&[MinionBehaviour::default()]).await;
+    let mut late = IDEMPOTENT.to_vec();
+    late.extend([("stand-in-delay-ms", "400"), ("yuccatack-deadline-ms", "100")]);
+    let answer = system.post(&late, "late").await;
+    assert_eq!((answer.status, answer.outcome()), (504, "unknown"), "{answer:?}");
+    for number in 0..10 {
+        let body = format!("next {number}");
+        let answer = system.post(IDEMPOTENT, &body).await;
+        assert_eq!(answer.body, body.as_bytes(), "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against an idempotent request that is given up although another minion is well.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idempotent_retry() {
+    let system = System::start(&[MinionBehaviour::default(); 2]).await;
+    system.minions[0].set_behaviour(MinionBehaviour {
+        fault: yuccatack_stand_ins::MinionFault::CloseEarly,
+        ..Default::default()
+    });
+    for number in 0..20 {
+        let body = format!("body {number}");
+        let answer = system.post(IDEMPOTENT, &body).await;
+        assert_eq!((answer.status, answer.body.as_ref()), (200, body.as_bytes()), "{answer:?}");
+    }
+}
--- a/crates/yuccatack_entry/tests/thin_path.rs
+++ b/crates/yuccatack_entry/tests/thin_path.rs
@@ -34,7 +34,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn graceful_drain() {
     let slow = MinionBehaviour { delay: Duration::from_millis(300), ..Default::default() };
-    let system = System::start(&[slow]).await;
+    let mut system = System::start(&[slow]).await;
     let address = system.entry.address;
     let call = tokio::spawn(async move { common::post(address, IDEMPOTENT, "whole").await });
     tokio::time::sleep(Duration::from_millis(100)).await;
@@ -45,7 +45,6 @@
     let limit = Duration::from_secs(5);
     let entry = tokio::time::timeout(limit, system.entry.task).await.unwrap().unwrap();
     assert!(entry.is_ok(), "{entry:?}");
-    let agent = system.agents.into_iter().next().unwrap();
-    let agent = tokio::time::timeout(limit, agent.task).await.unwrap().unwrap();
+    let agent = tokio::time::timeout(limit, &mut system.agents[0].task).await.unwrap().unwrap();
     assert!(agent.is_ok(), "{agent:?}");
 }
--- /dev/null
+++ b/crates/yuccatack_entry/tests/true_refusals.rs
@@ -0,0 +1,125 @@
+//! Refusals over real sockets: nothing reached a minion, and the reason is the true one.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{IDEMPOTENT, System, post};
+use yuccatack_core::prelude::*;
+use yuccatack_lifecycle::ShutdownPhase;
+use yuccatack_records::{OrganisationRecord, Record, RecordKind};
+use yuccatack_stand_ins::MinionBehaviour;
+use yuccatack_view::{MinionState, RecordEntry, RecordKey};
+
+/// Guards against new work on a configuration that may be out of date, at either process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stale_view() {
+    let system = System::start(&[MinionBehaviour::default()]).await;
+    system.agents[0].view.set_fresh(false);
+    let answer = system.post(IDEMPOTENT, "agent").await;
+    assert_eq!((answer.status, answer.reason()), (503, "stale_view"), "{answer:?}");
+    system.agents[0].view.set_fresh(true);
+    system.view.set_fresh(false);
+    let answer = system.post(IDEMPOTENT, "entry").await;
+    assert_eq!((answer.status, answer.reason()), (503, "stale_view"), "{answer:?}");
+    assert!(answer.headers.contains_key("retry-after"));
+    assert_eq!(system.run_count().await, 0);
+}
+
+/// Guards against work for a minion that leaves: its agent reports it and refuses at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaving_agent() {
+    let slow = MinionBehaviour { delay: Duration::from_millis(400), ..Default::default() };
+    let system = System::start(&[slow]).await;
+    let address = system.entry.address;
+    let held = tokio::spawn(async move { post(address, IDEMPOTENT, "held").await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    system.agents[0].trigger.advance(ShutdownPhase::Draining);
+    let mut handle = system.view.handle();
+    let node = system.agents[0].node.clone();
+    let leaving = async {
+        while handle.view().minions[&node].status.state != MinionState::Leaving {
+            handle.changed().await.unwrap();
+        }
+    };
+    tokio::time::timeout(Duration::from_millis(200), leaving).await.unwrap();
+    let refused = system.post(IDEMPOTENT, "new").await;
+    assert_eq!((refused.status, refused.outcome()), (503, "not_run"), "{refused:?}");
+    assert_eq!(held.await.unwrap().body, b"held".as_ref());
+    assert_eq!(system.run_count().await, 1);
+}
+
+/// Guards against a minion that is down: the caller gets a refusal and not an unknown.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn minion_down() {
+    let mut system = System::start(&[MinionBehaviour::default()]).await;
+    drop(system.minions.remove(0));
+    let mut headers = IDEMPOTENT.to_vec();
+    headers.push(("yuccatack-deadline-ms", "400"));
+    let answer = system.post(&headers, "body").await;
+    assert_eq!((answer.status, answer.outcome()), (503, "not_run"), "{answer:?}");
+}
+
+/// Guards against limits that are read and not applied.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn organisation_limits() {
+    let slow = MinionBehaviour { delay: Duration::from_millis(200), ..Default::default() };
+    let system = System::start(&[slow]).await;
+    let limited = [("rate", 2, 100, "rate_limited"), ("width", 100, 2, "concurrency_limited")];
+    for (name, rate_per_s, concurrency_count, reason) in limited {
+        system.view.change(|view| {
+            let record = OrganisationRecord {
+                name: OrganisationName::new(name).unwrap(),
+                accelerator_quota_count: 0,
+                fair_share_weight: 1,
+                request_rate_per_s: rate_per_s,
+                request_concurrency_count: concurrency_count,
+            };
+            let key =
+                RecordKey { kind: RecordKind::Organisation, name: RecordName::new(name).unwrap() };
+            let entry = RecordEntry {
+                generation: Generation::new(1),
+                revision: Revision::new(1),
+                record: Record::Organisation(record),
+            };
+            view.records.insert(key, Arc::new(entry));
+        });
+        let address = system.entry.address;
+        let calls = (0..4).map(|_| {
+            tokio::spawn(async move {
+                let headers = [("yuccatack-organisation", name), ("yuccatack-idempotent", "true")];
+                post(address, &headers, "body").await
+            })
+        });
+        let calls: Vec<_> = calls.collect();
+        let mut refused = 0;
+        for call in calls {
+            let answer = call.await.unwrap();
+            if answer.status == 429 {
+                assert_eq!(answer.reason(), reason, "{answer:?}");
+                refused += 1;
+            }
+        }
+        assert_eq!(refused, 2, "{name}");
+    }
+}
+
+/// Guards against more requests or connections at the minion than it takes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hard_limits() {
+    let slow = MinionBehaviour { delay: Duration::from_millis(20), ..Default::default() };
+    let system = System::start(&[slow]).await;
+    let address = system.entry.address;
+    let calls =
+        (0..100).map(|_| tokio::spawn(async move { post(address, IDEMPOTENT, "body").await }));
+    let calls: Vec<_> = calls.collect();
+    for call in calls {
+        let answer = call.await.unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!(system.minions[0].running_peak(), 8);
+    assert!(system.minions[0].connection_peak() <= 64);
+}
--- a/crates/yuccatack_stand_ins/src/minion.rs
+++ b/crates/yuccatack_stand_ins/src/minion.rs
@@ -24,6 +24,8 @@
 
 /// The body length of an oversized answer.
 const OVERSIZED_BODY_LENGTH_BYTES: usize = 20 * 1024 * 1024;
+/// The time between the only part of a truncated answer and its break.
+const TRUNCATION_DELAY: Duration = Duration::from_millis(20);
 /// The attempt that a crossed answer names.
 const OTHER_ATTEMPT: &str = "00000000000000000000000000000000";
 
@@ -296,8 +298,14 @@
 /// An answer that announces one byte more than it has, and then breaks.
 fn truncated(attempt: &str, body: Bytes) -> Response<AnswerBody> {
     let length = body.len() + 1;
-    let frames = [Ok(Frame::data(body)), Err(io::Error::other("truncated on demand"))];
-    let stream = StreamBody::new(tokio_stream::iter(frames));
+    let (frames, receiver) = mpsc::channel(2);
+    tokio::spawn(async move {
+        let _ = frames.send(Ok(Frame::data(body))).await;
+        // Lets the head and the first part leave before the connection breaks.
+        tokio::time::sleep(TRUNCATION_DELAY).await;
+        let _ = frames.send(Err(io::Error::other("truncated on demand"))).await;
+    });
+    let stream = StreamBody::new(tokio_stream::wrappers::ReceiverStream::new(receiver));
     let mut response = echo(attempt, Bytes::new());
     *response.body_mut() = BodyExt::boxed(stream);
     response.headers_mut().insert("content-length", length.into());
