Report what a forced end leaves, and test bad callers and silent links

Cause: a forced end only counted connections, and nothing showed that a bad caller or a dead connection to an agent stays without effect on others.

Change: agent and entry log and count the attempts and requests that they leave. Tests cover malformed, oversized, truncated, slow and pipelined requests, and a connection to an agent that stops responding.

The stalled connection is noticed after 1 s and the answer of the only run comes through a new one.

--- a/crates/yuccatack_admission/src/quota.rs
+++ b/crates/yuccatack_admission/src/quota.rs
@@ -61,6 +61,12 @@
         self.usages.get(organisation).map_or(0, |usage| usage.in_flight_count)
     }
 
+    /// The organisations with requests in flight, and how many.
+    pub fn in_flight(&self) -> impl Iterator<Item = (&OrganisationName, u32)> {
+        let counts = self.usages.iter().map(|(name, usage)| (name, usage.in_flight_count));
+        counts.filter(|(_, count)| *count > 0)
+    }
+
     /// Counts a request, which is in flight until [`release`](Self::release), or refuses it.
     pub fn acquire(
         &mut self,
--- a/crates/yuccatack_agent/src/actor.rs
+++ b/crates/yuccatack_agent/src/actor.rs
@@ -123,6 +123,9 @@
                 self.probing = false;
                 self.report.set_reachable(reachable);
             }
+            AgentMessage::ListRunning { reply } => {
+                let _ = reply.send(self.table.running().collect());
+            }
             AgentMessage::Leave { left } => {
                 self.table.leave();
                 self.report.leave();
--- a/crates/yuccatack_agent/src/message.rs
+++ b/crates/yuccatack_agent/src/message.rs
@@ -50,6 +50,11 @@
         /// Whether the minion accepted a connection.
         reachable: bool,
     },
+    /// Tell which attempts run.
+    ListRunning {
+        /// Where the list goes.
+        reply: oneshot::Sender<Vec<AttemptId>>,
+    },
     /// Take no new attempts from now on.
     Leave {
         /// Told once no further attempt can start.
--- a/crates/yuccatack_agent/src/process.rs
+++ b/crates/yuccatack_agent/src/process.rs
@@ -79,21 +79,32 @@
     let actor_task = tokio::spawn(actor.run());
     let service = AttemptsServer::new(AttemptService::new(sender.clone(), body_limit_bytes));
     let incoming = TcpIncoming::from(inputs.listener).with_nodelay(Some(true));
-    let drained = drain(shutdown.clone(), sender, in_flight_receiver.clone());
+    let drained = drain(shutdown.clone(), sender.clone(), in_flight_receiver);
     let server =
         Server::builder().add_service(service).serve_with_incoming_shutdown(incoming, drained);
     log::info!(event = "agent_started", address:% = bound_address; "the agent accepts attempts");
     let result = tokio::select! {
         result = server => result.context(ServeSnafu),
         () = shutdown.reached(ShutdownPhase::Aborting) => {
-            let attempt_count = *in_flight_receiver.borrow();
-            Err(AgentError::Aborted { attempt_count })
+            Err(AgentError::Aborted { attempt_count: report_left(&sender).await })
         }
     };
     actor_task.abort();
     result
 }
 
+/// Logs the attempts that the process leaves running, and counts them.
+async fn report_left(actor: &mpsc::Sender<AgentMessage>) -> usize {
+    let (reply, running) = oneshot::channel();
+    // An error means that the actor has already ended, with nothing running.
+    let _ = actor.send(AgentMessage::ListRunning { reply }).await;
+    let running = running.await.unwrap_or_default();
+    for attempt in &running {
+        log::warn!(event = "attempt_left", attempt:%; "the attempt was left running");
+    }
+    running.len()
+}
+
 /// Waits for the shutdown, makes the agent leave, and returns once nothing is in flight. Until
 /// then entries can still connect and resolve.
 async fn drain(
--- a/crates/yuccatack_entry/src/balancer/actor.rs
+++ b/crates/yuccatack_entry/src/balancer/actor.rs
@@ -124,6 +124,10 @@
                 }
             }
             BalancerMessage::Release(organisation) => self.quotas.release(&organisation),
+            BalancerMessage::ListInFlight(reply) => {
+                let counts = self.quotas.in_flight();
+                let _ = reply.send(counts.map(|(name, count)| (name.clone(), count)).collect());
+            }
             BalancerMessage::Choose(request) => self.choose(request),
             BalancerMessage::Finished(target, feedback) => {
                 let now = self.now();
--- a/crates/yuccatack_entry/src/balancer/message.rs
+++ b/crates/yuccatack_entry/src/balancer/message.rs
@@ -34,6 +34,8 @@
     Admit(OrganisationName, oneshot::Sender<Result<(), NotRun>>),
     /// An admitted request has ended.
     Release(OrganisationName),
+    /// Tell which organisations have requests in flight, and how many.
+    ListInFlight(oneshot::Sender<Vec<(OrganisationName, u32)>>),
     /// Choose a minion, now or once one is free.
     Choose(ChooseRequest),
     /// An attempt on a chosen minion has ended.
--- a/crates/yuccatack_entry/src/error.rs
+++ b/crates/yuccatack_entry/src/error.rs
@@ -20,12 +20,11 @@
     },
     /// The process was ended before the drain completed.
     #[snafu(display(
-        "ended during the drain with {connection_count} callers' connections open; callers with a \
-         request in flight must take its outcome as unknown; raise `drain_limit_ms` if they only \
-         needed longer"
+        "ended during the drain with {request_count} requests in flight; their callers must take the \
+         outcome as unknown; raise `drain_limit_ms` if they only needed longer"
     ))]
     Aborted {
-        /// The connections that were left.
-        connection_count: usize,
+        /// The requests that were left.
+        request_count: u32,
     },
 }
--- a/crates/yuccatack_entry/src/process.rs
+++ b/crates/yuccatack_entry/src/process.rs
@@ -3,6 +3,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
 use yuccatack_core::prelude::*;
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_requests::claims::ClaimClient;
@@ -11,7 +12,7 @@
 use yuccatack_settings::EntrySettings;
 use yuccatack_view::ViewHandle;
 
-use crate::balancer::{Balancer, BalancerSettings};
+use crate::balancer::{Balancer, BalancerMessage, BalancerSettings};
 use crate::call::CallContext;
 use crate::error::{EntryError, ListenSnafu};
 use crate::links::Links;
@@ -69,7 +70,7 @@
     let (balancer, balancer_sender) = Balancer::new(inputs.admission, router, inputs.view.clone());
     let balancer_task = tokio::spawn(balancer.run());
     let call = CallContext {
-        balancer: balancer_sender,
+        balancer: balancer_sender.clone(),
         links: Links::spawn(),
         claims: inputs.claims,
         settings: inputs.dispatch,
@@ -80,17 +81,28 @@
     accept(&inputs.listener, &context, &graceful, &mut shutdown).await;
     drop(inputs.listener);
     log::info!(event = "entry_draining", connections = graceful.count(); "finishing requests");
-    let connections = graceful.count();
     let result = tokio::select! {
         () = graceful.shutdown() => Ok(()),
         () = shutdown.reached(ShutdownPhase::Aborting) => {
-            Err(EntryError::Aborted { connection_count: connections })
+            Err(EntryError::Aborted { request_count: report_left(&balancer_sender).await })
         }
     };
     balancer_task.abort();
     result
 }
 
+/// Logs the requests that the process leaves unfinished, and counts them.
+async fn report_left(balancer: &mpsc::Sender<BalancerMessage>) -> u32 {
+    let (reply, in_flight) = oneshot::channel();
+    // An error means that the balancer has already ended, with nothing in flight.
+    let _ = balancer.send(BalancerMessage::ListInFlight(reply)).await;
+    let in_flight = in_flight.await.unwrap_or_default();
+    for (organisation, requests) in &in_flight {
+        log::warn!(event = "requests_left", organisation:%, requests; "requests were left");
+    }
+    in_flight.iter().map(|(_, count)| count).sum()
+}
+
 /// Accepts callers until the shutdown starts.
 async fn accept(
     listener: &TcpListener,
--- a/crates/yuccatack_entry/src/server.rs
+++ b/crates/yuccatack_entry/src/server.rs
@@ -1,7 +1,7 @@
 //! The HTTP server for callers.
 
 use std::convert::Infallible;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -92,13 +92,15 @@
         .map(|record| record.default_deadline_ms);
     let deadline = caller.deadline_or(default);
     let mut caller = caller;
+    let received = Instant::now();
     match read_body(&context, body).await {
         Ok(body) => caller.content.body = body,
         Err(not_run) => return not_run.into(),
     }
+    let remaining = deadline.saturating_sub(received.elapsed());
     // A task of its own, so that a caller that hangs up does not stop the bookkeeping of what was
     // already sent.
-    let call = tokio::spawn(run_call(context.call, caller.content, caller.key, deadline));
+    let call = tokio::spawn(run_call(context.call, caller.content, caller.key, remaining));
     call.await.unwrap_or_else(|error| {
         log::error!(event = "call_failed"; "{error}");
         Outcome::from(Unknown::new(UnknownReason::ShutDown, "the entry failed during the request"))
--- /dev/null
+++ b/crates/yuccatack_entry/tests/bad_callers.rs
@@ -0,0 +1,130 @@
+//! Callers that send malformed, truncated, oversized, slow or pipelined requests.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use common::{IDEMPOTENT, System};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use yuccatack_stand_ins::MinionBehaviour;
+
+/// Ten times the limit for receiving a request in these tests would mean that no limit held.
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+
+struct BadCase {
+    name: &'static str,
+    request: String,
+    /// What the answer starts with; empty where the connection may close without an answer.
+    answer: &'static str,
+}
+
+fn head(more: &str) -> String {
+    format!(
+        "POST /v1/requests/reviews HTTP/1.1\r\nhost: x\r\nyuccatack-organisation: lender\r\n\
+         yuccatack-idempotent: true\r\n{more}\r\n"
+    )
+}
+
+fn cases() -> Vec<BadCase> {
+    let case = |name, request, answer| BadCase { name, request, answer };
+    vec![
+        case("no HTTP", "hello\r\n\r\n".to_owned(), "HTTP/1.1 400"),
+        case("large header", head(&format!("x: {}\r\n", "y".repeat(100_000))), "HTTP/1.1 431"),
+        case("many headers", head(&"x: y\r\n".repeat(200)), "HTTP/1.1 431"),
+        case("two lengths", head("content-length: 1\r\ncontent-length: 2\r\n"), "HTTP/1.1 400"),
+        case("bad length", head("content-length: many\r\n"), "HTTP/1.1 400"),
+        case("announced too large", head("content-length: 99999999\r\n"), "HTTP/1.1 413"),
+        case(
+            "chunks too large",
+            head("transfer-encoding: chunked\r\n")
+                + &format!("200000\r\n{}\r\n0\r\n\r\n", "z".repeat(0x20_0000)),
+            "HTTP/1.1 413",
+        ),
+        case("bad chunk", head("transfer-encoding: chunked\r\n") + "nonsense\r\n", "HTTP/1.1 400"),
+        case("body missing", head("content-length: 10\r\n") + "12345", "HTTP/1.1 400"),
+        case("head missing", "POST /v1/requ".to_owned(), ""),
+    ]
+}
+
+/// Everything that the entry sends until it closes the connection.
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        match stream.read(&mut buffer).await {
+            // A reset after the answer is how an unread request ends.
+            Ok(0) | Err(_) => return String::from_utf8_lossy(&answer).into_owned(),
+            Ok(count) => answer.extend_from_slice(&buffer[..count]),
+        }
+    }
+}
+
+async fn send_raw(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    // The entry may answer and close before it has read everything.
+    let _ = stream.write_all(request.as_bytes()).await;
+    read_all(&mut stream).await
+}
+
+/// Guards against a bad request that hangs, gets several answers, or disturbs others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_error_each() {
+    let system = System::start(&[MinionBehaviour::default()]).await;
+    for case in cases() {
+        let sent = send_raw(system.entry.address, &case.request);
+        let answer = tokio::time::timeout(ANSWER_LIMIT, sent).await.expect(case.name);
+        assert!(answer.starts_with(case.answer), "{}: {answer}", case.name);
+        assert!(answer.matches("HTTP/1.1 ").count() <= 1, "{}: {answer}", case.name);
+        let other = system.post(IDEMPOTENT, case.name).await;
+        assert_eq!(other.body, case.name.as_bytes(), "{other:?}");
+    }
+    assert_eq!(system.run_count().await, cases().len());
+}
+
+/// Guards against a caller that holds a connection by sending a byte a second.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_callers() {
+    let system = System::start(&[MinionBehaviour::default()]).await;
+    for (request, answer) in [
+        ("POST /v1/requests/reviews HTTP/1.1\r\n".to_owned(), ""),
+        (head("content-length: 60\r\n"), "HTTP/1.1 400"),
+    ] {
+        let mut stream = TcpStream::connect(system.entry.address).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let started = Instant::now();
+        let (mut reader, mut writer) = stream.split();
+        let drip = async {
+            loop {
+                tokio::time::sleep(Duration::from_millis(250)).await;
+                if writer.write_all(b"x").await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+        };
+        let mut received = Vec::new();
+        tokio::select! {
+            _ = reader.read_to_end(&mut received) => {}
+            () = drip => {}
+            () = tokio::time::sleep(ANSWER_LIMIT) => panic!("{request}: still open"),
+        }
+        let received = String::from_utf8_lossy(&received);
+        assert!(received.starts_with(answer), "{received}");
+        assert!(started.elapsed() < ANSWER_LIMIT);
+    }
+}
+
+/// Guards against pipelined requests whose answers are mixed up or lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn pipelined_requests() {
+    let system = System::start(&[MinionBehaviour::default()]).await;
+    let first = head("content-length: 3\r\nstand-in-delay-ms: 50\r\n") + "one";
+    let second = head("content-length: 3\r\nconnection: close\r\n") + "two";
+    let answer = send_raw(system.entry.address, &(first + &second)).await;
+    let (one, two) = (answer.find("one"), answer.find("two"));
+    assert!(one.is_some() && two.is_some() && one < two, "{answer}");
+    assert_eq!(answer.matches("HTTP/1.1 200").count(), 2, "{answer}");
+}
--- a/crates/yuccatack_entry/tests/common/mod.rs
+++ b/crates/yuccatack_entry/tests/common/mod.rs
@@ -63,14 +63,16 @@
         &self,
         node: NodeName,
         incarnation: Incarnation,
+        address: SocketAddr,
         mut reports: watch::Receiver<Option<MinionStatus>>,
     ) {
         let view = self.clone();
         tokio::spawn(async move {
             while reports.changed().await.is_ok() {
-                let Some(status) = reports.borrow_and_update().clone() else {
+                let Some(mut status) = reports.borrow_and_update().clone() else {
                     continue;
                 };
+                status.agent_address = address;
                 view.change(|view| {
                     let entry = MinionEntry {
                         node: node.clone(),
@@ -125,7 +127,8 @@
 
     pub async fn start(name: &str, minion: SocketAddr, view: &HandMadeView) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        Self::start_on(name, minion, view, listener).await
+        let address = listener.local_addr().unwrap();
+        Self::start_on(name, minion, view, listener, address).await
     }
 
     pub async fn start_on(
@@ -133,6 +136,7 @@
         minion: SocketAddr,
         view: &HandMadeView,
         listener: TcpListener,
+        seen_address: SocketAddr,
     ) -> Self {
         let address = listener.local_addr().unwrap();
         let node = NodeName::new(name).unwrap();
@@ -152,7 +156,7 @@
         };
         let incarnation = Incarnation::random();
         let (reports, reports_receiver) = watch::channel(None);
-        view.follow(node.clone(), incarnation, reports_receiver);
+        view.follow(node.clone(), incarnation, seen_address, reports_receiver);
         let own_view = HandMadeView::new();
         let handle = own_view.handle();
         let (trigger, shutdown) = shutdown_channel();
--- a/crates/yuccatack_entry/tests/key_claims.rs
+++ b/crates/yuccatack_entry/tests/key_claims.rs
@@ -86,7 +86,8 @@
     let agent_address = killed.kill().await;
     let listener = TcpListener::bind(agent_address).await.unwrap();
     let minion = system.minions[0].address();
-    let started = AgentProcess::start_on("minion-0", minion, &system.view, listener).await;
+    let started =
+        AgentProcess::start_on("minion-0", minion, &system.view, listener, agent_address).await;
     let answer = call.await.unwrap();
     assert_eq!((answer.status, answer.reason()), (504, "agent_restarted"), "{answer:?}");
     let again = system.post(&headers(&key), "rank").await;
--- /dev/null
+++ b/crates/yuccatack_entry/tests/silent_links.rs
@@ -0,0 +1,84 @@
+//! Connections between entry and agent that stop responding while new ones work.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use common::{AgentProcess, EntryProcess, HandMadeView, post, spawn_claims, wall_clock};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use yuccatack_requests::claims::claim_channel;
+use yuccatack_stand_ins::{MinionBehaviour, MinionStandIn};
+
+/// Passes bytes on until told to hold back the answers of the connections that are open by then.
+async fn forward(listener: TcpListener, to: SocketAddr, stalled: watch::Receiver<usize>) {
+    let mut number = 0;
+    while let Ok((inward, _)) = listener.accept().await {
+        number += 1;
+        let outward = TcpStream::connect(to).await.unwrap();
+        tokio::spawn(forward_one(number, inward, outward, stalled.clone()));
+    }
+}
+
+async fn forward_one(
+    number: usize,
+    inward: TcpStream,
+    outward: TcpStream,
+    mut stalled: watch::Receiver<usize>,
+) {
+    let (mut from_entry, mut to_entry) = inward.into_split();
+    let (mut from_agent, mut to_agent) = outward.into_split();
+    tokio::spawn(async move { tokio::io::copy(&mut from_entry, &mut to_agent).await });
+    let stall = async move {
+        let _ = stalled.wait_for(|last| number <= *last).await;
+    };
+    tokio::select! {
+        _ = tokio::io::copy(&mut from_agent, &mut to_entry) => return,
+        () = stall => {}
+    }
+    // The sockets stay open, and nothing passes any more.
+    std::future::pending::<()>().await;
+}
+
+/// Guards against a request that waits for its deadline on a dead connection, and against a
+/// second run of it: a new connection resolves it and brings the answer of the only run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stalled_connection() {
+    let view = HandMadeView::new();
+    let slow = MinionBehaviour { delay: Duration::from_millis(300), ..Default::default() };
+    let minion = MinionStandIn::start(slow).await.unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let agent_address = listener.local_addr().unwrap();
+    let forwarder = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let seen_address = forwarder.local_addr().unwrap();
+    let (stall, stalled) = watch::channel(0);
+    tokio::spawn(forward(forwarder, agent_address, stalled));
+    let agent =
+        AgentProcess::start_on("minion-0", minion.address(), &view, listener, seen_address).await;
+    let (claims, messages) = claim_channel();
+    spawn_claims(messages);
+    view.wait_for_ready(1).await;
+    let entry = EntryProcess::start(&view, claims, |_, _| {}).await;
+    let key = format!("{}-review", wall_clock().get());
+    let headers = [("yuccatack-organisation", "lender"), ("yuccatack-key", &key)];
+    let call = tokio::spawn({
+        let headers = headers.map(|(name, value)| (name, value.to_owned()));
+        async move {
+            let headers: Vec<_> =
+                headers.iter().map(|(name, value)| (*name, value.as_str())).collect();
+            post(entry.address, &headers, "body").await
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    stall.send_replace(1);
+    let started = Instant::now();
+    let answer = call.await.unwrap();
+    assert_eq!((answer.status, answer.body.as_ref()), (200, b"body".as_ref()), "{answer:?}");
+    // Silence is noticed after 1 s; the default deadline is 30 s.
+    assert!(started.elapsed() < Duration::from_secs(3), "{:?}", started.elapsed());
+    assert_eq!(minion.runs().await.len(), 1);
+    drop(agent);
+}
--- a/crates/yuccatack_requests/src/attempts/state.rs
+++ b/crates/yuccatack_requests/src/attempts/state.rs
@@ -106,6 +106,12 @@
         self.running_count
     }
 
+    /// The attempts that run now, in no particular order.
+    pub fn running(&self) -> impl Iterator<Item = AttemptId> {
+        let running = |record: &AttemptRecord| matches!(record.state, RecordState::Running);
+        self.records.iter().filter(move |(_, record)| running(record)).map(|(attempt, _)| *attempt)
+    }
+
     /// The attempts that are kept in any state.
     pub fn record_count(&self) -> usize {
         self.records.len()
