--- a/crates/yuccatack_entry/src/process.rs
+++ b/crates/yuccatack_entry/src/process.rs
@@ -1,6 +1,5 @@
 //! The entry process: start, drain and end.
 
-use hyper_util::server::graceful::GracefulShutdown;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -77,12 +76,14 @@
         body_limit_bytes: settings.body_limit_bytes,
     };
     let context = ServerContext::new(call, inputs.view, &settings);
-    let graceful = GracefulShutdown::new();
-    accept(&inputs.listener, &context, &graceful, &mut shutdown).await;
+    // Every connection holds a sender; the channel closes with the last connection.
+    let (open, mut all_closed) = mpsc::channel(1);
+    accept(&inputs.listener, &context, &open, &mut shutdown).await;
     drop(inputs.listener);
-    log::info!(event = "entry_draining", connections = graceful.count(); "finishing requests");
+    drop(open);
+    log::info!(event = "entry_draining"; "finishing requests");
     let result = tokio::select! {
-        () = graceful.shutdown() => Ok(()),
+        _ = all_closed.recv() => Ok(()),
         () = shutdown.reached(ShutdownPhase::Aborting) => {
             Err(EntryError::Aborted { request_count: report_left(&balancer_sender).await })
         }
@@ -107,7 +108,7 @@
 async fn accept(
     listener: &TcpListener,
     context: &ServerContext,
-    graceful: &GracefulShutdown,
+    open: &mpsc::Sender<()>,
     shutdown: &mut Shutdown,
 ) {
     loop {
@@ -118,7 +119,9 @@
         match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                tokio::spawn(serve_connection(context.clone(), stream, graceful.watcher()));
+                let served =
+                    serve_connection(context.clone(), stream, shutdown.clone(), open.clone());
+                tokio::spawn(served);
             }
             Err(error) => {
                 // For example too many open files; the pause keeps the loop from spinning.
--- a/crates/yuccatack_entry/src/server.rs
+++ b/crates/yuccatack_entry/src/server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server for callers.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -11,8 +12,10 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::Watcher;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_requests::http_mapping::HttpResponse;
 use yuccatack_requests::prelude::*;
 use yuccatack_settings::EntrySettings;
@@ -53,22 +56,57 @@
     }
 }
 
-/// Serves one caller's connection until it closes or the server drains.
-pub async fn serve_connection(context: ServerContext, stream: TcpStream, watcher: Watcher) {
+/// Serves one caller's connection until it closes or the server drains. `open` is held as long.
+pub async fn serve_connection(
+    context: ServerContext,
+    stream: TcpStream,
+    mut shutdown: Shutdown,
+    open: mpsc::Sender<()>,
+) {
     let receive_limit = context.receive_limit;
     let service = service_fn(move |request| {
         let context = context.clone();
         async move { Ok::<_, Infallible>(respond(context, request).await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(receive_limit)
         .max_buf_size(HEAD_LIMIT_BYTES)
         .max_headers(HEADER_COUNT_LIMIT)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = watcher.watch(connection).await {
+    let mut ended = tokio::select! {
+        ended = &mut connection => Some(ended),
+        () = shutdown.reached(ShutdownPhase::Draining) => None,
+    };
+    if ended.is_none() {
+        Pin::new(&mut connection).graceful_shutdown();
+        ended = Some((&mut connection).await);
+    }
+    if let Some(Err(error)) = ended {
         log::debug!(event = "caller_connection_ended"; "{error}");
+        if error.is_timeout() {
+            let parts = connection.into_parts();
+            answer_timeout(parts.io.into_inner(), &parts.read_buf).await;
+        }
+    }
+    drop(open);
+}
+
+/// Tells a caller that its head did not arrive in time. An idle connection, on which no byte of a
+/// head has arrived, is closed without a word.
+async fn answer_timeout(mut stream: TcpStream, received: &[u8]) {
+    if received.is_empty() {
+        return;
     }
+    let not_run = NotRun::retryable(
+        NotRunReason::ReceiveTimeout,
+        0,
+        "the head of the request did not arrive whole within the limit",
+    );
+    let response = HttpResponse::from(Outcome::from(not_run));
+    // The caller may be gone.
+    let _ = stream.write_all(&response.to_bytes()).await;
+    let _ = stream.shutdown().await;
 }
 
 async fn respond(context: ServerContext, request: Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/yuccatack_entry/tests/bad_callers.rs
+++ b/crates/yuccatack_entry/tests/bad_callers.rs
@@ -18,7 +18,7 @@
 struct BadCase {
     name: &'static str,
     request: String,
-    /// What the answer starts with; empty where the connection may close without an answer.
+    /// What the answer starts with.
     answer: &'static str,
 }
 
@@ -46,7 +46,7 @@
         ),
         case("bad chunk", head("transfer-encoding: chunked\r\n") + "nonsense\r\n", "HTTP/1.1 400"),
         case("body missing", head("content-length: 10\r\n") + "12345", "HTTP/1.1 400"),
-        case("head missing", "POST /v1/requ".to_owned(), ""),
+        case("head missing", "POST /v1/requ".to_owned(), "HTTP/1.1 400"),
     ]
 }
 
@@ -90,7 +90,7 @@
 async fn slow_callers() {
     let system = System::start(&[MinionBehaviour::default()]).await;
     for (request, answer) in [
-        ("POST /v1/requests/reviews HTTP/1.1\r\n".to_owned(), ""),
+        ("POST /v1/requests/reviews HTTP/1.1\r\n".to_owned(), "HTTP/1.1 400"),
         (head("content-length: 60\r\n"), "HTTP/1.1 400"),
     ] {
         let mut stream = TcpStream::connect(system.entry.address).await.unwrap();
--- a/crates/yuccatack_entry/tests/minion_faults.rs
+++ b/crates/yuccatack_entry/tests/minion_faults.rs
@@ -70,6 +70,13 @@
     late.extend([("stand-in-delay-ms", "400"), ("yuccatack-deadline-ms", "100")]);
     let answer = system.post(&late, "late").await;
     assert_eq!((answer.status, answer.outcome()), (504, "unknown"), "{answer:?}");
+    let closed = async {
+        while system.minions[0].connection_count() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    // The minion would hold the connection for another 300 ms.
+    tokio::time::timeout(Duration::from_millis(150), closed).await.expect("still connected");
     for number in 0..10 {
         let body = format!("next {number}");
         let answer = system.post(IDEMPOTENT, &body).await;
--- a/crates/yuccatack_requests/src/http_mapping.rs
+++ b/crates/yuccatack_requests/src/http_mapping.rs
@@ -26,6 +26,27 @@
     pub body: Bytes,
 }
 
+impl HttpResponse {
+    /// The response as HTTP/1.1 that closes its connection, for use outside an HTTP server.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let length = self.body.len();
+        let mut bytes = format!(
+            "HTTP/1.1 {}\r\nconnection: close\r\ncontent-length: {length}\r\n",
+            self.status
+        )
+        .into_bytes();
+        for header in &self.headers {
+            bytes.extend_from_slice(header.name.as_bytes());
+            bytes.extend_from_slice(b": ");
+            bytes.extend_from_slice(&header.value);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
 fn header(name: &str, value: &str) -> Header {
     Header { name: Arc::from(name), value: Bytes::copy_from_slice(value.as_bytes()) }
 }
