--- a/crates/yuccatack_control/src/process.rs
+++ b/crates/yuccatack_control/src/process.rs
@@ -43,9 +43,8 @@
 pub async fn run(settings: ControlSettings, mut shutdown: Shutdown) -> Result<(), ControlError> {
     let listener = listen(settings.listen_address, "listen_address").await?;
     let worker_listener = listen(settings.worker_address, "worker_address").await?;
-    let telemetry = Telemetry::start(settings.metrics_address, shutdown.clone())
-        .await
-        .context(MetricsSnafu)?;
+    let telemetry =
+        Telemetry::start(settings.metrics_address, shutdown.clone()).await.context(MetricsSnafu)?;
     let (replication, committed, replication_service) =
         yuccatack_replication::start(replication_config(&settings))
             .await
--- a/crates/yuccatack_entry/src/process.rs
+++ b/crates/yuccatack_entry/src/process.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use hyper_util::server::graceful::GracefulShutdown;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, oneshot, watch};
 use yuccatack_control_client::{ControlClient, ControlClientConfig};
 use yuccatack_core::prelude::*;
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
@@ -16,7 +15,7 @@
 use yuccatack_telemetry::Telemetry;
 use yuccatack_view::{NodeRole, SubscriberConfig, ViewHandle, ViewSubscriber};
 
-use crate::balancer::{Balancer, BalancerSettings};
+use crate::balancer::{Balancer, BalancerMessage, BalancerSettings};
 use crate::call::CallContext;
 use crate::claims::forward_claims;
 use crate::error::{EntryError, ListenSnafu, MetricsSnafu};
@@ -52,9 +51,8 @@
 pub async fn run(settings: EntrySettings, shutdown: Shutdown) -> Result<(), EntryError> {
     let address = settings.listen_address;
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
-    let telemetry = Telemetry::start(settings.metrics_address, shutdown.clone())
-        .await
-        .context(MetricsSnafu)?;
+    let telemetry =
+        Telemetry::start(settings.metrics_address, shutdown.clone()).await.context(MetricsSnafu)?;
     let subscription = SubscriberConfig {
         node: settings.node.clone(),
         incarnation: Incarnation::random(),
@@ -96,7 +94,7 @@
     let (balancer, balancer_sender) = Balancer::new(inputs.admission, router, inputs.view.clone());
     let balancer_task = tokio::spawn(balancer.run());
     let call = CallContext {
-        balancer: balancer_sender,
+        balancer: balancer_sender.clone(),
         links: Links::spawn(),
         claims: inputs.claims,
         settings: inputs.dispatch,
@@ -104,26 +102,39 @@
     };
     let context =
         ServerContext::new(call, inputs.view, inputs.control, inputs.telemetry, &settings);
-    let graceful = GracefulShutdown::new();
-    accept(&inputs.listener, &context, &graceful, &mut shutdown).await;
+    // Every connection holds a sender; the channel closes with the last connection.
+    let (open, mut all_closed) = mpsc::channel(1);
+    accept(&inputs.listener, &context, &open, &mut shutdown).await;
     drop(inputs.listener);
-    log::info!(event = "entry_draining", connections = graceful.count(); "finishing requests");
-    let connections = graceful.count();
+    drop(open);
+    log::info!(event = "entry_draining"; "finishing requests");
     let result = tokio::select! {
-        () = graceful.shutdown() => Ok(()),
+        _ = all_closed.recv() => Ok(()),
         () = shutdown.reached(ShutdownPhase::Aborting) => {
-            Err(EntryError::Aborted { connection_count: connections })
+            Err(EntryError::Aborted { request_count: report_left(&balancer_sender).await })
         }
     };
     balancer_task.abort();
     result
 }
 
+/// Logs the requests that the process leaves unfinished, and counts them.
+async fn report_left(balancer: &mpsc::Sender<BalancerMessage>) -> u32 {
+    let (reply, in_flight) = oneshot::channel();
+    // An error means that the balancer has already ended, with nothing in flight.
+    let _ = balancer.send(BalancerMessage::ListInFlight(reply)).await;
+    let in_flight = in_flight.await.unwrap_or_default();
+    for (organisation, requests) in &in_flight {
+        log::warn!(event = "requests_left", organisation:%, requests; "requests were left");
+    }
+    in_flight.iter().map(|(_, count)| count).sum()
+}
+
 /// Accepts callers until the shutdown starts.
 async fn accept(
     listener: &TcpListener,
     context: &ServerContext,
-    graceful: &GracefulShutdown,
+    open: &mpsc::Sender<()>,
     shutdown: &mut Shutdown,
 ) {
     loop {
@@ -134,7 +145,9 @@
         match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                tokio::spawn(serve_connection(context.clone(), stream, graceful.watcher()));
+                let served =
+                    serve_connection(context.clone(), stream, shutdown.clone(), open.clone());
+                tokio::spawn(served);
             }
             Err(error) => {
                 // For example too many open files; the pause keeps the loop from spinning.
--- a/crates/yuccatack_entry/tests/common/mod.rs
+++ b/crates/yuccatack_entry/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use yuccatack_agent::{AgentError, AgentInputs};
@@ -64,14 +65,16 @@
         &self,
         node: NodeName,
         incarnation: Incarnation,
+        address: SocketAddr,
         mut reports: watch::Receiver<Option<MinionStatus>>,
     ) {
         let view = self.clone();
         tokio::spawn(async move {
             while reports.changed().await.is_ok() {
-                let Some(status) = reports.borrow_and_update().clone() else {
+                let Some(mut status) = reports.borrow_and_update().clone() else {
                     continue;
                 };
+                status.agent_address = address;
                 view.change(|view| {
                     let entry = MinionEntry {
                         node: node.clone(),
@@ -101,14 +104,33 @@
     pub incarnation: Incarnation,
     pub trigger: ShutdownTrigger,
     pub task: JoinHandle<Result<(), AgentError>>,
+    /// Its own runtime, so that a test can kill all of its tasks at once.
+    runtime: Option<Runtime>,
     /// Its own view, so that a test can make it stale.
     pub view: HandMadeView,
 }
 
+impl Drop for AgentProcess {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 impl AgentProcess {
+    /// Ends the process without any goodbye, and waits until its sockets are closed.
+    pub async fn kill(mut self) -> SocketAddr {
+        let runtime = self.runtime.take().unwrap();
+        let timeout = Duration::from_secs(5);
+        tokio::task::spawn_blocking(move || runtime.shutdown_timeout(timeout)).await.unwrap();
+        self.address
+    }
+
     pub async fn start(name: &str, minion: SocketAddr, view: &HandMadeView) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        Self::start_on(name, minion, view, listener).await
+        let address = listener.local_addr().unwrap();
+        Self::start_on(name, minion, view, listener, address).await
     }
 
     pub async fn start_on(
@@ -116,6 +138,7 @@
         minion: SocketAddr,
         view: &HandMadeView,
         listener: TcpListener,
+        seen_address: SocketAddr,
     ) -> Self {
         let address = listener.local_addr().unwrap();
         let node = NodeName::new(name).unwrap();
@@ -135,12 +158,19 @@
         };
         let incarnation = Incarnation::random();
         let (reports, reports_receiver) = watch::channel(None);
-        view.follow(node.clone(), incarnation, reports_receiver);
+        view.follow(node.clone(), incarnation, seen_address, reports_receiver);
         let own_view = HandMadeView::new();
-        let inputs = AgentInputs { listener, incarnation, view: own_view.handle(), reports };
+        let handle = own_view.handle();
         let (trigger, shutdown) = shutdown_channel();
-        let task = tokio::spawn(yuccatack_agent::serve(settings, inputs, shutdown));
-        Self { node, address, incarnation, trigger, task, view: own_view }
+        let listener = listener.into_std().unwrap();
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+        let task = runtime.spawn(async move {
+            let listener = TcpListener::from_std(listener).unwrap();
+            let inputs = AgentInputs { listener, incarnation, view: handle, reports };
+            yuccatack_agent::serve(settings, inputs, shutdown).await
+        });
+        let runtime = Some(runtime);
+        Self { node, address, incarnation, trigger, task, runtime, view: own_view }
     }
 }
 
--- a/crates/yuccatack_telemetry/src/process.rs
+++ b/crates/yuccatack_telemetry/src/process.rs
@@ -9,7 +9,7 @@
 use crate::{BurnReport, BurnReporter, Metrics, MetricsServer, MetricsServerError, Readiness};
 
 /// The metrics of a process, with the tasks that serve them.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Telemetry {
     /// Where the duties of the process count.
     pub metrics: Metrics,
@@ -20,6 +20,13 @@
 }
 
 impl Telemetry {
+    /// Telemetry that nobody samples or serves, for tests and for roles that share a process.
+    pub fn unserved() -> Self {
+        let metrics = Metrics::new();
+        let (_, burn_reports) = BurnReporter::new(metrics.objectives.clone());
+        Self { metrics, readiness: watch::Sender::new(Readiness::default()), burn_reports }
+    }
+
     /// Starts to sample objectives and, with an address, to serve metrics, health and the report.
     ///
     /// The tasks end when the process aborts.
--- a/tests/metrics_scrape.rs
+++ b/tests/metrics_scrape.rs
@@ -9,7 +9,8 @@
 
 use serde_json::json;
 use support::{
-    Deployment, STEP_LIMIT, complete_request, job, organisation, service, submit, wait_for_job, wait_for_worker,
+    Deployment, STEP_LIMIT, complete_request, job, organisation, service, submit, wait_for_job,
+    wait_for_worker,
 };
 use yuccatack_stand_ins::CallerStandIn;
 
