--- a/crates/yuccatack_leases/src/apply.rs
+++ b/crates/yuccatack_leases/src/apply.rs
@@ -49,6 +49,9 @@
             LeaseCommand::LoseWorker { worker, registration_number, at } => {
                 self.lose_worker(&worker, registration_number, at)
             }
+            LeaseCommand::ReleaseOnProbation { worker, at } => {
+                self.release_on_probation(&worker, at)
+            }
             LeaseCommand::BeginAttempt(begin) => self.begin_attempt(&begin),
             LeaseCommand::ConfirmPrepared { job, epoch, indexes, at } => {
                 self.confirm_prepared(&job, epoch, &indexes, at)
--- a/crates/yuccatack_leases/src/begin.rs
+++ b/crates/yuccatack_leases/src/begin.rs
@@ -124,15 +124,17 @@
         }
     }
 
-    /// Whether the attempt probes a quarantined worker: one task of a job that may be repeated.
+    /// Whether the attempt probes a quarantined worker: all tasks there, of a job that may be
+    /// repeated.
     fn is_probe(&self, begin: &BeginAttempt, part: &Assignment) -> bool {
         let Some(worker) = self.worker_at(part.worker) else { return false };
         let Some(job) = self.jobs.get(&begin.job) else { return false };
         let due = match worker.health {
-            WorkerHealth::Quarantined { probe_at, .. } => probe_at <= begin.at,
+            WorkerHealth::Quarantined { probe_at } => probe_at <= begin.at,
             WorkerHealth::Healthy | WorkerHealth::Lost { .. } => false,
         };
-        due && worker.tasks.is_empty() && job.spec.shape.task_count == 1 && job.spec.idempotent
+        let whole = job.spec.shape.task_count == part.task_count;
+        due && worker.tasks.is_empty() && whole && job.spec.idempotent
     }
 
     fn may_claim(&self, begin: &BeginAttempt, claim: &Claim, parts: &[Assignment]) -> bool {
--- a/crates/yuccatack_leases/src/health.rs
+++ b/crates/yuccatack_leases/src/health.rs
@@ -14,13 +14,43 @@
 /// A lost worker is forgotten after this time.
 const WORKER_RETENTION: DurationMs = DurationMs::from_seconds(3600);
 
+impl WorkerEntry {
+    fn postpone_probe(&mut self, at: TimestampMs) {
+        let probe_at = at + DurationMs::new(self.backoff_ms);
+        self.health = WorkerHealth::Quarantined { probe_at };
+        self.backoff_ms = (self.backoff_ms * 2).min(PROBE_WAIT_LIMIT_MS);
+    }
+}
+
 impl LeaseTable {
     pub(crate) fn credit_worker(&mut self, name: &WorkerName) -> Vec<LeaseEvent> {
         let Some(worker) = self.workers.get_mut(name) else { return Vec::new() };
         worker.failed_jobs.clear();
+        worker.backoff_ms = FIRST_PROBE_WAIT_MS;
         if !matches!(worker.health, WorkerHealth::Quarantined { .. }) {
             return Vec::new();
         }
+        self.restore_worker(name)
+    }
+
+    /// Lets a quarantined worker serve without a probe, because no waiting job can be one. The
+    /// next failure quarantines it again, for longer.
+    pub(crate) fn release_on_probation(
+        &mut self,
+        name: &WorkerName,
+        at: TimestampMs,
+    ) -> Vec<LeaseEvent> {
+        let Some(worker) = self.workers.get_mut(name) else { return Vec::new() };
+        match worker.health {
+            WorkerHealth::Quarantined { probe_at } if probe_at <= at => {}
+            _ => return Vec::new(),
+        }
+        worker.failed_jobs.pop_first();
+        self.restore_worker(name)
+    }
+
+    fn restore_worker(&mut self, name: &WorkerName) -> Vec<LeaseEvent> {
+        let Some(worker) = self.workers.get_mut(name) else { return Vec::new() };
         worker.health = WorkerHealth::Healthy;
         let index = worker.index;
         self.quarantined.remove(name);
@@ -46,12 +76,9 @@
         let mut quarantine = false;
         match worker.health {
             WorkerHealth::Healthy if full => quarantine = true,
-            WorkerHealth::Quarantined { backoff_ms, .. } => {
+            WorkerHealth::Quarantined { .. } => {
                 healthy = false;
-                worker.health = WorkerHealth::Quarantined {
-                    probe_at: at + DurationMs::new(backoff_ms),
-                    backoff_ms: (backoff_ms * 2).min(PROBE_WAIT_LIMIT_MS),
-                };
+                worker.postpone_probe(at);
             }
             WorkerHealth::Healthy | WorkerHealth::Lost { .. } => {}
         }
@@ -69,10 +96,7 @@
 
     fn quarantine(&mut self, name: &WorkerName, at: TimestampMs) -> Vec<LeaseEvent> {
         let Some(worker) = self.workers.get_mut(name) else { return Vec::new() };
-        worker.health = WorkerHealth::Quarantined {
-            probe_at: at + DurationMs::new(FIRST_PROBE_WAIT_MS),
-            backoff_ms: 2 * FIRST_PROBE_WAIT_MS,
-        };
+        worker.postpone_probe(at);
         worker.quarantine_count += 1;
         let index = worker.index;
         self.quarantined.insert(name.clone());
@@ -119,6 +143,7 @@
             health: WorkerHealth::Healthy,
             tasks: Default::default(),
             failed_jobs: Default::default(),
+            backoff_ms: FIRST_PROBE_WAIT_MS,
             quarantine_count,
         };
         self.workers.insert(name.clone(), entry);
--- a/crates/yuccatack_leases/src/message.rs
+++ b/crates/yuccatack_leases/src/message.rs
@@ -51,6 +51,13 @@
         /// When the margin had ended.
         at: TimestampMs,
     },
+    /// Lets a quarantined worker serve again although no job could probe it.
+    ReleaseOnProbation {
+        /// The worker.
+        worker: WorkerName,
+        /// When the leader decided it.
+        at: TimestampMs,
+    },
     /// Places a gang. Refused as a whole when any part of it no longer fits.
     BeginAttempt(BeginAttempt),
     /// Records that workers hold prepared tasks.
--- a/crates/yuccatack_leases/src/schedule.rs
+++ b/crates/yuccatack_leases/src/schedule.rs
@@ -20,6 +20,8 @@
 const MAX_SCANNED: usize = 128;
 /// Searches of one call, successful or not.
 const MAX_SEARCHES: usize = 256;
+/// A quarantined worker that no waiting job can probe serves again after this time.
+const PROBATION_AFTER: DurationMs = DurationMs::from_seconds(60);
 /// A batch job that waited this long is treated like a standard one.
 const AGING_LIMIT: DurationMs = DurationMs::from_seconds(30 * 60);
 
@@ -82,6 +84,7 @@
     pub(crate) profile: DemandProfile,
     pub(crate) reservation: Option<Reservation>,
     pub(crate) search_count: usize,
+    pub(crate) decided: FastHashSet<&'a JobName>,
     pub(crate) commands: Vec<LeaseCommand>,
 }
 
@@ -108,16 +111,17 @@
             profile: profile(table),
             reservation: None,
             search_count: 0,
+            decided: FastHashSet::default(),
             commands: Vec::new(),
         }
     }
 
     fn run(&mut self, volatile: &mut Volatile) {
+        self.probe_quarantined();
         if self.table.waiting.is_empty() {
             volatile.starved = None;
             return;
         }
-        self.probe_quarantined();
         self.place_class(PriorityClass::Urgent);
         self.place_starved(volatile);
         self.place_class(PriorityClass::Standard);
@@ -225,7 +229,11 @@
     fn try_place(&mut self, name: &'a JobName) -> bool {
         let table = self.table;
         let Some(job) = table.jobs.get(name) else { return false };
-        if self.is_full() || !job.may_start_again() || !self.within_quota(job) {
+        if self.is_full()
+            || self.decided.contains(name)
+            || !job.may_start_again()
+            || !self.within_quota(job)
+        {
             return false;
         }
         let excluded: Vec<WorkerIndex> = job
@@ -308,6 +316,7 @@
         parts: Vec<Assignment>,
         claim: Option<Claim>,
     ) {
+        self.decided.insert(name);
         let firm = claim.is_none() && !job.spec.is_reclaimable();
         for part in &parts {
             if let Some(amount) = job.spec.shape.task.checked_mul(part.task_count) {
@@ -345,32 +354,37 @@
         let table = self.table;
         for name in &table.quarantined {
             let Some(worker) = table.workers.get(name) else { continue };
-            let due = match worker.health {
-                WorkerHealth::Quarantined { probe_at, .. } => probe_at <= self.now,
-                WorkerHealth::Healthy | WorkerHealth::Lost { .. } => false,
-            };
-            if due && worker.tasks.is_empty() {
-                self.probe(worker.index, &worker.resources);
+            let WorkerHealth::Quarantined { probe_at } = worker.health else { continue };
+            if probe_at > self.now || !worker.tasks.is_empty() {
+                continue;
+            }
+            let probed = self.probe(worker.index, &worker.resources);
+            if !probed && self.now.since(probe_at) >= PROBATION_AFTER {
+                let worker = name.clone();
+                self.commands.push(LeaseCommand::ReleaseOnProbation { worker, at: self.now });
             }
         }
     }
 
-    fn probe(&mut self, worker: WorkerIndex, resources: &Resources) {
+    fn probe(&mut self, worker: WorkerIndex, resources: &Resources) -> bool {
         let table = self.table;
         let classes = [PriorityClass::Batch, PriorityClass::Standard];
         let suitable = |name: &&'a JobName| {
             table.jobs.get(*name).is_some_and(|job| {
                 let spec = &job.spec;
-                let small = spec.shape.task_count == 1 && resources.contains(&spec.shape.task);
-                small && spec.idempotent && job.failed_on.is_empty() && self.within_quota(job)
+                let whole = spec.shape.task.checked_mul(spec.shape.task_count);
+                let fits = whole.is_some_and(|whole| resources.contains(&whole));
+                fits && spec.idempotent && job.failed_on.is_empty() && self.within_quota(job)
             })
         };
         let heads = table.waiting.values().flat_map(|waiting| {
             classes.iter().flat_map(|class| waiting.class(*class).take(MAX_SCANNED))
         });
-        let Some(name) = heads.map(|(_, job)| job).find(suitable) else { return };
-        let Some(job) = table.jobs.get(name) else { return };
-        self.decide(name, job, vec![Assignment { worker, task_count: 1 }], None);
+        let Some(name) = heads.map(|(_, job)| job).find(suitable) else { return false };
+        let Some(job) = table.jobs.get(name) else { return false };
+        let task_count = job.spec.shape.task_count;
+        self.decide(name, job, vec![Assignment { worker, task_count }], None);
+        true
     }
 }
 
--- a/crates/yuccatack_leases/src/worker.rs
+++ b/crates/yuccatack_leases/src/worker.rs
@@ -32,6 +32,8 @@
     pub tasks: BTreeSet<TaskKey>,
     /// Different jobs that failed here since the last success, as many as matter.
     pub failed_jobs: BTreeSet<JobName>,
+    /// The wait before the first probe of the next quarantine; reset by a success.
+    pub backoff_ms: u64,
     /// How often it was quarantined.
     pub quarantine_count: u32,
 }
@@ -45,8 +47,6 @@
     Quarantined {
         /// When the next probe is due.
         probe_at: TimestampMs,
-        /// The wait before the probe after the next.
-        backoff_ms: u64,
     },
     /// Its lease has ended.
     Lost {
--- a/crates/yuccatack_leases/tests/random_faults.rs
+++ b/crates/yuccatack_leases/tests/random_faults.rs
@@ -1,5 +1,5 @@
 //! Long randomised runs over workers that fail, lie, lag, freeze and come back.
-#![allow(clippy::unwrap_used, missing_docs)]
+#![allow(clippy::unwrap_used, clippy::print_stdout, missing_docs)]
 
 mod support;
 
--- a/crates/yuccatack_leases/tests/support/mod.rs
+++ b/crates/yuccatack_leases/tests/support/mod.rs
@@ -198,9 +198,17 @@
             // Messages that waited in the socket of a frozen process arrive with the thaw.
             let arrived: Vec<_> = worker.downlink.extract_if(.., |(at, ..)| *at <= now).collect();
             for (_, sent_at, reply) in arrived {
+                if reply.sequence != worker.model.sequence() {
+                    continue;
+                }
+                let answered = !reply.acknowledged.is_empty() || !reply.commands.is_empty();
                 let lease = reply.lease;
                 changed |= worker.model.follow(&reply, TimestampMs::new(sent_at), time);
-                let next = if lease.is_none() { now + 200 } else { sent_at + 2_000 };
+                let next = match lease {
+                    None => now + 200,
+                    Some(_) if answered => now,
+                    Some(_) => sent_at + 2_000,
+                };
                 worker.next_heartbeat = next.max(now);
             }
             if changed || now >= worker.next_heartbeat {
--- a/crates/yuccatack_stand_ins/src/worker_model.rs
+++ b/crates/yuccatack_stand_ins/src/worker_model.rs
@@ -152,6 +152,11 @@
         self.tasks.iter().filter(|(_, task)| task.is_active()).map(|(reference, _)| reference)
     }
 
+    /// The sequence of the last heartbeat; replies to earlier ones are of no use.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
     /// The next heartbeat.
     pub fn heartbeat(&mut self) -> HeartbeatReport {
         self.sequence += 1;
