--- a/crates/yuccatack_view/src/limits.rs
+++ b/crates/yuccatack_view/src/limits.rs
@@ -9,12 +9,13 @@
 /// How often a node reports without a change. Six reports fit into [`FRESHNESS`], so that a lost
 /// one and a change of leader (under 1 s) do not stop work.
 pub const REPORT_INTERVAL: DurationMs = DurationMs::new(500);
-/// The leader drops a minion after this silence. It is half of [`FRESHNESS`], because the entries
-/// must also hear of it, or lose their own confirmation, before 3 s have passed.
-pub const MINION_SILENCE: DurationMs = DurationMs::new(1_500);
-/// How long a minion may get work after the leader last heard from it. The 0.2 s to the limit of
-/// 3 s allow for the time that the minion's last report was on its way.
-pub const MINION_WINDOW: DurationMs = DurationMs::new(2_800);
+/// The leader drops a minion after this silence. It is well below the limit of 3 s, because the
+/// entries must also hear of it, or lose their own confirmation, before that; and well above the
+/// 0.9 s to which the proof of life of a healthy minion ages between two reports.
+pub const MINION_SILENCE: DurationMs = DurationMs::new(1_800);
+/// How long a minion may get work after its proof of life; 0.1 s below the limit of 3 s for clocks
+/// that run at different rates.
+pub const MINION_WINDOW: DurationMs = DurationMs::new(2_900);
 /// A stream without any message for this long is replaced by the node and cut by the leader.
 pub const STREAM_SILENCE: DurationMs = DurationMs::new(1_500);
 /// The leader forgets a node after this silence; from [`FRESHNESS`] on it has no effect any more.
--- a/crates/yuccatack_view/src/message.rs
+++ b/crates/yuccatack_view/src/message.rs
@@ -36,6 +36,8 @@
     pub minion: Option<MinionStatus>,
     /// Whether it shuts down on purpose.
     pub leaving: bool,
+    /// The newest acknowledgement received on this stream; 0 for none.
+    pub received_acknowledgement: u64,
 }
 
 /// A record on its way to the nodes.
@@ -95,7 +97,7 @@
     pub revision: Revision,
     /// The newest report whose receipt is followed by a confirmation of leadership; 0 for none.
     pub acknowledged_sequence: u64,
-    /// The silence of the quietest minion listed on this stream.
+    /// An upper bound for the silence of every minion listed on this stream.
     pub oldest_minion_age: DurationMs,
     /// What changed; `None` when only the acknowledgement is new.
     pub body: Option<UpdateBody>,
--- a/crates/yuccatack_view/src/publisher/actor.rs
+++ b/crates/yuccatack_view/src/publisher/actor.rs
@@ -94,8 +94,9 @@
 
     /// Tells that a quorum confirmed this replica's leadership after `confirmed_at`.
     ///
-    /// The control process reads the clock, then completes a read index, then calls this, several
-    /// times a second: nodes are fresh only through reports that a confirmation follows.
+    /// Several times a second, the control process reads the clock, completes a read index, applies
+    /// and publishes every change up to that index, and then calls this. Nodes are fresh only
+    /// through reports that a confirmation follows.
     pub async fn confirm_leadership(&self, confirmed_at: Instant) {
         self.send(PublisherMessage::ConfirmLeadership { confirmed_at }).await;
     }
@@ -195,11 +196,11 @@
         let now = self.clock.now();
         match message {
             PublisherMessage::Reset { revision, records } => {
-                self.state.reset(revision, records);
+                self.state.reset(revision, records, now);
                 self.end_streams(None);
             }
             PublisherMessage::Publish(update) => {
-                self.state.publish(update);
+                self.state.publish(update, now);
                 self.pend_all();
             }
             PublisherMessage::BecomeLeader => {
--- a/crates/yuccatack_view/src/publisher/nodes.rs
+++ b/crates/yuccatack_view/src/publisher/nodes.rs
@@ -16,6 +16,8 @@
 struct Process {
     applied_revision: Revision,
     last_report_at: TimestampMs,
+    /// A time after which it was alive for certain; see `Stream::report`.
+    alive_at: Option<TimestampMs>,
     /// The order in which processes were first heard of.
     first_seen: u64,
     minion: Option<Arc<MinionEntry>>,
@@ -34,8 +36,8 @@
     pub route_version: u64,
     /// Changes with every change of the entry.
     pub load_version: u64,
-    /// When its node last reported.
-    pub last_report_at: TimestampMs,
+    /// A time after which its node was alive for certain.
+    pub alive_at: TimestampMs,
 }
 
 /// The nodes that reported to this leader.
@@ -48,8 +50,8 @@
 }
 
 impl NodeTable {
-    /// Takes a report in.
-    pub fn report(&mut self, report: &Report, now: TimestampMs) {
+    /// Takes a report in. A minion is listed once it has a proof of life.
+    pub fn report(&mut self, report: &Report, alive_at: Option<TimestampMs>, now: TimestampMs) {
         self.version += 1;
         let version = self.version;
         let entry = report.minion.clone().map(|mut status| {
@@ -67,12 +69,14 @@
         let process = self.processes.entry(key).or_insert_with(|| Process {
             applied_revision: Revision::default(),
             last_report_at: now,
+            alive_at: None,
             first_seen: version,
             minion: None,
             route_version: version,
             load_version: version,
         });
         process.last_report_at = now;
+        process.alive_at = process.alive_at.max(alive_at);
         process.applied_revision = process.applied_revision.max(report.applied_revision);
         if process.minion != entry {
             if routes_differ(process.minion.as_deref(), entry.as_deref()) {
@@ -90,7 +94,7 @@
         let silent: Vec<NodeName> = self
             .minions
             .iter()
-            .filter(|(_, minion)| now.since(minion.last_report_at) >= MINION_SILENCE)
+            .filter(|(_, minion)| now.since(minion.alive_at) >= MINION_SILENCE)
             .map(|(node, _)| node.clone())
             .collect();
         for node in silent {
@@ -124,7 +128,7 @@
             .collect()
     }
 
-    /// Lists the minion of the newest process of a node, if that is not silent.
+    /// Lists the minion of the newest process of a node, if that is alive.
     fn list_minion(&mut self, node: &NodeName, now: TimestampMs) {
         let least = (node.clone(), Incarnation::new(0));
         let most = (node.clone(), Incarnation::new(u64::MAX));
@@ -132,14 +136,14 @@
             .processes
             .range(least..=most)
             .map(|(_, process)| process)
-            .max_by_key(|process| process.first_seen)
-            .filter(|process| now.since(process.last_report_at) < MINION_SILENCE);
+            .max_by_key(|process| process.first_seen);
         let listed = newest.and_then(|process| {
+            let alive_at = process.alive_at.filter(|at| now.since(*at) < MINION_SILENCE)?;
             Some(ListedMinion {
                 entry: Arc::clone(process.minion.as_ref()?),
                 route_version: process.route_version,
                 load_version: process.load_version,
-                last_report_at: process.last_report_at,
+                alive_at,
             })
         });
         let earlier = self.minions.get(node).map(|minion| minion.route_version);
--- a/crates/yuccatack_view/src/publisher/state.rs
+++ b/crates/yuccatack_view/src/publisher/state.rs
@@ -1,6 +1,6 @@
 //! The decisions of the leader's side of the view, free of I/O and clocks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -13,6 +13,9 @@
 use crate::message::{Delta, NodeRole, PublishedRecord, RecordUpdate, Report, Update, UpdateBody};
 use crate::state::MinionEntry;
 
+/// Revisions that may wait for a confirmation of leadership, which comes several times a second.
+const MAX_UNCONFIRMED_REVISIONS: usize = 10_000;
+
 /// The number of a stream within one process.
 pub type StreamId = u64;
 
@@ -46,6 +49,10 @@
     records: PublishedRecords,
     nodes: NodeTable,
     streams: BTreeMap<StreamId, Stream>,
+    /// Revisions published since the last confirmation of leadership, oldest first.
+    unconfirmed: VecDeque<(Revision, TimestampMs)>,
+    /// The newest revision whose publication was followed by a confirmation of leadership.
+    confirmed_revision: Revision,
 }
 
 impl Default for PublisherState {
@@ -55,6 +62,8 @@
             records: PublishedRecords::default(),
             nodes: NodeTable::default(),
             streams: BTreeMap::new(),
+            unconfirmed: VecDeque::new(),
+            confirmed_revision: Revision::default(),
         }
     }
 }
@@ -66,13 +75,15 @@
     }
 
     /// Replaces all records.
-    pub fn reset(&mut self, revision: Revision, records: Vec<PublishedRecord>) {
+    pub fn reset(&mut self, revision: Revision, records: Vec<PublishedRecord>, now: TimestampMs) {
         self.records.reset(revision, records);
+        self.await_confirmation(now);
     }
 
     /// Takes one committed change in, on leaders and followers alike.
-    pub fn publish(&mut self, update: RecordUpdate) {
+    pub fn publish(&mut self, update: RecordUpdate, now: TimestampMs) {
         self.records.apply(update);
+        self.await_confirmation(now);
     }
 
     /// This replica leads from now on; what it knew of nodes from an earlier term is void.
@@ -80,12 +91,16 @@
         self.leadership = Leadership::Leader { since: now };
         self.nodes = NodeTable::default();
         self.streams.clear();
+        self.confirmed_revision = Revision::default();
+        self.unconfirmed.clear();
+        self.await_confirmation(now);
     }
 
     /// This replica does not lead; every stream ends.
     pub fn become_follower(&mut self, leader: Option<SocketAddr>) {
         self.leadership = Leadership::Follower { leader };
         self.streams.clear();
+        self.unconfirmed.clear();
     }
 
     /// Opens a stream.
@@ -107,15 +122,21 @@
     /// Takes a report of an open stream in; one of a stream that was cut changes nothing.
     pub fn report(&mut self, stream: StreamId, report: &Report, now: TimestampMs) {
         let Some(stream) = self.streams.get_mut(&stream) else { return };
-        stream.report(report, now);
-        self.nodes.report(report, now);
+        let alive_at = stream.report(report, now);
+        self.nodes.report(report, alive_at, now);
     }
 
     /// A quorum confirmed, after `confirmed_at`, that this replica leads.
     ///
     /// Reports received before that are acknowledged: no other leader can have committed a change
-    /// before a node sent them.
+    /// before a node sent them. Every change committed by then must have been published here.
     pub fn confirm_leadership(&mut self, confirmed_at: TimestampMs) {
+        while let Some((revision, published_at)) = self.unconfirmed.front().copied()
+            && published_at < confirmed_at
+        {
+            self.confirmed_revision = revision;
+            self.unconfirmed.pop_front();
+        }
         for stream in self.streams.values_mut() {
             stream.confirm(confirmed_at);
         }
@@ -159,8 +180,22 @@
             // Nodes that reported only to the leader before are not known here until then.
             Leadership::Leader { since } => now.since(since) > FRESHNESS + CLOCK_MARGIN,
         };
-        let published = revision <= self.records.revision();
-        InForce { everywhere: settled && published && missing_nodes.is_empty(), missing_nodes }
+        // A deposed leader does not know the nodes that follow the new one.
+        let confirmed = revision <= self.confirmed_revision;
+        InForce { everywhere: settled && confirmed && missing_nodes.is_empty(), missing_nodes }
+    }
+
+    fn await_confirmation(&mut self, now: TimestampMs) {
+        match self.leadership {
+            Leadership::Follower { .. } => {}
+            Leadership::Leader { .. } => {
+                self.unconfirmed.push_back((self.records.revision(), now));
+                // Without the oldest entry its revision is confirmed together with the next one.
+                if self.unconfirmed.len() > MAX_UNCONFIRMED_REVISIONS {
+                    self.unconfirmed.pop_front();
+                }
+            }
+        }
     }
 
     /// [`Self::in_force`] without the names.
@@ -193,11 +228,10 @@
         }
         stream.started = true;
         stream.sent_revision = revision;
-        stream.acknowledged = stream.acknowledgeable;
+        let acknowledged_sequence = stream.acknowledge(now);
         let ages = stream.minions.keys().filter_map(|node| minions.get(node));
         let oldest_minion_age =
-            ages.map(|minion| now.since(minion.last_report_at)).max().unwrap_or_default();
-        let acknowledged_sequence = stream.acknowledged;
+            ages.map(|minion| now.since(minion.alive_at)).max().unwrap_or_default();
         Some(Update { revision, acknowledged_sequence, oldest_minion_age, body })
     }
 }
--- a/crates/yuccatack_view/src/publisher/stream.rs
+++ b/crates/yuccatack_view/src/publisher/stream.rs
@@ -19,6 +19,9 @@
     pub load_version: u64,
 }
 
+/// Acknowledgements whose time is remembered until a report shows that they were received.
+const MAX_UNANSWERED_ACKNOWLEDGEMENTS: usize = 32;
+
 /// One view stream.
 #[derive(Debug)]
 pub struct Stream {
@@ -31,6 +34,10 @@
     unconfirmed: VecDeque<(u64, TimestampMs)>,
     pub(super) acknowledgeable: u64,
     pub(super) acknowledged: u64,
+    /// When each acknowledgement was sent, oldest first.
+    acknowledgements: VecDeque<(u64, TimestampMs)>,
+    /// A time after which the node was alive for certain.
+    alive_at: Option<TimestampMs>,
     pub(super) minions: BTreeMap<NodeName, SentMinion>,
     pub(super) seen_route_version: Option<u64>,
     pub(super) load_sent_at: TimestampMs,
@@ -47,14 +54,18 @@
             unconfirmed: VecDeque::new(),
             acknowledgeable: 0,
             acknowledged: 0,
+            acknowledgements: VecDeque::new(),
+            alive_at: None,
             minions: BTreeMap::new(),
             seen_route_version: None,
             load_sent_at: now,
         }
     }
 
-    /// Takes a report in.
-    pub fn report(&mut self, report: &Report, now: TimestampMs) {
+    /// Takes a report in; returns a time at or after which the node sent it, if one is certain.
+    ///
+    /// The time of receipt is of no use: a report may have been on its way for long.
+    pub fn report(&mut self, report: &Report, now: TimestampMs) -> Option<TimestampMs> {
         self.last_report_at = now;
         if self.role.is_none() {
             self.role = Some(report.role);
@@ -64,6 +75,25 @@
         if self.unconfirmed.len() > MAX_UNCONFIRMED_REPORTS {
             self.unconfirmed.pop_front();
         }
+        while let Some((sequence, sent_at)) = self.acknowledgements.front()
+            && *sequence <= report.received_acknowledgement
+        {
+            self.alive_at = Some(*sent_at);
+            self.acknowledgements.pop_front();
+        }
+        self.alive_at
+    }
+
+    /// Notes that everything acknowledgeable is being acknowledged.
+    pub fn acknowledge(&mut self, now: TimestampMs) -> u64 {
+        if self.acknowledged != self.acknowledgeable {
+            self.acknowledged = self.acknowledgeable;
+            self.acknowledgements.push_back((self.acknowledged, now));
+            if self.acknowledgements.len() > MAX_UNANSWERED_ACKNOWLEDGEMENTS {
+                self.acknowledgements.pop_front();
+            }
+        }
+        self.acknowledged
     }
 
     /// Makes the reports that were received before `confirmed_at` ready for acknowledgement.
--- a/crates/yuccatack_view/src/subscriber/actor.rs
+++ b/crates/yuccatack_view/src/subscriber/actor.rs
@@ -17,7 +17,7 @@
 /// The shortest pause before a new attempt to connect.
 const LEAST_BACKOFF: Duration = Duration::from_millis(20);
 /// The longest pause; a node must find a new leader well within its 3 s of freshness.
-const MOST_BACKOFF: Duration = Duration::from_millis(500);
+const MOST_BACKOFF: Duration = Duration::from_millis(250);
 /// Hints followed without a pause; more in a row mean that replicas point at each other.
 const MAX_HINTS_IN_A_ROW: u32 = 3;
 
@@ -134,12 +134,11 @@
                         Err(error) => return error,
                     };
                     silent_at = tokio::time::Instant::now() + Duration::from(STREAM_SILENCE);
-                    let earlier = self.state.view().revision;
-                    if let Err(error) = self.state.apply(update, self.clock.now()) {
-                        return ConnectionError::Update { error };
+                    match self.state.apply(update, self.clock.now()) {
+                        Ok(report_due) => report_now = report_due,
+                        Err(error) => return ConnectionError::Update { error },
                     }
                     self.publish();
-                    report_now = self.state.view().revision != earlier;
                 }
                 changed = self.reports.changed(), if self.reports_open => match changed {
                     Ok(()) => report_now = self.route_changed(),
--- a/crates/yuccatack_view/src/subscriber/state.rs
+++ b/crates/yuccatack_view/src/subscriber/state.rs
@@ -71,6 +71,8 @@
     sequence: u64,
     /// Reports of the current stream without an acknowledgement, oldest first.
     sent: VecDeque<(u64, TimestampMs)>,
+    /// The newest acknowledgement on the current stream.
+    received_acknowledgement: u64,
     /// When the newest acknowledged report of the current stream was sent.
     confirmed_at: Option<TimestampMs>,
     fresh_until: Option<TimestampMs>,
@@ -88,6 +90,7 @@
             view: Arc::default(),
             sequence: 0,
             sent: VecDeque::new(),
+            received_acknowledgement: 0,
             confirmed_at: None,
             fresh_until: None,
             listed: BTreeMap::new(),
@@ -114,6 +117,7 @@
     /// A new stream starts: acknowledgements of the earlier one do not count any more.
     pub fn start_stream(&mut self) {
         self.sent.clear();
+        self.received_acknowledgement = 0;
         self.confirmed_at = None;
         self.listed.clear();
     }
@@ -135,12 +139,17 @@
             applied_revision: self.view.revision,
             minion,
             leaving,
+            received_acknowledgement: self.received_acknowledgement,
         }
     }
 
     /// Applies an update of the current stream; an error leaves the view as it was.
-    pub fn apply(&mut self, update: Update, now: TimestampMs) -> Result<(), UpdateError> {
+    ///
+    /// True means that a report is due at once: the revision changed, or the stream brought its
+    /// first acknowledgement, which proves to the leader that the node is alive.
+    pub fn apply(&mut self, update: Update, now: TimestampMs) -> Result<bool, UpdateError> {
         let applied = self.view.revision;
+        let had_acknowledgement = self.received_acknowledgement > 0;
         if update.revision < applied {
             return Err(UpdateError::OlderLeader { offered: update.revision, applied });
         }
@@ -154,7 +163,8 @@
         self.acknowledge(update.acknowledged_sequence);
         self.extend_minions(update.oldest_minion_age);
         self.list_minions(now);
-        Ok(())
+        let first_acknowledgement = !had_acknowledgement && self.received_acknowledgement > 0;
+        Ok(first_acknowledgement || self.view.revision != applied)
     }
 
     /// Drops the minions whose time has run out; tells whether the view changed.
@@ -202,6 +212,7 @@
     }
 
     fn acknowledge(&mut self, sequence: u64) {
+        self.received_acknowledgement = self.received_acknowledgement.max(sequence);
         while let Some((oldest, sent_at)) = self.sent.front().copied() {
             if oldest > sequence {
                 return;
@@ -212,8 +223,8 @@
         }
     }
 
-    /// The leader heard from each listed minion at most `oldest_age` before it sent the update,
-    /// and it sent the update after this node had sent the confirmed report.
+    /// Each listed minion was alive at most `oldest_age` before the update was sent, and that was
+    /// after this node had sent the confirmed report.
     fn extend_minions(&mut self, oldest_age: DurationMs) {
         let Some(confirmed_at) = self.confirmed_at else { return };
         let window = DurationMs::new(MINION_WINDOW.get().saturating_sub(oldest_age.get()));
--- a/crates/yuccatack_view/src/wire.rs
+++ b/crates/yuccatack_view/src/wire.rs
@@ -54,6 +54,7 @@
             applied_revision: Revision::new(report.applied_revision),
             minion: report.minion.map(MinionStatus::try_from).transpose()?,
             leaving: report.leaving,
+            received_acknowledgement: report.received_acknowledgement,
         })
     }
 }
@@ -73,6 +74,7 @@
             applied_revision: report.applied_revision.get(),
             minion: report.minion.as_ref().map(wire::MinionReport::from),
             leaving: report.leaving,
+            received_acknowledgement: report.received_acknowledgement,
         }
     }
 }
