--- a/crates/yuccatack_records/src/references.rs
+++ b/crates/yuccatack_records/src/references.rs
@@ -25,9 +25,9 @@
     };
     let missing: Vec<String> = missing.iter().map(ToString::to_string).collect();
     let message = format!(
-        "the record refers to {}, which is not in force; submit that first or correct the name, \
-         then send this with a new change id",
-        missing.join(" and ")
+        "the record refers to something that is not in force: {}; submit it first or correct the \
+         name, then send this with a new change id",
+        missing.join(", ")
     );
     Err(Refusal::new(kind, &message))
 }
--- a/crates/yuccatack_records/src/wire/checks.rs
+++ b/crates/yuccatack_records/src/wire/checks.rs
@@ -1,6 +1,6 @@
 //! Checks that collect every problem of a document instead of stopping at the first.
 
-use std::fmt::Display;
+use std::fmt::{Debug, Display};
 
 use yuccatack_core::prelude::*;
 
@@ -58,7 +58,7 @@
         most: Number,
     ) -> Option<Number>
     where
-        Number: Copy + Display + PartialOrd,
+        Number: Copy + Debug + PartialOrd,
     {
         let found = found?;
         if found >= least && found <= most {
@@ -66,9 +66,10 @@
         }
         self.report(RecordProblem::OutOfRange {
             field: field.to_owned(),
-            found: found.to_string(),
-            least: least.to_string(),
-            most: most.to_string(),
+            // `Debug` writes large floating point numbers with an exponent.
+            found: format!("{found:?}"),
+            least: format!("{least:?}"),
+            most: format!("{most:?}"),
         });
         None
     }
@@ -82,7 +83,7 @@
         most: Number,
     ) -> Option<Number>
     where
-        Number: Copy + Display + PartialOrd,
+        Number: Copy + Debug + PartialOrd,
     {
         let found = self.required(field, found);
         self.range(field, found, least, most)
--- a/crates/yuccatack_records/src/wire/document.rs
+++ b/crates/yuccatack_records/src/wire/document.rs
@@ -14,7 +14,7 @@
 /// The longest accepted document; 64 KiB leave room for a long command line.
 pub const MAX_DOCUMENT_LENGTH_BYTES: usize = 64 * 1024;
 /// The most similar key is offered from this similarity on (1 is equal).
-const LEAST_SIMILARITY: f64 = 0.7;
+const LEAST_SIMILARITY: f64 = 0.8;
 
 /// A document that was read without problems.
 #[derive(Clone, Debug, PartialEq)]
@@ -83,19 +83,25 @@
 ) -> Option<Record> {
     match kind {
         RecordKind::Organisation => {
-            read::<v1::OrganisationV1, _>(fields, problems).map(Record::Organisation)
+            read::<v1::OrganisationV1, v2::OrganisationV2, _>(fields, problems)
+                .map(Record::Organisation)
         }
         RecordKind::Guarantee => {
-            read::<v1::GuaranteeV1, _>(fields, problems).map(Record::Guarantee)
+            read::<v1::GuaranteeV1, v2::GuaranteeV2, _>(fields, problems).map(Record::Guarantee)
+        }
+        RecordKind::Job => read::<v1::JobV1, v2::JobV2, _>(fields, problems).map(Record::Job),
+        RecordKind::Policy => {
+            read::<v1::PolicyV1, v2::PolicyV2, _>(fields, problems).map(Record::Policy)
+        }
+        RecordKind::Service => {
+            read::<v1::ServiceV1, v2::ServiceV2, _>(fields, problems).map(Record::Service)
         }
-        RecordKind::Job => read::<v1::JobV1, _>(fields, problems).map(Record::Job),
-        RecordKind::Policy => read::<v1::PolicyV1, _>(fields, problems).map(Record::Policy),
-        RecordKind::Service => read::<v1::ServiceV1, _>(fields, problems).map(Record::Service),
         RecordKind::Objective => {
-            read::<v1::ObjectiveV1, _>(fields, problems).map(Record::Objective)
+            read::<v1::ObjectiveV1, v2::ObjectiveV2, _>(fields, problems).map(Record::Objective)
         }
         RecordKind::Membership => {
-            read::<v1::MembershipV1, _>(fields, problems).map(Record::Membership)
+            read::<v1::MembershipV1, v2_membership::MembershipV2, _>(fields, problems)
+                .map(Record::Membership)
         }
     }
 }
@@ -107,35 +113,52 @@
 ) -> Option<Record> {
     match kind {
         RecordKind::Organisation => {
-            read::<v2::OrganisationV2, _>(fields, problems).map(Record::Organisation)
+            read::<v2::OrganisationV2, v1::OrganisationV1, _>(fields, problems)
+                .map(Record::Organisation)
         }
         RecordKind::Guarantee => {
-            read::<v2::GuaranteeV2, _>(fields, problems).map(Record::Guarantee)
+            read::<v2::GuaranteeV2, v1::GuaranteeV1, _>(fields, problems).map(Record::Guarantee)
+        }
+        RecordKind::Job => read::<v2::JobV2, v1::JobV1, _>(fields, problems).map(Record::Job),
+        RecordKind::Policy => {
+            read::<v2::PolicyV2, v1::PolicyV1, _>(fields, problems).map(Record::Policy)
+        }
+        RecordKind::Service => {
+            read::<v2::ServiceV2, v1::ServiceV1, _>(fields, problems).map(Record::Service)
         }
-        RecordKind::Job => read::<v2::JobV2, _>(fields, problems).map(Record::Job),
-        RecordKind::Policy => read::<v2::PolicyV2, _>(fields, problems).map(Record::Policy),
-        RecordKind::Service => read::<v2::ServiceV2, _>(fields, problems).map(Record::Service),
         RecordKind::Objective => {
-            read::<v2::ObjectiveV2, _>(fields, problems).map(Record::Objective)
+            read::<v2::ObjectiveV2, v1::ObjectiveV1, _>(fields, problems).map(Record::Objective)
         }
         RecordKind::Membership => {
-            read::<v2_membership::MembershipV2, _>(fields, problems).map(Record::Membership)
+            read::<v2_membership::MembershipV2, v1::MembershipV1, _>(fields, problems)
+                .map(Record::Membership)
         }
     }
 }
 
 /// Deserialises a wire type; each key that fails is reported, removed, and the rest tried again.
-fn read<Wire, Internal>(
+///
+/// `OtherWire` is the other schema version of the kind, whose keys get a hint of their own.
+fn read<Wire, OtherWire, Internal>(
     mut fields: Map<String, Value>,
     problems: &mut Vec<RecordProblem>,
 ) -> Option<Internal>
 where
     Wire: DeserializeOwned,
+    OtherWire: DeserializeOwned,
     Internal: TryFrom<Wire, Error = Vec<RecordProblem>>,
 {
     let known = known_keys::<Wire>();
+    let other = known_keys::<OtherWire>();
     for key in fields.keys().filter(|key| !known.contains(&key.as_str())) {
-        let hint = nearest_key(key, known);
+        let hint = if other.contains(&key.as_str()) {
+            format!(
+                "it belongs to another schema version; here known keys are {}",
+                known.join(", ")
+            )
+        } else {
+            nearest_key(key, known)
+        };
         problems.push(RecordProblem::UnknownKey { field: key.clone(), hint });
     }
     fields.retain(|key, _| known.contains(&key.as_str()));
@@ -149,7 +172,10 @@
         let path = error.path().to_string();
         let key = path.split(['.', '[']).next().unwrap_or_default().to_owned();
         let detail = error.into_inner().to_string();
-        problems.push(RecordProblem::WrongType { field: path, detail });
+        problems.push(match nested_unknown_key(&path, &detail) {
+            Some(problem) => problem,
+            None => RecordProblem::WrongType { field: path, detail },
+        });
         fields.shift_remove(&key)?;
     };
     match Internal::try_from(wire) {
@@ -169,6 +195,16 @@
     }
 }
 
+/// Turns the parser's words for an unknown key of a nested object into a problem with a hint.
+fn nested_unknown_key(path: &str, detail: &str) -> Option<RecordProblem> {
+    let rest = detail.strip_prefix("unknown field `")?;
+    // Every second part lies between backticks; the first one is the unknown key.
+    let mut quoted = rest.split('`').step_by(2);
+    let key = quoted.next()?;
+    let known: Vec<&str> = quoted.filter(|part| !part.is_empty()).collect();
+    Some(RecordProblem::UnknownKey { field: path.to_owned(), hint: nearest_key(key, &known) })
+}
+
 fn nearest_key(key: &str, known: &[&str]) -> String {
     let similarity = |candidate: &str| strsim::jaro_winkler(key, candidate);
     let nearest = known.iter().max_by(|a, b| similarity(a).total_cmp(&similarity(b)));
--- a/crates/yuccatack_records/src/wire/v2_membership.rs
+++ b/crates/yuccatack_records/src/wire/v2_membership.rs
@@ -40,11 +40,11 @@
         if name.as_ref().is_some_and(|name| name.as_str() != MEMBERSHIP_NAME) {
             checker.inconsistent("name", "there is one membership record; name it `control`");
         }
-        let replicas = checker.required("replicas", wire.replicas).unwrap_or_default();
-        let count = replicas.len();
-        checker.range("replicas (number of entries)", Some(count), 1, MAX_REPLICA_COUNT);
-        let replicas = check_replicas(&mut checker, replicas);
-        let record = (|| Some(Self { name: name?, replicas }))();
+        let replicas = checker.required("replicas", wire.replicas);
+        let count = replicas.as_ref().map(Vec::len);
+        checker.range("replicas (number of entries)", count, 1, MAX_REPLICA_COUNT);
+        let replicas = replicas.map(|replicas| check_replicas(&mut checker, replicas));
+        let record = (|| Some(Self { name: name?, replicas: replicas? }))();
         checker.finish(record)
     }
 }
