Drop an expired minion at once instead of with the next message

While the view holds a minion whose time has run out, the whole view is not fresh, and the subscriber noticed only with its next message or after an attempt to connect (up to 1.5 s). It now waits for that moment too.

--- a/crates/yuccatack_view/src/subscriber/actor.rs
+++ b/crates/yuccatack_view/src/subscriber/actor.rs
@@ -109,7 +109,8 @@
             }
             hints_in_a_row = 0;
             next = (next + 1) % self.control_addresses.len();
-            self.pause(backoff.mul_f64(rand::random_range(0.5..1.5))).await;
+            let pause = tokio::time::sleep(backoff.mul_f64(rand::random_range(0.5..1.5)));
+            self.expire_during(pause).await;
             backoff = (backoff * 2).min(MOST_BACKOFF);
         }
     }
@@ -118,7 +119,8 @@
     async fn follow(&mut self, address: SocketAddr) -> ConnectionError {
         self.state.start_stream();
         let report = self.next_report();
-        let mut connection = match Connection::open(address, report).await {
+        let opening = Connection::open(address, report);
+        let mut connection = match self.expire_during(opening).await {
             Ok(connection) => connection,
             Err(error) => return error,
         };
@@ -127,6 +129,7 @@
         let mut silent_at = tokio::time::Instant::now() + Duration::from(STREAM_SILENCE);
         loop {
             let mut report_now = false;
+            let expiry = self.expiry();
             tokio::select! {
                 update = connection.next_update() => {
                     let update = match update {
@@ -147,6 +150,7 @@
                 },
                 () = tokio::time::sleep_until(report_at) => report_now = true,
                 () = tokio::time::sleep_until(silent_at) => return ConnectionError::Silent,
+                () = sleep_until_expiry(expiry) => {}
                 () = self.view.closed() => return ConnectionError::Unused,
             }
             self.expire();
@@ -197,9 +201,30 @@
         });
     }
 
-    /// Waits before the next attempt; minions go on expiring meanwhile.
-    async fn pause(&mut self, duration: Duration) {
-        tokio::time::sleep(duration).await;
-        self.expire();
+    fn expiry(&self) -> Option<Instant> {
+        self.state.next_expiry().map(|expiry| self.clock.instant(expiry))
+    }
+
+    /// Waits for `future`. One minion whose time runs out meanwhile is dropped at once, as the view
+    /// is not fresh while it holds such a minion.
+    async fn expire_during<Waiting>(&mut self, future: Waiting) -> Waiting::Output
+    where
+        Waiting: Future,
+    {
+        let mut future = std::pin::pin!(future);
+        loop {
+            tokio::select! {
+                output = &mut future => return output,
+                () = sleep_until_expiry(self.expiry()) => self.expire(),
+            }
+        }
+    }
+}
+
+/// Waits until `expiry`, or for ever when nothing expires.
+async fn sleep_until_expiry(expiry: Option<Instant>) {
+    match expiry {
+        Some(expiry) => tokio::time::sleep_until(expiry.into()).await,
+        None => std::future::pending().await,
     }
 }
--- a/crates/yuccatack_view/src/subscriber/state.rs
+++ b/crates/yuccatack_view/src/subscriber/state.rs
@@ -109,9 +109,14 @@
     /// the view may get work: a process that was suspended must not route by a view that has since
     /// become too old.
     pub fn fresh_until(&self) -> Option<TimestampMs> {
+        let limit = self.fresh_until?;
+        Some(self.next_expiry().map_or(limit, |expiry| limit.min(expiry)))
+    }
+
+    /// When [`Self::expire`] has something to do.
+    pub fn next_expiry(&self) -> Option<TimestampMs> {
         let minions = self.view.minions.keys();
-        let limits = minions.filter_map(|node| self.minion_limits.get(node)).copied();
-        self.fresh_until.map(|limit| limits.fold(limit, TimestampMs::min))
+        minions.filter_map(|node| self.minion_limits.get(node)).copied().min()
     }
 
     /// A new stream starts: acknowledgements of the earlier one do not count any more.
