--- a/crates/yuccatack_view/src/subscriber/actor.rs
+++ b/crates/yuccatack_view/src/subscriber/actor.rs
@@ -17,7 +17,7 @@
 /// The shortest pause before a new attempt to connect.
 const LEAST_BACKOFF: Duration = Duration::from_millis(20);
 /// The longest pause; a node must find a new leader well within its 3 s of freshness.
-const MOST_BACKOFF: Duration = Duration::from_millis(500);
+const MOST_BACKOFF: Duration = Duration::from_millis(250);
 /// Hints followed without a pause; more in a row mean that replicas point at each other.
 const MAX_HINTS_IN_A_ROW: u32 = 3;
 
@@ -109,7 +109,8 @@
             }
             hints_in_a_row = 0;
             next = (next + 1) % self.control_addresses.len();
-            self.pause(backoff.mul_f64(rand::random_range(0.5..1.5))).await;
+            let pause = tokio::time::sleep(backoff.mul_f64(rand::random_range(0.5..1.5)));
+            self.expire_during(pause).await;
             backoff = (backoff * 2).min(MOST_BACKOFF);
         }
     }
@@ -118,7 +119,8 @@
     async fn follow(&mut self, address: SocketAddr) -> ConnectionError {
         self.state.start_stream();
         let report = self.next_report();
-        let mut connection = match Connection::open(address, report).await {
+        let opening = Connection::open(address, report);
+        let mut connection = match self.expire_during(opening).await {
             Ok(connection) => connection,
             Err(error) => return error,
         };
@@ -127,6 +129,7 @@
         let mut silent_at = tokio::time::Instant::now() + Duration::from(STREAM_SILENCE);
         loop {
             let mut report_now = false;
+            let expiry = self.expiry();
             tokio::select! {
                 update = connection.next_update() => {
                     let update = match update {
@@ -134,12 +137,11 @@
                         Err(error) => return error,
                     };
                     silent_at = tokio::time::Instant::now() + Duration::from(STREAM_SILENCE);
-                    let earlier = self.state.view().revision;
-                    if let Err(error) = self.state.apply(update, self.clock.now()) {
-                        return ConnectionError::Update { error };
+                    match self.state.apply(update, self.clock.now()) {
+                        Ok(report_due) => report_now = report_due,
+                        Err(error) => return ConnectionError::Update { error },
                     }
                     self.publish();
-                    report_now = self.state.view().revision != earlier;
                 }
                 changed = self.reports.changed(), if self.reports_open => match changed {
                     Ok(()) => report_now = self.route_changed(),
@@ -148,6 +150,7 @@
                 },
                 () = tokio::time::sleep_until(report_at) => report_now = true,
                 () = tokio::time::sleep_until(silent_at) => return ConnectionError::Silent,
+                () = sleep_until_expiry(expiry) => {}
                 () = self.view.closed() => return ConnectionError::Unused,
             }
             self.expire();
@@ -198,9 +201,30 @@
         });
     }
 
-    /// Waits before the next attempt; minions go on expiring meanwhile.
-    async fn pause(&mut self, duration: Duration) {
-        tokio::time::sleep(duration).await;
-        self.expire();
+    fn expiry(&self) -> Option<Instant> {
+        self.state.next_expiry().map(|expiry| self.clock.instant(expiry))
+    }
+
+    /// Waits for `future`. One minion whose time runs out meanwhile is dropped at once, as the view
+    /// is not fresh while it holds such a minion.
+    async fn expire_during<Waiting>(&mut self, future: Waiting) -> Waiting::Output
+    where
+        Waiting: Future,
+    {
+        let mut future = std::pin::pin!(future);
+        loop {
+            tokio::select! {
+                output = &mut future => return output,
+                () = sleep_until_expiry(self.expiry()) => self.expire(),
+            }
+        }
+    }
+}
+
+/// Waits until `expiry`, or for ever when nothing expires.
+async fn sleep_until_expiry(expiry: Option<Instant>) {
+    match expiry {
+        Some(expiry) => tokio::time::sleep_until(expiry.into()).await,
+        None => std::future::pending().await,
     }
 }
