--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::watch;
 use yuccatack_core::prelude::*;
 use yuccatack_leases::{LeaseCommand, LeaseEvent, LeaseTable, Volatile};
 use yuccatack_records::{Change, ChangeOutcome, RecordKey, RecordKind};
@@ -19,6 +20,7 @@
 use crate::error::ControlFailure;
 use crate::heartbeat;
 use crate::held::{Held, HeldHeartbeats, affected_workers};
+use crate::membership::{WantedReplicas, wanted_replicas};
 use crate::message::{ControlMessage, HeartbeatAnswer, Query, QueryAnswer, Reply};
 use crate::observe;
 use crate::pending::{Pending, PendingProposal, PendingRead, not_leader};
@@ -43,6 +45,8 @@
     pub claim_limits: ClaimLimits,
     /// Metrics and readiness.
     pub telemetry: Telemetry,
+    /// Takes the voters that the membership record wants.
+    pub wanted_replicas: watch::Sender<WantedReplicas>,
 }
 
 /// The actor; its state is [`ControlActorState`].
@@ -94,6 +98,7 @@
     role: Role,
     draining: bool,
     telemetry: Telemetry,
+    wanted_replicas: watch::Sender<WantedReplicas>,
     observed_at: TimestampMs,
 }
 
@@ -117,6 +122,7 @@
             role: Role::Follower { leader_address: None },
             draining: false,
             telemetry: arguments.telemetry,
+            wanted_replicas: arguments.wanted_replicas,
             observed_at: TimestampMs::default(),
         })
     }
@@ -183,6 +189,9 @@
             if matches!(key.kind, RecordKind::Objective | RecordKind::Organisation) {
                 observe::set_objectives(&self.telemetry.metrics, self.state.records());
             }
+            if key.kind == RecordKind::Membership {
+                self.wanted_replicas.send_replace(wanted_replicas(self.state.records()));
+            }
             self.publish(key).await;
         }
         if let ControlOutcome::Leases(events) = &outcome {
@@ -242,6 +251,7 @@
             .map(PublishedRecord::from)
             .collect();
         observe::set_objectives(&self.telemetry.metrics, records);
+        self.wanted_replicas.send_replace(wanted_replicas(records));
         self.publisher.reset(records.revision(), published).await;
         Ok(())
     }
--- a/crates/yuccatack_control/src/lib.rs
+++ b/crates/yuccatack_control/src/lib.rs
@@ -12,6 +12,7 @@
 mod forward;
 mod heartbeat;
 mod held;
+pub mod membership;
 mod message;
 mod observe;
 mod operators;
--- a/crates/yuccatack_control/src/process.rs
+++ b/crates/yuccatack_control/src/process.rs
@@ -7,7 +7,7 @@
 use ractor::{Actor, ActorRef};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
@@ -26,6 +26,7 @@
 use crate::error::{ActorSnafu, ControlError, ListenSnafu, MetricsSnafu, ReplicationSnafu};
 use crate::forward::{Forwarder, WorkersService};
 use crate::generated::workers::workers_server::WorkersServer;
+use crate::membership::reconcile;
 use crate::message::ControlMessage;
 use crate::operators::OperatorsService;
 use crate::workers::serve_workers;
@@ -50,16 +51,19 @@
             .await
             .context(ReplicationSnafu)?;
     let publisher = ViewPublisher::spawn();
+    let (wanted_replicas, wanted) = watch::channel(None);
     let arguments = ControlArguments {
         replication: replication.clone(),
         publisher: publisher.clone(),
         claim_limits: claim_limits(&settings),
         telemetry,
+        wanted_replicas,
     };
     let (actor, actor_task) =
         Actor::spawn(None, ControlActor, arguments).await.context(ActorSnafu)?;
 
     let mut feed = tokio::spawn(feed(committed, actor.clone()));
+    let reconciler = tokio::spawn(reconcile(wanted, replication.clone()));
     let ticker = tokio::spawn(tick(actor.clone()));
     let workers = tokio::spawn(serve_workers(
         worker_listener,
@@ -80,6 +84,7 @@
     };
     workers.abort();
     ticker.abort();
+    reconciler.abort();
     replication.stop().await;
     let _ = tokio::time::timeout(STREAM_GRACE, &mut server).await;
     server.abort();
--- a/crates/yuccatack_control/src/queries.rs
+++ b/crates/yuccatack_control/src/queries.rs
@@ -3,7 +3,7 @@
 use serde_json::{Value, json};
 use yuccatack_core::prelude::*;
 use yuccatack_leases::{JobStatus, LeaseTable, Volatile, WaitReason, WorkerHealth};
-use yuccatack_replication::ReplicationStatus;
+use yuccatack_replication::{LogIndex, ReplicaId, ReplicationStatus};
 use yuccatack_view::{InForce, MinionState, ViewPublisher};
 
 use crate::message::ChangeStatus;
@@ -57,7 +57,26 @@
 }
 
 fn replication_document(replication: &ReplicationStatus) -> Value {
+    let voters: Vec<Value> = replication
+        .voters
+        .iter()
+        .map(|(replica, address)| json!({"replica_id": replica.get(), "address": address}))
+        .collect();
+    let learners: Vec<Value> = replication
+        .learners
+        .iter()
+        .map(|(replica, learner)| {
+            json!({
+                "replica_id": replica.get(),
+                "address": learner.address,
+                "matched_index": learner.matched.map(LogIndex::get),
+            })
+        })
+        .collect();
     json!({
+        "leader": replication.leader.map(ReplicaId::get),
+        "voters": voters,
+        "learners": learners,
         "role": format!("{:?}", replication.role),
         "term": replication.term.get(),
         "commit_index": replication.commit.get(),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -113,6 +113,21 @@
         self.processes.iter_mut().find(|process| process.name == name).unwrap()
     }
 
+    /// Starts a control replica at the next number with an empty data folder.
+    pub fn add_replacement(&mut self) -> usize {
+        let addresses = free_addresses(2);
+        self.control_addresses.push(addresses[0]);
+        self.worker_addresses.push(addresses[1]);
+        let number = self.control_addresses.len();
+        self.add_control(number);
+        number
+    }
+
+    /// Removes the data folder of a killed control replica, like the loss of its disk.
+    pub fn wipe(&self, number: usize) {
+        std::fs::remove_dir_all(self.folder.path().join(format!("data-{number}"))).unwrap();
+    }
+
     fn add_control(&mut self, number: usize) {
         let replicas: Vec<Value> = self
             .control_addresses
