--- a/crates/yuccatack_cli/tests/example_files.rs
+++ b/crates/yuccatack_cli/tests/example_files.rs
@@ -12,12 +12,10 @@
 use support::run;
 use yuccatack_cli::ExitStatus;
 use yuccatack_core::prelude::*;
+use yuccatack_placement::{Cluster, GuaranteedShape, WorkerCell, pack};
 use yuccatack_records::{Change, ChangeOutcome, Operation, Record, RecordStore};
 use yuccatack_settings::{AgentSettings, ControlSettings, EntrySettings, Settings};
 
-/// The accelerators of the 11 workers of each deployment.
-const ACCELERATOR_COUNT: u32 = 88;
-
 struct Deployment {
     controls: Vec<ControlSettings>,
     entries: Vec<EntrySettings>,
@@ -179,26 +177,58 @@
     }
 }
 
+/// 11 workers spread over the data centres, three to a rack.
+fn workers(deployment: &Deployment, task_capacity: Resources) -> Cluster {
+    let mut cluster = Cluster::default();
+    for (number, agent) in deployment.agents.iter().enumerate() {
+        let data_centre = &agent.data_centre;
+        let members = cluster
+            .workers()
+            .filter(|(_, cell)| cluster.data_centre_name(cell.data_centre) == Some(data_centre));
+        let rack = RackName::new(&format!("rack-{}", members.count() / 3)).unwrap();
+        let name = WorkerName::new(&format!("worker-{number}")).unwrap();
+        cluster.add_worker(&name, data_centre, &rack, task_capacity);
+    }
+    cluster
+}
+
+/// What the workers offer without the reserve of each data centre.
+fn offered(cluster: &Cluster, reserve_worker_count: u32) -> Vec<Resources> {
+    let mut seen = vec![0; cluster.data_centre_count() as usize];
+    let offer = |(_, cell): (u32, &WorkerCell)| {
+        let seen = &mut seen[cell.data_centre as usize];
+        *seen += 1;
+        if *seen <= reserve_worker_count { Resources::default() } else { cell.total }
+    };
+    cluster.workers().map(offer).collect()
+}
+
+/// Guards against guarantees that the platform of the deployment cannot give together.
 #[test]
-fn guarantees_fit_capacity() {
-    for (name, deployment, data_centre_count) in deployments() {
-        let reserve = deployment.records.iter().find_map(|(_, record)| match record {
+fn guarantees_fit_together() {
+    for (name, deployment, _) in deployments() {
+        // 32 cores and 128 GB, or 128 cores and 512 GB, from the design page.
+        let factor = if name == "timing" { 1 } else { 4 };
+        let capacity = Resources {
+            cores_milli: 32_000 * factor,
+            memory_bytes: 128_000_000_000 * factor,
+            accelerator_count: 8,
+        };
+        let cluster = workers(&deployment, capacity);
+        let policy = deployment.records.iter().find_map(|(_, record)| match record {
             Record::Policy(policy) => Some(policy.reserve_worker_count),
             _ => None,
         });
-        let reserved = reserve.unwrap() * u32::try_from(data_centre_count).unwrap() * 8;
-        let guaranteed: u32 = deployment
-            .records
-            .iter()
-            .map(|(_, record)| match record {
-                Record::Guarantee(guarantee) => {
-                    let shape = guarantee.shape;
-                    guarantee.shape_count * shape.task_count * shape.task.accelerator_count
-                }
-                _ => 0,
-            })
-            .sum();
-        assert!(guaranteed > 0 && guaranteed + reserved <= ACCELERATOR_COUNT, "{name}");
+        let mut available = offered(&cluster, policy.unwrap());
+        let mut shapes = Vec::new();
+        for (_, record) in &deployment.records {
+            let Record::Guarantee(guarantee) = record else { continue };
+            let shape = GuaranteedShape { shape: guarantee.shape, data_centres: Vec::new() };
+            shapes.extend(std::iter::repeat_n(shape, guarantee.shape_count as usize));
+        }
+        assert!(shapes.len() > 4, "{name}: only {} shapes", shapes.len());
+        let packed = pack(&cluster, &mut available, &shapes);
+        assert!(packed.is_ok(), "{name}: {packed:?}");
     }
 }
 
