Count the first events of an objective in the burn report

New counters start at 0, so that the first sample now counts whole; only a changed threshold or indicator starts at the reading.

--- a/crates/yuccatack_telemetry/src/burn/sampler.rs
+++ b/crates/yuccatack_telemetry/src/burn/sampler.rs
@@ -46,8 +46,11 @@
         let mut kept = BTreeMap::new();
         for reading in readings {
             let key = (reading.objective.name.clone(), reading.organisation.clone());
-            let tracked = self.tracked.remove(&key).filter(|tracked| tracked.continues(reading));
-            let mut tracked = tracked.unwrap_or_else(|| Tracked::new(reading, now));
+            let mut tracked = match self.tracked.remove(&key) {
+                Some(tracked) if tracked.continues(reading) => tracked,
+                Some(_) => Tracked::with_new_measure(reading, now),
+                None => Tracked::new(reading, now),
+            };
             tracked.sample(reading, now);
             kept.insert(key, tracked);
         }
@@ -64,25 +67,39 @@
 }
 
 impl Tracked {
-    /// Counts from the first sight on; what was counted before it has no time.
+    /// Counts from 0: the counters of a new series are made with it, so that everything they hold
+    /// has happened since the last sample.
     fn new(reading: &ObjectiveReading, now: TimestampMs) -> Self {
         Self {
             objective: reading.objective.clone(),
+            good_count: 0,
+            total_count: 0,
+            series: CountSeries::new(now),
+        }
+    }
+
+    /// Counts from the reading on: the counters go on under the same name, but what they hold was
+    /// judged by another measure.
+    fn with_new_measure(reading: &ObjectiveReading, now: TimestampMs) -> Self {
+        Self {
             good_count: reading.good_count,
             total_count: reading.total_count,
-            series: CountSeries::new(now),
+            ..Self::new(reading, now)
         }
     }
 
-    /// Whether the reading counts the same events as before. A changed threshold or indicator
-    /// starts anew: its older events were judged by another measure.
+    /// Whether the reading counts by the same measure as before.
     fn continues(&self, reading: &ObjectiveReading) -> bool {
         self.objective.threshold_ms == reading.objective.threshold_ms
             && self.objective.indicator == reading.objective.indicator
-            && self.total_count <= reading.total_count
     }
 
     fn sample(&mut self, reading: &ObjectiveReading, now: TimestampMs) {
+        // The counters start at 0 again when an objective was withdrawn and submitted in between.
+        if reading.total_count < self.total_count {
+            self.good_count = 0;
+            self.total_count = 0;
+        }
         let counts = Counts {
             good: narrow(reading.good_count.saturating_sub(self.good_count)),
             total: narrow(reading.total_count.saturating_sub(self.total_count)),
