Test the pure parts one by one and close gaps in the socket tests

Cause: switching safeguards off one at a time showed tests that did not notice (`leaving` and the slots of the agent, because the router already keeps away; silence and the new connection for `Resolve`, because unanswered pings told a second later). `restarted_agent` failed in 2 of 30 runs: the resend came before the new agent was ready and was refused with the scope `sending`, which is allowed.

Change: the tests now use a view that is behind, two entries, and a bound that follows from the silence limit; the resend waits for the new agent. Tests for claim table, wire forms, router, HTTP forms, fair queue and limits, and a program that measures the path.

--- /dev/null
+++ b/crates/yuccatack_entry/examples/measure_requests/load.rs
@@ -0,0 +1,173 @@
+//! Callers in closed and open loops.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use yuccatack_core::prelude::*;
+
+use crate::common::SERVICE;
+
+/// What callers saw.
+pub struct Report {
+    pub latency_us: Histogram<u64>,
+    pub completed: u64,
+    pub refused: u64,
+    pub unknown: u64,
+    pub elapsed: Duration,
+}
+
+impl Report {
+    pub fn new() -> Self {
+        Self {
+            latency_us: Histogram::new(3).unwrap(),
+            completed: 0,
+            refused: 0,
+            unknown: 0,
+            elapsed: Duration::ZERO,
+        }
+    }
+
+    pub fn add(&mut self, other: Self) {
+        self.latency_us.add(other.latency_us).unwrap();
+        self.completed += other.completed;
+        self.refused += other.refused;
+        self.unknown += other.unknown;
+        self.elapsed += other.elapsed;
+    }
+
+    fn record(&mut self, status: u16, latency: Duration) {
+        match status {
+            200 => {
+                self.completed += 1;
+                self.latency_us.record(latency.as_micros() as u64).unwrap();
+            }
+            504 => self.unknown += 1,
+            _ => self.refused += 1,
+        }
+    }
+}
+
+type Connection = SendRequest<Full<Bytes>>;
+
+async fn connect(address: SocketAddr) -> Connection {
+    let stream = TcpStream::connect(address).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(connection);
+    sender
+}
+
+/// Four organisations, as in both deployments.
+pub const ORGANISATIONS: [&str; 4] = ["one", "two", "three", "four"];
+
+async fn call(
+    connection: &mut Connection,
+    organisation: &str,
+    class: &str,
+    deadline: Duration,
+) -> u16 {
+    let request = Request::post(format!("/v1/requests/{SERVICE}/score"))
+        .header("host", "callers")
+        .header("yuccatack-organisation", organisation)
+        .header("yuccatack-idempotent", "true")
+        .header("yuccatack-class", class)
+        .header("yuccatack-deadline-ms", deadline.as_millis().to_string())
+        .body(Full::new(Bytes::from_static(&[b'x'; 512])))
+        .unwrap();
+    connection.ready().await.unwrap();
+    let response = connection.send_request(request).await.unwrap();
+    let status = response.status().as_u16();
+    response.into_body().collect().await.unwrap();
+    status
+}
+
+/// Callers that each send the next request when the last one is answered.
+pub async fn closed_loop(address: SocketAddr, concurrency: usize, span: Duration) -> Report {
+    let started = Instant::now();
+    let callers = (0..concurrency).map(|_| {
+        tokio::spawn(async move {
+            let mut report = Report::new();
+            let mut connection = connect(address).await;
+            while started.elapsed() < span {
+                let sent = Instant::now();
+                let status = call(&mut connection, "one", "standard", Duration::from_secs(5)).await;
+                report.record(status, sent.elapsed());
+            }
+            report
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let mut total = Report::new();
+    for caller in callers {
+        total.add(caller.await.unwrap());
+    }
+    total.elapsed = started.elapsed();
+    total
+}
+
+/// A load that does not wait for answers.
+#[derive(Clone, Copy)]
+pub struct Offered {
+    pub rate_per_s: f64,
+    pub span: Duration,
+    pub deadline: Duration,
+}
+
+/// One in ten requests is urgent, six are standard and three are batch.
+fn class_of(number: u64) -> PriorityClass {
+    match number % 10 {
+        0 => PriorityClass::Urgent,
+        1..=6 => PriorityClass::Standard,
+        _ => PriorityClass::Batch,
+    }
+}
+
+fn class_word(class: PriorityClass) -> &'static str {
+    match class {
+        PriorityClass::Urgent => "urgent",
+        PriorityClass::Standard => "standard",
+        PriorityClass::Batch => "batch",
+    }
+}
+
+/// Sends at a fixed rate, each request on a connection that no other request uses.
+pub async fn open_loop(address: SocketAddr, offered: Offered) -> BTreeMap<PriorityClass, Report> {
+    let (idle_sender, mut idle) = mpsc::unbounded_channel::<Connection>();
+    let (result_sender, mut results) = mpsc::unbounded_channel();
+    let started = Instant::now();
+    let total = (offered.rate_per_s * offered.span.as_secs_f64()) as u64;
+    for number in 0..total {
+        let due = started + Duration::from_secs_f64(number as f64 / offered.rate_per_s);
+        tokio::time::sleep_until(due.into()).await;
+        let class = class_of(number);
+        let connection = idle.try_recv().ok();
+        let (idle_sender, result_sender) = (idle_sender.clone(), result_sender.clone());
+        tokio::spawn(async move {
+            let mut connection = match connection {
+                Some(connection) => connection,
+                None => connect(address).await,
+            };
+            let organisation = ORGANISATIONS[(number / 10) as usize % ORGANISATIONS.len()];
+            let word = class_word(class);
+            let status = call(&mut connection, organisation, word, offered.deadline).await;
+            // Counted from the time at which it was due, so that a late start is not hidden.
+            let _ = result_sender.send((class, status, due.elapsed()));
+            let _ = idle_sender.send(connection);
+        });
+    }
+    drop(result_sender);
+    let mut reports = BTreeMap::new();
+    while let Some((class, status, latency)) = results.recv().await {
+        reports.entry(class).or_insert_with(Report::new).record(status, latency);
+    }
+    reports
+}
--- a/crates/yuccatack_entry/tests/common/mod.rs
+++ b/crates/yuccatack_entry/tests/common/mod.rs
@@ -20,12 +20,15 @@
 use yuccatack_core::prelude::*;
 use yuccatack_entry::{BalancerSettings, EntryError, EntryInputs};
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase, ShutdownTrigger, shutdown_channel};
+use yuccatack_records::{OrganisationRecord, Record, RecordKind};
 use yuccatack_requests::claims::{ClaimLimits, ClaimMessage, ClaimTable, claim_channel};
 use yuccatack_requests::dispatch::DispatchSettings;
 use yuccatack_requests::routing::RoutingSettings;
 use yuccatack_settings::{AgentSettings, EntrySettings};
 use yuccatack_stand_ins::{MinionBehaviour, MinionStandIn};
-use yuccatack_view::{MinionEntry, MinionState, MinionStatus, View, ViewHandle};
+use yuccatack_view::{
+    MinionEntry, MinionState, MinionStatus, RecordEntry, RecordKey, View, ViewHandle,
+};
 
 pub const SERVICE: &str = "reviews";
 
@@ -87,12 +90,42 @@
     }
 
     pub async fn wait_for_ready(&self, count: usize) {
+        let ready = |entry: &&Arc<MinionEntry>| entry.status.state == MinionState::Ready;
+        self.wait_for(|view| view.minions.values().filter(ready).count() >= count).await;
+    }
+
+    pub async fn wait_for_incarnation(&self, incarnation: Incarnation) {
+        let found = |entry: &Arc<MinionEntry>| {
+            entry.incarnation == incarnation && entry.status.state == MinionState::Ready
+        };
+        self.wait_for(|view| view.minions.values().any(found)).await;
+    }
+
+    async fn wait_for(&self, mut condition: impl FnMut(&View) -> bool) {
         let mut view = self.view.subscribe();
-        let ready = |view: &Arc<View>| {
-            view.minions.values().filter(|minion| minion.status.state == MinionState::Ready).count()
-                >= count
+        let met = view.wait_for(|view| condition(view));
+        tokio::time::timeout(Duration::from_secs(10), met).await.unwrap().unwrap();
+    }
+
+    /// Gives an organisation a record with these limits.
+    pub fn set_limits(&self, name: &str, rate_per_s: u32, concurrency_count: u32) {
+        let record = OrganisationRecord {
+            name: OrganisationName::new(name).unwrap(),
+            accelerator_quota_count: 0,
+            fair_share_weight: 1,
+            request_rate_per_s: rate_per_s,
+            request_concurrency_count: concurrency_count,
         };
-        tokio::time::timeout(Duration::from_secs(10), view.wait_for(ready)).await.unwrap().unwrap();
+        let name = RecordName::new(name).unwrap();
+        let key = RecordKey { kind: RecordKind::Organisation, name };
+        let entry = RecordEntry {
+            generation: Generation::new(1),
+            revision: Revision::new(1),
+            record: Record::Organisation(record),
+        };
+        self.change(|view| {
+            view.records.insert(key, Arc::new(entry));
+        });
     }
 }
 
--- a/crates/yuccatack_entry/tests/key_claims.rs
+++ b/crates/yuccatack_entry/tests/key_claims.rs
@@ -90,6 +90,9 @@
         AgentProcess::start_on("minion-0", minion, &system.view, listener, agent_address).await;
     let answer = call.await.unwrap();
     assert_eq!((answer.status, answer.reason()), (504, "agent_restarted"), "{answer:?}");
+    // Until the new agent is ready, a resend is refused before the claim is asked, with the scope
+    // `sending`.
+    system.view.wait_for_incarnation(started.incarnation).await;
     let again = system.post(&headers(&key), "rank").await;
     assert_eq!((again.status, again.reason()), (504, "agent_restarted"), "{again:?}");
     assert_eq!(system.run_count().await, 1);
--- a/crates/yuccatack_entry/tests/silent_links.rs
+++ b/crates/yuccatack_entry/tests/silent_links.rs
@@ -77,8 +77,8 @@
     let started = Instant::now();
     let answer = call.await.unwrap();
     assert_eq!((answer.status, answer.body.as_ref()), (200, b"body".as_ref()), "{answer:?}");
-    // Silence is noticed after 1 s; the default deadline is 30 s.
-    assert!(started.elapsed() < Duration::from_secs(3), "{:?}", started.elapsed());
+    // Silence counts after 1 s; unanswered pings would only tell after 2 s.
+    assert!(started.elapsed() < Duration::from_millis(1_500), "{:?}", started.elapsed());
     assert_eq!(minion.runs().await.len(), 1);
     drop(agent);
 }
--- a/crates/yuccatack_entry/tests/true_refusals.rs
+++ b/crates/yuccatack_entry/tests/true_refusals.rs
@@ -7,12 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{IDEMPOTENT, System, post};
-use yuccatack_core::prelude::*;
+use common::{EntryProcess, IDEMPOTENT, System, post};
 use yuccatack_lifecycle::ShutdownPhase;
-use yuccatack_records::{OrganisationRecord, Record, RecordKind};
 use yuccatack_stand_ins::MinionBehaviour;
-use yuccatack_view::{MinionState, RecordEntry, RecordKey};
+use yuccatack_view::MinionState;
 
 /// Guards against new work on a configuration that may be out of date, at either process.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -48,6 +46,13 @@
     tokio::time::timeout(Duration::from_millis(200), leaving).await.unwrap();
     let refused = system.post(IDEMPOTENT, "new").await;
     assert_eq!((refused.status, refused.outcome()), (503, "not_run"), "{refused:?}");
+    // An entry whose view is behind must be refused by the agent itself.
+    system.view.change(|view| {
+        let entry = Arc::make_mut(view.minions.get_mut(&node).unwrap());
+        entry.status.state = MinionState::Ready;
+    });
+    let refused = system.post(IDEMPOTENT, "new").await;
+    assert_eq!((refused.status, refused.reason()), (503, "leaving"), "{refused:?}");
     assert_eq!(held.await.unwrap().body, b"held".as_ref());
     assert_eq!(system.run_count().await, 1);
 }
@@ -70,23 +75,7 @@
     let system = System::start(&[slow]).await;
     let limited = [("rate", 2, 100, "rate_limited"), ("width", 100, 2, "concurrency_limited")];
     for (name, rate_per_s, concurrency_count, reason) in limited {
-        system.view.change(|view| {
-            let record = OrganisationRecord {
-                name: OrganisationName::new(name).unwrap(),
-                accelerator_quota_count: 0,
-                fair_share_weight: 1,
-                request_rate_per_s: rate_per_s,
-                request_concurrency_count: concurrency_count,
-            };
-            let key =
-                RecordKey { kind: RecordKind::Organisation, name: RecordName::new(name).unwrap() };
-            let entry = RecordEntry {
-                generation: Generation::new(1),
-                revision: Revision::new(1),
-                record: Record::Organisation(record),
-            };
-            view.records.insert(key, Arc::new(entry));
-        });
+        system.view.set_limits(name, rate_per_s, concurrency_count);
         let address = system.entry.address;
         let calls = (0..4).map(|_| {
             tokio::spawn(async move {
@@ -112,14 +101,17 @@
 async fn hard_limits() {
     let slow = MinionBehaviour { delay: Duration::from_millis(20), ..Default::default() };
     let system = System::start(&[slow]).await;
-    let address = system.entry.address;
-    let calls =
-        (0..100).map(|_| tokio::spawn(async move { post(address, IDEMPOTENT, "body").await }));
+    let other = EntryProcess::start(&system.view, system.claims.clone(), |_, _| {}).await;
+    let addresses = [system.entry.address, other.address];
+    let calls = (0..100).map(|number| {
+        tokio::spawn(async move { post(addresses[number % 2], IDEMPOTENT, "body").await })
+    });
     let calls: Vec<_> = calls.collect();
     for call in calls {
         let answer = call.await.unwrap();
-        assert_eq!(answer.status, 200, "{answer:?}");
+        assert!(matches!(answer.outcome(), "completed" | "not_run"), "{answer:?}");
     }
+    // Each entry alone would send 8 at once.
     assert_eq!(system.minions[0].running_peak(), 8);
     assert!(system.minions[0].connection_peak() <= 64);
 }
