Add the replay, the baselines and moves by checkpoint

The replay sends seeded arrival lists of both deployments through the decision code on a virtual clock, with first fit and best fit in arrival order as baselines over the same lease table.

--- /dev/null
+++ b/crates/yuccatack_leases/examples/replay/mix.rs
@@ -0,0 +1,253 @@
+//! Seeded arrival lists of the two deployments.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use yuccatack_core::prelude::*;
+use yuccatack_leases::{GuaranteeSpec, JobSpec, WorkerRegistration};
+
+/// How long jobs arrive.
+pub const ARRIVAL_MS: u64 = 6 * 3_600_000;
+const MINUTE_MS: u64 = 60_000;
+
+/// The two deployments.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Deployment {
+    /// Triathlon results.
+    Timing,
+    /// Credit reviews.
+    Lending,
+}
+
+/// A job with its true run time and what its caller does.
+pub struct Arrival {
+    pub at: u64,
+    pub job: JobSpec,
+    pub run_time_ms: u64,
+    pub cancelled_at: Option<u64>,
+}
+
+/// Something that happens to workers.
+pub enum Fault {
+    /// Every task on this worker fails from the first time to the second.
+    Failing(usize, u64, u64),
+    /// These workers are off from the first time to the second.
+    Off(Vec<usize>, u64, u64),
+}
+
+/// Everything that happens in one run.
+pub struct Scenario {
+    pub workers: Vec<WorkerRegistration>,
+    pub guarantees: Vec<GuaranteeSpec>,
+    pub arrivals: Vec<Arrival>,
+    pub faults: Vec<Fault>,
+    /// Shapes by which fragmentation is measured, for every strategy alike.
+    pub measured: Vec<(Shape, f64)>,
+}
+
+pub fn shape(task_count: u32, accelerator_count: u32, adjacency: Adjacency) -> Shape {
+    let count = u64::from(accelerator_count);
+    let task =
+        Resources { cores_milli: 4_000 * count, memory_bytes: count << 34, accelerator_count };
+    Shape { task_count, task, adjacency }
+}
+
+struct Builder {
+    rng: ChaCha8Rng,
+    arrivals: Vec<Arrival>,
+}
+
+struct Kind {
+    prefix: &'static str,
+    class: PriorityClass,
+    idempotent: bool,
+    checkpointable: bool,
+}
+
+impl Builder {
+    fn add(&mut self, at: u64, kind: &Kind, shape: Shape, run_time_ms: u64) {
+        let number = self.arrivals.len();
+        let owner = ["north", "south", "east", "west"][[0, 0, 0, 1, 1, 2, 3][number % 7]];
+        // Declared times are off by up to ten times.
+        let factor = 10f64.powf(self.rng.random_range(-1.0..1.0));
+        let declared = (run_time_ms as f64 / 1000.0 * factor).max(1.0) as u64;
+        let Ok(name) = JobName::new(&format!("{}-{number:05}", kind.prefix)) else { return };
+        let Ok(organisation) = OrganisationName::new(owner) else { return };
+        let job = JobSpec {
+            name,
+            organisation,
+            shape,
+            class: kind.class,
+            declared_run_time_s: declared,
+            idempotent: kind.idempotent,
+            checkpointable: kind.checkpointable,
+            command: Vec::new(),
+        };
+        self.arrivals.push(Arrival { at, job, run_time_ms, cancelled_at: None });
+    }
+
+    /// Poisson arrivals with this mean gap.
+    fn stream<Make>(&mut self, mean_gap_ms: f64, make: Make)
+    where
+        Make: Fn(&mut Self, u64),
+    {
+        let mut at = 0.0;
+        loop {
+            at += -mean_gap_ms * (1.0 - self.rng.random::<f64>()).ln();
+            if at >= ARRIVAL_MS as f64 {
+                return;
+            }
+            make(self, at as u64);
+        }
+    }
+
+    /// Bursts of `count` within a minute, `burst_count` times.
+    fn bursts<Make>(&mut self, burst_count: u64, count: u64, make: Make)
+    where
+        Make: Fn(&mut Self, u64),
+    {
+        for _ in 0..burst_count {
+            let start = self.rng.random_range(0..ARRIVAL_MS - MINUTE_MS);
+            for _ in 0..count {
+                let at = start + self.rng.random_range(0..MINUTE_MS);
+                make(self, at);
+            }
+        }
+    }
+}
+
+const RANKING: Kind = Kind {
+    prefix: "urgent",
+    class: PriorityClass::Urgent,
+    idempotent: true,
+    checkpointable: false,
+};
+const SINGLE: Kind = Kind {
+    prefix: "single",
+    class: PriorityClass::Standard,
+    idempotent: true,
+    checkpointable: true,
+};
+const FRAGILE: Kind = Kind {
+    prefix: "fragile",
+    class: PriorityClass::Standard,
+    idempotent: false,
+    checkpointable: false,
+};
+const GANG: Kind =
+    Kind { prefix: "gang", class: PriorityClass::Batch, idempotent: true, checkpointable: true };
+
+fn urgent(builder: &mut Builder, at: u64, largest: u32, seconds: std::ops::Range<u64>) {
+    let tasks = builder.rng.random_range(1..=2);
+    let accelerators = builder.rng.random_range(1..=largest);
+    let run_time_ms = 1000 * builder.rng.random_range(seconds);
+    builder.add(at, &RANKING, shape(tasks, accelerators, Adjacency::Rack), run_time_ms);
+}
+
+fn single(builder: &mut Builder, at: u64) {
+    let accelerators = [1, 1, 1, 2, 2, 3, 4][builder.rng.random_range(0..7)];
+    let run_time_ms = 1000 * builder.rng.random_range(60..1_500);
+    let kind = if builder.rng.random_bool(0.15) { &FRAGILE } else { &SINGLE };
+    builder.add(at, kind, shape(1, accelerators, Adjacency::Worker), run_time_ms);
+}
+
+fn gang(builder: &mut Builder, at: u64, shapes: &[Shape], minutes: std::ops::Range<u64>) {
+    let chosen = shapes[builder.rng.random_range(0..shapes.len())];
+    let run_time_ms = MINUTE_MS * builder.rng.random_range(minutes);
+    builder.add(at, &GANG, chosen, run_time_ms);
+}
+
+fn workers(data_centres: &[&str]) -> Vec<WorkerRegistration> {
+    (0..11)
+        .filter_map(|number| {
+            let rack = number / 3;
+            Some(WorkerRegistration {
+                worker: WorkerName::new(&format!("worker-{number:02}")).ok()?,
+                incarnation: Incarnation::new(number as u64 + 1),
+                data_centre: DataCentreName::new(data_centres[rack % data_centres.len()]).ok()?,
+                rack: RackName::new(&format!("rack-{rack}")).ok()?,
+                resources: shape(1, 8, Adjacency::Worker).task,
+            })
+        })
+        .collect()
+}
+
+fn guarantee(name: &str, owner: &str, shape: Shape, shape_count: u32) -> Option<GuaranteeSpec> {
+    Some(GuaranteeSpec {
+        name: RecordName::new(name).ok()?,
+        organisation: OrganisationName::new(owner).ok()?,
+        shape,
+        shape_count,
+        data_centres: Vec::new(),
+    })
+}
+
+/// The run of one seed.
+pub fn scenario(deployment: Deployment, seed: u64, load: f64) -> Scenario {
+    let mut builder = Builder { rng: ChaCha8Rng::seed_from_u64(seed), arrivals: Vec::new() };
+    let owners = ["north", "south", "east", "west"];
+    let (workers, gangs, urgent_shape, urgent_count) = match deployment {
+        Deployment::Timing => {
+            let gangs = vec![
+                shape(4, 4, Adjacency::DataCentre),
+                shape(6, 4, Adjacency::DataCentre),
+                shape(2, 8, Adjacency::DataCentre),
+                shape(8, 2, Adjacency::DataCentre),
+            ];
+            builder.stream(25_000.0 / load, |b, at| urgent(b, at, 2, 20..90));
+            builder.bursts(8, 40, |b, at| urgent(b, at, 2, 20..90));
+            builder.stream(45_000.0 / load, single);
+            builder.bursts(3, 30, single);
+            builder.stream(1_100_000.0 / load, |b, at| gang(b, at, &gangs, 10..60));
+            builder.bursts(1, 6, |b, at| gang(b, at, &gangs, 10..60));
+            let centres = ["putrajaya", "langkawi", "desaru", "port-dickson"];
+            (workers(&centres), gangs, shape(2, 2, Adjacency::Rack), 2)
+        }
+        Deployment::Lending => {
+            let gangs = vec![
+                shape(2, 8, Adjacency::Rack),
+                shape(3, 8, Adjacency::Rack),
+                shape(4, 4, Adjacency::Rack),
+                shape(5, 4, Adjacency::DataCentre),
+            ];
+            builder.stream(15_000.0 / load, |b, at| urgent(b, at, 1, 10..60));
+            builder.bursts(8, 30, |b, at| urgent(b, at, 1, 10..60));
+            builder.stream(40_000.0 / load, single);
+            builder.bursts(3, 30, single);
+            builder.stream(1_400_000.0 / load, |b, at| gang(b, at, &gangs, 10..60));
+            builder.bursts(1, 5, |b, at| gang(b, at, &gangs, 10..60));
+            let centres = ["santiago", "valparaiso", "rancagua"];
+            (workers(&centres), gangs, shape(2, 1, Adjacency::Rack), 2)
+        }
+    };
+    let mut guarantees: Vec<GuaranteeSpec> = owners
+        .iter()
+        .filter_map(|owner| {
+            guarantee(&format!("urgent-{owner}"), owner, urgent_shape, urgent_count)
+        })
+        .collect();
+    guarantees.extend(guarantee("gang-north", "north", shape(2, 8, Adjacency::Rack), 1));
+    // A cancellation burst: batch work that its owner withdraws ten minutes later.
+    let burst_at = builder.rng.random_range(0..ARRIVAL_MS / 2);
+    let first = builder.arrivals.len();
+    for _ in 0..300 {
+        single(&mut builder, burst_at);
+    }
+    for arrival in &mut builder.arrivals[first..] {
+        arrival.cancelled_at = Some(burst_at + 10 * MINUTE_MS);
+    }
+    // Jobs that can never run.
+    builder.stream(3_600_000.0, |b, at| b.add(at, &GANG, shape(9, 8, Adjacency::Rack), 1_000));
+    builder.arrivals.sort_by_key(|arrival| arrival.at);
+    let failing = builder.rng.random_range(0..11);
+    let failing_at = builder.rng.random_range(0..ARRIVAL_MS);
+    let rack = builder.rng.random_range(0..4);
+    let off_at = builder.rng.random_range(0..ARRIVAL_MS);
+    let members = (0..11).filter(|number| number / 3 == rack).collect();
+    let faults = vec![
+        Fault::Failing(failing, failing_at, failing_at + 20 * MINUTE_MS),
+        Fault::Off(members, off_at, off_at + 15 * MINUTE_MS),
+    ];
+    let weight = |shape: &Shape| f64::from(shape.task_count * shape.task.accelerator_count);
+    let measured = gangs.iter().map(|shape| (*shape, weight(shape))).collect();
+    Scenario { workers, guarantees, arrivals: builder.arrivals, faults, measured }
+}
--- a/crates/yuccatack_leases/src/lib.rs
+++ b/crates/yuccatack_leases/src/lib.rs
@@ -10,6 +10,7 @@
 mod binding;
 mod check;
 mod claim;
+mod defragment;
 mod estimate;
 mod explain;
 mod health;
@@ -38,6 +39,7 @@
     BeginAttempt, Claim, LeaseCommand, LeaseEvent, StopReason, TaskOutcome, WorkerRegistration,
     WorkerTasks,
 };
+pub use schedule::Strategy;
 pub use spec::{GuaranteeSpec, JobSpec, PolicySpec, QuotaSpec};
 pub use table::{GuaranteeEntry, LeaseTable, OrganisationEntry, ShapeInstance};
 pub use volatile::Volatile;
--- a/crates/yuccatack_leases/src/reservation.rs
+++ b/crates/yuccatack_leases/src/reservation.rs
@@ -8,6 +8,8 @@
 
 /// A job that waits this long although its quota allows it holds a reservation.
 pub(crate) const STARVED_AFTER: DurationMs = DurationMs::from_seconds(120);
+/// For a job that waits this long, others are moved if that makes room.
+pub(crate) const DEFRAGMENT_AFTER: DurationMs = DurationMs::from_seconds(5);
 /// A reservation visits every task, so it is kept this long before it is computed again.
 const RESERVATION_LIFETIME: DurationMs = DurationMs::from_seconds(10);
 /// Backfilled jobs must be expected to end in time with this probability.
@@ -27,6 +29,14 @@
         Some(Self { job: job.clone(), reservation, computed_at: now })
     }
 
+    pub(crate) fn with_reservation(
+        job: &JobName,
+        reservation: Reservation,
+        now: TimestampMs,
+    ) -> Self {
+        Self { job: job.clone(), reservation, computed_at: now }
+    }
+
     pub(crate) fn is_current(&self, job: &JobName, now: TimestampMs) -> bool {
         self.job == *job && now.since(self.computed_at) < RESERVATION_LIFETIME
     }
--- a/crates/yuccatack_leases/src/schedule.rs
+++ b/crates/yuccatack_leases/src/schedule.rs
@@ -3,12 +3,12 @@
 use yuccatack_core::prelude::*;
 use yuccatack_placement::{
     Assignment, DemandProfile, Holding, Overlay, Placement, Request, Reservation, WeightedShape,
-    Weights, WorkerIndex, place,
+    Weights, WorkerIndex, best_fit, first_fit, place,
 };
 
 use crate::job::{AttemptPhase, JobEntry};
 use crate::message::{BeginAttempt, Claim, LeaseCommand, StopReason, WorkerTasks};
-use crate::reservation::{BACKFILL_QUANTILE, STARVED_AFTER, StarvedJob};
+use crate::reservation::{BACKFILL_QUANTILE, DEFRAGMENT_AFTER, STARVED_AFTER, StarvedJob};
 use crate::table::{GuaranteeEntry, LeaseTable};
 use crate::volatile::Volatile;
 use crate::worker::WorkerHealth;
@@ -16,6 +16,10 @@
 /// Decisions of one call. They are in force only after the log has them; a bound keeps the
 /// overlay small and lets urgent jobs that arrive meanwhile go first in the next call.
 const MAX_DECISIONS: usize = 64;
+/// One decision's share in the memory of demand halves after about 350 further decisions.
+const DEMAND_DECAY: f64 = 0.998;
+/// Shapes that weigh less than this are forgotten.
+const LEAST_DEMAND: f64 = 0.5;
 /// Jobs of one queue that are looked at in one call.
 const MAX_SCANNED: usize = 128;
 /// Searches of one call, successful or not.
@@ -25,19 +29,57 @@
 /// A batch job that waited this long is treated like a standard one.
 const AGING_LIMIT: DurationMs = DurationMs::from_seconds(30 * 60);
 
+/// How waiting jobs are placed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Strategy {
+    /// Classes, fair share, claims, backfill and the weighted score.
+    #[default]
+    Policy,
+    /// Baseline: in arrival order, the first place that fits.
+    FirstFit,
+    /// Baseline: in arrival order, the place with the least free capacity that fits.
+    BestFit,
+}
+
 impl Volatile {
+    /// Chooses how waiting jobs are placed; the baselines are for comparison only.
+    pub fn with_strategy(mut self, strategy: Strategy) -> Self {
+        self.strategy = strategy;
+        self
+    }
+
     /// What the leader decides at `now`. Call it again once the commands are applied, after each
     /// change of the table, and at [`Volatile::next_deadline`].
     pub fn schedule(&mut self, table: &LeaseTable, now: TimestampMs) -> Vec<LeaseCommand> {
         let mut commands = self.lose_silent(table, now);
         commands.extend(overdue(table, now));
         commands.extend(self.starts(table, now));
-        let mut pass = Pass::new(table, now);
+        let mut pass = Pass::new(table, now, &self.demand);
         pass.run(self);
+        for command in &pass.commands {
+            if let LeaseCommand::BeginAttempt(begin) = command
+                && let Some(job) = table.jobs.get(&begin.job)
+            {
+                self.remember_demand(&job.spec.shape);
+            }
+        }
         commands.extend(pass.commands);
         commands
     }
 
+    /// Remembers what is asked for; a shape that is asked for no more fades.
+    fn remember_demand(&mut self, shape: &Shape) {
+        let weight = f64::from(shape.task_count) * f64::from(shape.task.accelerator_count);
+        for (_, known) in &mut self.demand {
+            *known *= DEMAND_DECAY;
+        }
+        match self.demand.iter_mut().find(|(known, _)| known == shape) {
+            Some((_, known)) => *known += weight,
+            None => self.demand.push((*shape, weight)),
+        }
+        self.demand.retain(|(_, known)| *known > LEAST_DEMAND);
+    }
+
     fn starts(&self, table: &LeaseTable, now: TimestampMs) -> Vec<LeaseCommand> {
         let mut commands = Vec::new();
         for name in &table.ready {
@@ -88,6 +130,8 @@
     pub(crate) commands: Vec<LeaseCommand>,
 }
 
+type FindPlace = fn(&Overlay<'_>, &Shape) -> Option<Placement>;
+
 struct Queue<'a> {
     organisation: &'a OrganisationName,
     jobs: Vec<&'a JobName>,
@@ -95,7 +139,7 @@
 }
 
 impl<'a> Pass<'a> {
-    fn new(table: &'a LeaseTable, now: TimestampMs) -> Self {
+    fn new(table: &'a LeaseTable, now: TimestampMs, demand: &[(Shape, f64)]) -> Self {
         let mut guarantees: FastHashMap<_, Vec<&GuaranteeEntry>> = FastHashMap::default();
         for entry in table.guarantees.values() {
             guarantees.entry(&entry.spec.organisation).or_default().push(entry);
@@ -108,7 +152,7 @@
             claimed: FastHashSet::default(),
             held: FastHashMap::default(),
             failed: FastHashSet::default(),
-            profile: profile(table),
+            profile: profile(table, demand),
             reservation: None,
             search_count: 0,
             decided: FastHashSet::default(),
@@ -118,8 +162,18 @@
 
     fn run(&mut self, volatile: &mut Volatile) {
         self.probe_quarantined();
+        let find = match volatile.strategy {
+            Strategy::Policy => None,
+            Strategy::FirstFit => Some(first_fit as FindPlace),
+            Strategy::BestFit => Some(best_fit as FindPlace),
+        };
+        if let Some(find) = find {
+            self.place_in_arrival_order(find);
+            return;
+        }
         if self.table.waiting.is_empty() {
             volatile.starved = None;
+            self.consolidate(volatile);
             return;
         }
         self.place_class(PriorityClass::Urgent);
@@ -128,6 +182,31 @@
         self.place_class(PriorityClass::Batch);
     }
 
+    /// The baselines: every waiting job that fits starts, the oldest first.
+    fn place_in_arrival_order(&mut self, find: FindPlace) {
+        let table = self.table;
+        let mut jobs: Vec<&'a (TimestampMs, JobName)> = table
+            .waiting
+            .values()
+            .flat_map(|waiting| PriorityClass::ALL.iter().flat_map(|class| waiting.class(*class)))
+            .collect();
+        jobs.sort();
+        for (_, name) in jobs {
+            let Some(job) = table.jobs.get(name) else { continue };
+            if self.decided.contains(name) || !job.may_start_again() || !self.within_quota(job) {
+                continue;
+            }
+            let key = (job.spec.shape, false, false);
+            if self.commands.len() >= MAX_DECISIONS || self.failed.contains(&key) {
+                continue;
+            }
+            match find(&self.overlay, &job.spec.shape) {
+                Some(placement) => self.decide(name, job, placement.assignments, None),
+                None => drop(self.failed.insert(key)),
+            }
+        }
+    }
+
     fn is_full(&self) -> bool {
         self.commands.len() >= MAX_DECISIONS || self.search_count >= MAX_SEARCHES
     }
@@ -206,10 +285,10 @@
             .waiting
             .values()
             .flat_map(|waiting| classes.iter().filter_map(|class| waiting.class(*class).next()))
-            .filter(|(at, _)| self.now.since(*at) >= STARVED_AFTER)
+            .filter(|(at, _)| self.now.since(*at) >= DEFRAGMENT_AFTER)
             .filter(|(_, job)| table.jobs.get(job).is_some_and(|job| self.within_quota(job)))
             .min();
-        let Some((_, job)) = oldest else {
+        let Some((at, job)) = oldest else {
             volatile.starved = None;
             return;
         };
@@ -218,8 +297,9 @@
             return;
         }
         let current = volatile.starved.as_ref().is_some_and(|held| held.is_current(job, self.now));
-        if !current {
-            volatile.starved = StarvedJob::new(table, job, self.now);
+        let starved = self.now.since(*at) >= STARVED_AFTER;
+        if !current && !self.make_room(volatile, job) {
+            volatile.starved = starved.then(|| StarvedJob::new(table, job, self.now)).flatten();
         }
         self.reservation = volatile.starved.as_ref().map(|held| held.reservation.clone());
         // The failure above was found without the reservation; keys include its effect.
@@ -388,8 +468,9 @@
     }
 }
 
-/// Guaranteed shapes and the heads of the queues, weighted by their accelerators.
-fn profile(table: &LeaseTable) -> DemandProfile {
+/// Shapes asked for lately, guaranteed, and at the heads of the queues, weighted by their
+/// accelerators.
+fn profile(table: &LeaseTable, demand: &[(Shape, f64)]) -> DemandProfile {
     let mut shapes: Vec<WeightedShape> = Vec::new();
     let mut add = |shape: Shape, count: u32| {
         let weight = f64::from(shape.task_count)
@@ -400,6 +481,10 @@
             None => shapes.push(WeightedShape { shape, weight }),
         }
     };
+    for (shape, weight) in demand {
+        let accelerators = shape.task_count * shape.task.accelerator_count;
+        add(*shape, (*weight as u32) / accelerators.max(1));
+    }
     for entry in table.guarantees.values() {
         add(entry.spec.shape, entry.spec.shape_count);
     }
--- a/crates/yuccatack_leases/src/volatile.rs
+++ b/crates/yuccatack_leases/src/volatile.rs
@@ -11,6 +11,7 @@
 use crate::job::{AttemptPhase, TaskState};
 use crate::message::{LeaseCommand, StopReason, TaskOutcome};
 use crate::reservation::StarvedJob;
+use crate::schedule::Strategy;
 use crate::table::LeaseTable;
 use crate::worker::{TaskKey, WorkerEntry, WorkerHealth};
 use crate::{CLOCK_MARGIN, LEASE};
@@ -35,6 +36,13 @@
     lease_ends: BTreeSet<(TimestampMs, WorkerName)>,
     grace_over: bool,
     pub(crate) starved: Option<StarvedJob>,
+    pub(crate) strategy: Strategy,
+    /// The last search for moves.
+    pub(crate) defragmented_at: TimestampMs,
+    /// Where the next search for a worker to empty starts.
+    pub(crate) consolidation_cursor: usize,
+    /// Accelerators placed lately by shape; recent decisions count most.
+    pub(crate) demand: Vec<(Shape, f64)>,
 }
 
 impl Volatile {
@@ -49,6 +57,10 @@
             lease_ends: BTreeSet::new(),
             grace_over: false,
             starved: None,
+            strategy: Strategy::Policy,
+            defragmented_at: now,
+            consolidation_cursor: 0,
+            demand: Vec::new(),
         }
     }
 
--- a/crates/yuccatack_placement/src/fragmentation.rs
+++ b/crates/yuccatack_placement/src/fragmentation.rs
@@ -49,7 +49,41 @@
 }
 
 /// The share of free accelerators that cannot serve `profile`, between 0 and 1.
+///
+/// A free accelerator can serve a shape when some placement of one whole gang uses it.
 pub fn fragmentation(cluster: &Cluster, profile: &DemandProfile) -> f64 {
+    let free = cluster.free_accelerator_count();
+    if free == 0 {
+        return 0.0;
+    }
+    let unusable = |entry: &WeightedShape| {
+        let usable = servable_accelerators(cluster, &entry.shape);
+        entry.weight * (free - usable.min(free)) as f64
+    };
+    profile.shapes.iter().map(unusable).sum::<f64>() / free as f64
+}
+
+/// Free accelerators on workers that can hold a task, in domains that can hold the gang.
+fn servable_accelerators(cluster: &Cluster, shape: &Shape) -> u64 {
+    let count = shape.task.accelerator_count;
+    let mut domains: FastHashMap<u32, (u64, u64)> = FastHashMap::default();
+    for (index, cell) in cluster.workers().filter(|(_, cell)| cell.schedulable) {
+        let free = cell.free().accelerator_count;
+        if free < count {
+            continue;
+        }
+        let key = domain_key(shape.adjacency, index, cell.rack, cell.data_centre);
+        let domain = domains.entry(key).or_default();
+        domain.0 += u64::from(free / count);
+        domain.1 += u64::from(free);
+    }
+    let whole = |(slots, _): &&(u64, u64)| *slots >= u64::from(shape.task_count);
+    domains.values().filter(whole).map(|(_, free)| free).sum()
+}
+
+/// The share of free accelerators that remains when as many whole gangs as possible are placed,
+/// for each shape of `profile` alone. Stricter than [`fragmentation`].
+pub fn remainder(cluster: &Cluster, profile: &DemandProfile) -> f64 {
     let free = cluster.free_accelerator_count();
     if free == 0 {
         return 0.0;
