--- a/crates/yuccatack_view/src/publisher/service.rs
+++ b/crates/yuccatack_view/src/publisher/service.rs
@@ -12,6 +12,7 @@
 use super::state::{NotLeader, StreamId};
 use crate::generated::view::view_server::{View, ViewServer};
 use crate::generated::view::{NodeReport, ViewUpdate};
+use crate::limits::STREAM_SILENCE;
 use crate::message::Report;
 
 /// The metadata key that holds the leader's address.
@@ -69,7 +70,10 @@
     stream: StreamId,
     mut reports: Streaming<NodeReport>,
 ) {
-    while let Ok(Some(wire)) = reports.message().await {
+    // The publisher cuts a silent stream; this end must not wait for a lost machine either, as the
+    // system would keep its connection for many minutes.
+    let limit = std::time::Duration::from(STREAM_SILENCE) * 2;
+    while let Ok(Ok(Some(wire))) = tokio::time::timeout(limit, reports.message()).await {
         match Report::try_from(wire) {
             Ok(report) => publisher.report(stream, report).await,
             Err(error) => {
