Bound the bytes of remembered refusals

120,000 refusals of up to 4 KiB each would have taken 480 MB on every replica when a client repeats a bad change under new ids. The oldest changes are now also forgotten beyond 32 MiB of messages; their resends are still refused by generation. Also tests that the control client replaces a hung connection.

Seen to fail with the bound off: refusal_memory_is_bounded.

--- a/crates/yuccatack_control_client/tests/leader_hints.rs
+++ b/crates/yuccatack_control_client/tests/leader_hints.rs
@@ -158,6 +158,36 @@
     assert_eq!(client.read_record(&key).await, Ok(None));
 }
 
+/// Forwards connections; each one stops responding for good after `lifetime`, without being closed.
+async fn unreliable_proxy(target: SocketAddr, lifetime: Duration) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut inbound, _) = listener.accept().await.unwrap();
+            let mut outbound = tokio::net::TcpStream::connect(target).await.unwrap();
+            tokio::spawn(async move {
+                let forwarding = tokio::io::copy_bidirectional(&mut inbound, &mut outbound);
+                let _ = tokio::time::timeout(lifetime, forwarding).await;
+                std::future::pending::<()>().await;
+                drop((inbound, outbound));
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a client that keeps a connection that never responds again.
+#[tokio::test]
+async fn hung_connection_is_replaced() {
+    let (leader, _) = serve(Behaviour::Leads).await;
+    let client = client(vec![unreliable_proxy(leader, Duration::from_millis(500)).await]);
+    for _ in 0..4 {
+        assert!(client.submit_change(&change()).await.is_ok());
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+}
+
 /// Guards against a lost answer that is reported although a resend brings it.
 #[tokio::test]
 async fn lost_answer_is_asked_for() {
--- a/crates/yuccatack_records/src/change_history.rs
+++ b/crates/yuccatack_records/src/change_history.rs
@@ -13,6 +13,10 @@
 /// The longest time that a change is remembered.
 pub const MAX_REMEMBERED_AGE: DurationMs = DurationMs::from_seconds(7 * 24 * 3600);
 
+/// The most bytes of remembered refusals: a client that repeats a bad change for a week, each time
+/// with a new id and several kilobytes of problems, must not fill the memory of every replica.
+pub const MAX_REMEMBERED_MESSAGE_BYTES: u64 = 32 << 20;
+
 /// A remembered change.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct RememberedChange {
@@ -34,6 +38,7 @@
 pub struct ChangeHistory {
     changes: BTreeMap<ChangeId, RememberedChange>,
     order: VecDeque<(TimestampMs, ChangeId)>,
+    message_bytes: u64,
 }
 
 impl ChangeHistory {
@@ -64,6 +69,7 @@
             key,
             outcome: outcome.clone(),
         };
+        self.message_bytes += message_bytes(outcome);
         self.changes.insert(change.change_id.clone(), remembered);
         self.order.push_back((now, change.change_id.clone()));
         self.forget(now);
@@ -72,12 +78,22 @@
     fn forget(&mut self, now: TimestampMs) {
         while let Some((applied_at, _)) = self.order.front() {
             let expired = now.since(*applied_at) > MAX_REMEMBERED_AGE;
-            if !expired && self.order.len() <= MAX_REMEMBERED_CHANGES {
+            let too_many = self.order.len() > MAX_REMEMBERED_CHANGES
+                || self.message_bytes > MAX_REMEMBERED_MESSAGE_BYTES;
+            if !expired && !too_many {
                 return;
             }
-            if let Some((_, change_id)) = self.order.pop_front() {
-                self.changes.remove(&change_id);
+            let oldest = self.order.pop_front();
+            if let Some(forgotten) = oldest.and_then(|(_, id)| self.changes.remove(&id)) {
+                self.message_bytes -= message_bytes(&forgotten.outcome);
             }
         }
     }
 }
+
+fn message_bytes(outcome: &ChangeOutcome) -> u64 {
+    match outcome {
+        ChangeOutcome::Accepted { .. } => 0,
+        ChangeOutcome::Refused(refusal) => refusal.message.len() as u64,
+    }
+}
--- a/crates/yuccatack_records/src/lib.rs
+++ b/crates/yuccatack_records/src/lib.rs
@@ -21,7 +21,9 @@
 mod withdrawn;
 
 pub use change::{Change, ChangeOutcome, ContentDigest, Operation, Refusal, RefusalKind};
-pub use change_history::{MAX_REMEMBERED_AGE, MAX_REMEMBERED_CHANGES, RememberedChange};
+pub use change_history::{
+    MAX_REMEMBERED_AGE, MAX_REMEMBERED_CHANGES, MAX_REMEMBERED_MESSAGE_BYTES, RememberedChange,
+};
 pub use problem::RecordProblem;
 pub use record::{
     GuaranteeRecord, Indicator, JobRecord, MembershipRecord, MembershipReplica, ObjectiveRecord,
--- a/crates/yuccatack_records/tests/change_ids.rs
+++ b/crates/yuccatack_records/tests/change_ids.rs
@@ -6,7 +6,8 @@
 use support::{NOW, accepted, change, key, organisation, refused, store_with_organisation};
 use yuccatack_core::prelude::*;
 use yuccatack_records::{
-    MAX_REMEMBERED_AGE, MAX_REMEMBERED_CHANGES, Operation, RecordKind, RecordStore, RefusalKind,
+    ChangeOutcome, MAX_REMEMBERED_AGE, MAX_REMEMBERED_CHANGES, MAX_REMEMBERED_MESSAGE_BYTES,
+    Operation, RecordKind, RecordStore, Refusal, RefusalKind,
 };
 
 /// Guards against a second application, or a conflict, after a lost answer.
@@ -78,6 +79,22 @@
     assert_eq!(store.remembered_change_count(), MAX_REMEMBERED_CHANGES);
 }
 
+/// Guards against refusals with long messages that fill the memory of every replica.
+#[test]
+fn refusal_memory_is_bounded() {
+    let mut store = store_with_organisation("tri");
+    let refusal = Refusal::new(RefusalKind::JobCanNeverRun, &"x".repeat(100_000));
+    let bytes_each = refusal.message.len() as u64;
+    let outcome = ChangeOutcome::Refused(refusal);
+    for index in 0..10_000 {
+        let change = change(&format!("c{index}"), Operation::Withdraw, 9, &organisation("x", 1));
+        store.remember(&change, &outcome, NOW);
+    }
+    let remembered = store.remembered_change_count() as u64;
+    assert!(remembered * bytes_each <= MAX_REMEMBERED_MESSAGE_BYTES, "{remembered}");
+    assert!((remembered + 2) * bytes_each > MAX_REMEMBERED_MESSAGE_BYTES, "{remembered}");
+}
+
 /// Guards against a submission, change or withdrawal that is applied again once its id is
 /// forgotten, also after the name was withdrawn.
 #[test]
