Test the data folder's error cases with real files

Cause: each way in which a data folder can fail must give its own error with its remedy, and a torn last write must not look like corruption.

--- /dev/null
+++ b/crates/yuccatack_storage/tests/disk_faults.rs
@@ -0,0 +1,244 @@
+//! Damaged, foreign and failing data folders: each gives its own error that names the remedy.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::os::unix::fs::{FileExt, PermissionsExt};
+use std::path::Path;
+
+use bytes::Bytes;
+use yuccatack_storage::{
+    DataFolder, DurableFile, HardState, LogBase, LogStore, Snapshot, StorageError, Store,
+    StoredEntry,
+};
+
+fn entries(indexes: std::ops::RangeInclusive<u64>) -> Vec<StoredEntry> {
+    let entry = |index| StoredEntry { term: 1, index, payload: Bytes::from(vec![7; 100]) };
+    indexes.map(entry).collect()
+}
+
+/// Three groups of entries, a snapshot and a hard state of replica 1.
+fn fill(path: &Path) {
+    let folder = DataFolder::open(path, 1).unwrap();
+    let (mut store, _) = Store::open(&folder).unwrap();
+    store.log.append(&entries(1..=3)).unwrap();
+    store.log.append(&entries(4..=6)).unwrap();
+    store.log.append(&entries(7..=9)).unwrap();
+    let metadata = Bytes::from_static(b"members");
+    let payload = Bytes::from_static(b"state");
+    store.snapshots.save(&Snapshot { index: 5, term: 1, metadata, payload }).unwrap();
+    store.hard_state.save(HardState { term: 2, voted_for: 3, cluster: 4 }).unwrap();
+}
+
+fn open(path: &Path, replica_id: u64) -> Result<yuccatack_storage::Recovered, StorageError> {
+    let folder = DataFolder::open(path, replica_id)?;
+    Store::open(&folder).map(|(_, recovered)| recovered)
+}
+
+fn flip_byte(path: &Path, offset: u64) {
+    let file = OpenOptions::new().read(true).write(true).open(path).unwrap();
+    let mut byte = [0];
+    file.read_exact_at(&mut byte, offset).unwrap();
+    file.write_all_at(&[byte[0] ^ 1], offset).unwrap();
+}
+
+/// The log header has 28 bytes, an entry of `entries` 124.
+const HEADER_BYTES: u64 = 28;
+const ENTRY_BYTES: u64 = 124;
+
+type Damage = fn(&Path);
+
+/// Guards against a damaged or foreign folder that is used, or refused without a remedy.
+#[test]
+fn refused_folders() {
+    let cases: [(&str, Damage, u64, &str, &str); 9] = [
+        (
+            "first entry",
+            |p| flip_byte(&p.join("log"), HEADER_BYTES + 50),
+            1,
+            "Corrupted",
+            "join again",
+        ),
+        (
+            "length of an entry in the second group",
+            |p| flip_byte(&p.join("log"), HEADER_BYTES + 4 * ENTRY_BYTES + 1),
+            1,
+            "Corrupted",
+            "join again",
+        ),
+        ("log header", |p| flip_byte(&p.join("log"), 9), 1, "Corrupted", "join again"),
+        ("snapshot", |p| flip_byte(&p.join("snapshot"), 40), 1, "Corrupted", "join again"),
+        ("hard state", |p| flip_byte(&p.join("hard_state"), 3), 1, "Corrupted", "join again"),
+        ("format file", |p| flip_byte(&p.join("format"), 13), 1, "Corrupted", "join again"),
+        ("other replica", |_| {}, 2, "OtherReplica", "`replica_id`"),
+        ("newer format", |p| flip_byte(&p.join("format"), 9), 1, "NewerFormat", "newer program"),
+        (
+            "log that starts after the snapshot",
+            |p| {
+                let folder = DataFolder::open(p, 1).unwrap();
+                let (mut store, _) = Store::open(&folder).unwrap();
+                store.log.rewrite(LogBase { index: 7, term: 1 }, &entries(8..=9)).unwrap();
+            },
+            1,
+            "Corrupted",
+            "join again",
+        ),
+    ];
+    for (name, damage, replica_id, kind, remedy) in cases {
+        let folder = tempfile::tempdir().unwrap();
+        fill(folder.path());
+        damage(folder.path());
+        let error = open(folder.path(), replica_id).expect_err(name);
+        assert!(format!("{error:?}").starts_with(kind), "{name}: {error:?}");
+        assert!(error.to_string().contains(remedy), "{name}: {error}");
+    }
+}
+
+/// Guards against a torn last write that stops a restart or survives in part.
+#[test]
+fn torn_tails() {
+    let cases: [(&str, Damage, u64); 6] = [
+        ("cut in the last entry", |p| truncate(p, 9 * ENTRY_BYTES - 1), 8),
+        ("cut in a header", |p| truncate(p, 7 * ENTRY_BYTES + 5), 7),
+        ("only the length", |p| truncate(p, 6 * ENTRY_BYTES + 2), 6),
+        ("zeros after the end", |p| append(p, &[0; 4_000]), 9),
+        ("garbage after the end", |p| append(p, &[0xa5; 333]), 9),
+        (
+            "first entry of the last group lost, later ones written",
+            |p| flip_byte(&p.join("log"), HEADER_BYTES + 6 * ENTRY_BYTES + 60),
+            6,
+        ),
+    ];
+    for (name, damage, last) in cases {
+        let folder = tempfile::tempdir().unwrap();
+        fill(folder.path());
+        damage(folder.path());
+        let recovered = open(folder.path(), 1).expect(name);
+        assert_eq!(recovered.entries.last().unwrap().index, last, "{name}");
+        // The cut must be complete: a new group after it reads back.
+        let data_folder = DataFolder::open(folder.path(), 1).unwrap();
+        let (mut store, _) = Store::open(&data_folder).unwrap();
+        store.log.append(&entries(last + 1..=last + 2)).unwrap();
+        drop((store, data_folder));
+        let recovered = open(folder.path(), 1).expect(name);
+        assert_eq!(recovered.entries.len() as u64, last + 2, "{name}");
+    }
+}
+
+fn truncate(folder: &Path, entry_bytes: u64) {
+    let file = OpenOptions::new().write(true).open(folder.join("log")).unwrap();
+    file.set_len(HEADER_BYTES + entry_bytes).unwrap();
+}
+
+fn append(folder: &Path, bytes: &[u8]) {
+    OpenOptions::new().append(true).open(folder.join("log")).unwrap().write_all(bytes).unwrap();
+}
+
+#[derive(Clone, Copy)]
+enum Failure {
+    Write(io::ErrorKind),
+    Sync(io::ErrorKind),
+}
+
+/// A real file that fails once.
+struct FailingFile {
+    file: File,
+    failure: Option<Failure>,
+}
+
+impl DurableFile for FailingFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if let Some(Failure::Write(kind)) = self.failure {
+            self.failure = None;
+            self.file.write_all(&bytes[..bytes.len() / 2])?;
+            return Err(kind.into());
+        }
+        self.file.append(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        if let Some(Failure::Sync(kind)) = self.failure {
+            self.failure = None;
+            return Err(kind.into());
+        }
+        self.file.sync()
+    }
+}
+
+/// Guards against a store that goes on after a failed write or sync, when the page cache is no
+/// evidence of what is on disk.
+#[test]
+fn failing_disks() {
+    let cases = [
+        (Failure::Write(io::ErrorKind::StorageFull), "DiskFull", "free space"),
+        (Failure::Sync(io::ErrorKind::StorageFull), "DiskFull", "free space"),
+        (Failure::Sync(io::ErrorKind::Other), "SyncFailed", "check the disk"),
+        (Failure::Write(io::ErrorKind::ReadOnlyFilesystem), "ReadOnly", "writable"),
+        (Failure::Write(io::ErrorKind::Other), "Io", "disk works"),
+    ];
+    for (failure, kind, remedy) in cases {
+        let path = tempfile::tempdir().unwrap();
+        fill(path.path());
+        let folder = DataFolder::open(path.path(), 1).unwrap();
+        let (store, _) = Store::open(&folder).unwrap();
+        let Store { mut snapshots, mut hard_state, log } = store;
+        drop(log);
+        let wrap = |file| -> Box<dyn DurableFile> {
+            Box::new(FailingFile { file, failure: Some(failure) })
+        };
+        let (mut log, _) = LogStore::open_with(&folder, wrap).unwrap();
+        let error = log.append(&entries(10..=12)).unwrap_err();
+        assert!(format!("{error:?}").starts_with(kind), "{error:?}");
+        assert!(error.to_string().contains(remedy), "{error}");
+
+        let metadata = Bytes::new();
+        let snapshot =
+            Snapshot { index: 6, term: 1, metadata: metadata.clone(), payload: metadata };
+        let later = [
+            log.append(&entries(10..=12)),
+            log.rewrite(LogBase::default(), &[]),
+            snapshots.save(&snapshot),
+            hard_state.save(HardState::default()),
+        ];
+        for result in later {
+            let error = result.unwrap_err();
+            assert!(matches!(error, StorageError::Refused { .. }), "{error:?}");
+            assert!(error.to_string().contains("start the replica again"), "{error}");
+        }
+        drop((log, folder, snapshots, hard_state));
+        let recovered = open(path.path(), 1).unwrap();
+        assert!(recovered.entries.len() >= 9, "synced entries were lost");
+        assert_eq!(recovered.hard_state.term, 2);
+    }
+}
+
+/// Guards against a second process that uses the folder, and against a folder that cannot be made.
+#[test]
+fn unusable_paths() {
+    let path = tempfile::tempdir().unwrap();
+    let first = DataFolder::open(path.path(), 1).unwrap();
+    let error = DataFolder::open(path.path(), 1).unwrap_err();
+    assert!(matches!(error, StorageError::Locked { .. }), "{error:?}");
+    assert!(error.to_string().contains("stop that process"), "{error}");
+    drop(first);
+    DataFolder::open(path.path(), 1).unwrap();
+
+    let file = path.path().join("file");
+    fs::write(&file, "").unwrap();
+    let error = DataFolder::open(&file.join("folder"), 1).unwrap_err();
+    assert!(matches!(error, StorageError::Io { .. }), "{error:?}");
+}
+
+/// Guards against a read-only folder that is reported as something else. The superuser may write
+/// to any folder on a disk, so the kernel's own folder, which takes no files, stands for one.
+#[test]
+fn read_only_folder() {
+    let path = tempfile::tempdir().unwrap();
+    fs::set_permissions(path.path(), fs::Permissions::from_mode(0o555)).unwrap();
+    let superuser = File::create(path.path().join("probe")).is_ok();
+    let folder = if superuser { Path::new("/sys") } else { path.path() };
+    let error = DataFolder::open(folder, 1).unwrap_err();
+    fs::set_permissions(path.path(), fs::Permissions::from_mode(0o755)).unwrap();
+    assert!(matches!(error, StorageError::ReadOnly { .. }), "{error:?}");
+    assert!(error.to_string().contains("writable"), "{error}");
+}
