Cover more safeguards of the replicated log

Cause: with a safeguard switched off, some randomised runs still passed: a leader that counts its unsynced entries, reads without a confirmation round, commits of older terms by counting, and a replacement without joint membership.

--- a/crates/yuccatack_replication/src/actor/start.rs
+++ b/crates/yuccatack_replication/src/actor/start.rs
@@ -18,6 +18,9 @@
 /// How many items the user of the log may lag behind before they wait in the replica.
 const COMMITTED_QUEUE_LENGTH: usize = 1_024;
 
+/// How many bytes of entries one message carries, so that a heartbeat waits behind little.
+const APPEND_LIMIT_BYTES: usize = 256 * 1024;
+
 /// A running actor and what it shares.
 pub(crate) struct Started {
     pub actor: ActorRef<ActorMessage>,
@@ -42,6 +45,7 @@
         heartbeat: DurationMs::new(config.heartbeat_ms),
         election_timeout: DurationMs::new(config.election_timeout_ms),
         snapshot_entry_count: config.snapshot_entry_count,
+        append_limit_bytes: APPEND_LIMIT_BYTES,
     };
     let replica = Replica::new(settings, recovered, rand::random(), TimestampMs::new(0));
 
--- a/crates/yuccatack_replication/src/state/input.rs
+++ b/crates/yuccatack_replication/src/state/input.rs
@@ -27,6 +27,8 @@
     pub election_timeout: DurationMs,
     /// How many entries are delivered before a snapshot is asked for.
     pub snapshot_entry_count: u64,
+    /// How many bytes of entries one message carries.
+    pub append_limit_bytes: usize,
 }
 
 /// One input of the state machine.
--- a/crates/yuccatack_replication/src/state/leader.rs
+++ b/crates/yuccatack_replication/src/state/leader.rs
@@ -13,11 +13,8 @@
 use crate::error::ChangeError;
 use crate::identifiers::{LogIndex, ProposalId, ReplicaId};
 use crate::message::{AppendOutcome, MessageBody};
-use crate::persistence::PersistOperation;
-use crate::replicated_log::{EntryPayload, LogEntry, LogPosition};
-
-/// How many bytes of entries one message carries, so that a heartbeat waits behind little.
-const APPEND_LIMIT_BYTES: usize = 256 * 1024;
+use crate::persistence::{PersistOperation, StateSnapshot};
+use crate::replicated_log::{EntryPayload, Log, LogEntry, LogPosition};
 
 /// A planned change of leader.
 #[derive(Debug)]
@@ -191,9 +188,9 @@
         let mut messages = Vec::new();
         for (replica, progress) in &mut leader.progress {
             let incarnation = progress.incarnation;
-            while let Some(body) =
-                next_message(progress, &self.log, self.commit, &self.snapshot, self.now)
-            {
+            let limit_bytes = self.settings.append_limit_bytes;
+            let source = Source { log: &self.log, snapshot: self.snapshot.as_ref(), limit_bytes };
+            while let Some(body) = next_message(progress, &source, self.commit, self.now) {
                 messages.push((*replica, incarnation, body));
             }
         }
@@ -315,25 +312,29 @@
     }
 }
 
+/// What a member is brought up to date from.
+struct Source<'a> {
+    log: &'a Log,
+    snapshot: Option<&'a StateSnapshot>,
+    limit_bytes: usize,
+}
+
 /// The next message that brings a member forward, if one may be sent now.
 fn next_message(
     progress: &mut Progress,
-    log: &crate::replicated_log::Log,
+    source: &Source<'_>,
     commit: LogIndex,
-    snapshot: &Option<crate::persistence::StateSnapshot>,
     now: TimestampMs,
 ) -> Option<MessageBody> {
-    if let Mode::Snapshot(transfer) = &mut progress.mode {
-        return transfer.next_chunk(now);
-    }
+    let log = source.log;
     let previous = progress.next.previous();
-    let Some(term) = log.term_at(previous) else {
-        let snapshot = snapshot.clone()?;
-        let transfer = Transfer { snapshot, offset_bytes: 0, sent_at: None };
-        progress.mode = Mode::Snapshot(transfer);
-        return next_message(progress, log, commit, &None, now);
-    };
+    let term = log.term_at(previous);
+    if term.is_none() && !matches!(progress.mode, Mode::Snapshot(_)) {
+        let snapshot = source.snapshot?.clone();
+        progress.mode = Mode::Snapshot(Transfer { snapshot, offset_bytes: 0, sent_at: None });
+    }
     match &mut progress.mode {
+        Mode::Snapshot(transfer) => return transfer.next_chunk(now),
         Mode::Probe { waiting: true } => return None,
         Mode::Probe { waiting } => *waiting = true,
         Mode::Stream => {
@@ -345,12 +346,11 @@
                 progress.last_progress = now;
             }
         }
-        Mode::Snapshot(_) => return None,
     }
-    let entries = log.slice(progress.next, APPEND_LIMIT_BYTES).to_vec();
+    let entries = log.slice(progress.next, source.limit_bytes).to_vec();
     if matches!(progress.mode, Mode::Stream) {
         progress.next = entries.last().map_or(progress.next, |entry| entry.index.next());
     }
-    let previous = LogPosition { index: previous, term };
+    let previous = LogPosition { index: previous, term: term? };
     Some(MessageBody::Append { previous, entries, commit })
 }
--- a/crates/yuccatack_replication/tests/elections.rs
+++ b/crates/yuccatack_replication/tests/elections.rs
@@ -10,7 +10,11 @@
 use yuccatack_replication::state::{Input, RoleView};
 
 fn settled_world(seed: u64) -> (World, ReplicaId) {
-    let settings = WorldSettings { voter_count: 3, snapshot_entry_count: 1_000_000 };
+    let settings = WorldSettings {
+        voter_count: 3,
+        snapshot_entry_count: 1_000_000,
+        append_limit_bytes: 4_096,
+    };
     let mut world = World::new(seed, settings);
     world.run_for(3_000);
     let leader = world.leader().expect("a leader after 3 s without faults");
--- a/crates/yuccatack_replication/tests/member_changes.rs
+++ b/crates/yuccatack_replication/tests/member_changes.rs
@@ -11,7 +11,8 @@
 use yuccatack_replication::{ChangeError, ChangeNumber, MembershipChange, ReplicaId};
 
 fn busy_world(seed: u64) -> (World, ReplicaId) {
-    let settings = WorldSettings { voter_count: 3, snapshot_entry_count: 30 };
+    let settings =
+        WorldSettings { voter_count: 3, snapshot_entry_count: 30, append_limit_bytes: 4_096 };
     let mut world = World::new(seed, settings);
     world.run_for(3_000);
     let leader = world.leader().expect("a leader after 3 s without faults");
@@ -97,6 +98,36 @@
     });
 }
 
+/// Guards against a replacement that the new voters alone agree on, while the old ones elect
+/// another leader (joint membership).
+#[test]
+fn replacement_needs_both_majorities() {
+    for_each_seed(20, |seed| {
+        let (mut world, leader) = busy_world(seed);
+        let replica = ReplicaId::new(4);
+        world.add_node(replica);
+        let add = MembershipChange::AddLearner { replica, address: address(replica) };
+        assert_eq!(request(&mut world, leader, add, 500), Some(Ok(())));
+        let old: Vec<_> = (1..=3).map(ReplicaId::new).filter(|id| *id != leader).collect();
+        for id in &old {
+            for other in [leader, replica] {
+                world.blocked.insert((*id, other));
+                world.blocked.insert((other, *id));
+            }
+        }
+        let promote = MembershipChange::Promote { replica, replaces: Some(old[0]) };
+        let result = request(&mut world, leader, promote, 200);
+        assert_ne!(result, Some(Ok(())), "changed without a majority of the old voters");
+        world.propose(leader);
+        world.run_for(3_000);
+        let successor = world.leader_except(leader).expect("a leader of the old voters");
+        world.propose(successor);
+        world.blocked.clear();
+        world.run_for(3_000);
+        assert!(world.leader().is_some());
+    });
+}
+
 /// Guards against a change that leaves fewer than a quorum of voters with the committed log.
 #[test]
 fn change_without_holders_is_refused() {
--- a/crates/yuccatack_replication/tests/random_faults.rs
+++ b/crates/yuccatack_replication/tests/random_faults.rs
@@ -32,7 +32,9 @@
 fn run_seed(seed: u64, wipes: bool, membership_changes: bool, covered: &Covered) {
     let voter_count = VOTER_COUNTS[(seed % 4) as usize];
     let snapshot_entry_count = if seed.is_multiple_of(3) { 1_000_000 } else { 40 };
-    let mut world = World::new(seed, WorldSettings { voter_count, snapshot_entry_count });
+    let append_limit_bytes = if seed.is_multiple_of(2) { 100 } else { 4_096 };
+    let settings = WorldSettings { voter_count, snapshot_entry_count, append_limit_bytes };
+    let mut world = World::new(seed, settings);
     let mut operator = Operator::new(voter_count);
     let plan = FaultPlan { wipes, membership_changes, duration_ms: 30_000 };
     run(&mut world, &mut operator, plan);
--- a/crates/yuccatack_replication/tests/simulation/faults.rs
+++ b/crates/yuccatack_replication/tests/simulation/faults.rs
@@ -103,8 +103,28 @@
     }
 }
 
+fn deafen(world: &mut World, deaf: ReplicaId) {
+    let ids: Vec<ReplicaId> = world.nodes.keys().copied().collect();
+    world.blocked.extend(ids.into_iter().map(|other| (other, deaf)));
+}
+
+/// Several processes end at once, and start again.
+fn lose_power(world: &mut World) {
+    let ids: Vec<ReplicaId> = world.nodes.keys().copied().collect();
+    let share = [0.5, 1.0][world.random.random_range(0..2)];
+    let hit: Vec<ReplicaId> = ids.into_iter().filter(|_| world.random.random_bool(share)).collect();
+    for id in &hit {
+        world.kill(*id);
+    }
+    for id in hit {
+        if world.random.random_bool(0.8) {
+            world.start(id);
+        }
+    }
+}
+
 fn strike(world: &mut World, plan: FaultPlan) {
-    match world.random.random_range(0..14) {
+    match world.random.random_range(0..17) {
         0..=2 => {
             let id = live_or_leader(world);
             world.kill(id);
@@ -129,11 +149,26 @@
             world.loss_percent = world.random.random_range(0..30);
             world.duplicate_percent = world.random.random_range(0..20);
             world.max_delay_ms = world.random.random_range(1..120);
-            world.max_sync_ms = world.random.random_range(0..60);
+            world.max_sync_ms = [2, 60, 500][world.random.random_range(0..3)];
         }
         12 => {
             if let Some(leader) = world.leader() {
                 world.input(leader, Input::TransferLeadership);
+                if world.random.random_bool(0.5) {
+                    // The old leader does not hear of the new one.
+                    world.run_for(1);
+                    deafen(world, leader);
+                }
+            }
+        }
+        13 => lose_power(world),
+        14..=15 => {
+            // A new leader is lost while it replicates.
+            if let Some(leader) = world.leader() {
+                world.propose(leader);
+                let pause = world.random.random_range(0..30);
+                world.run_for(pause);
+                world.kill(leader);
             }
         }
         _ => {
--- a/crates/yuccatack_replication/tests/simulation/world.rs
+++ b/crates/yuccatack_replication/tests/simulation/world.rs
@@ -22,6 +22,8 @@
 pub struct WorldSettings {
     pub voter_count: u64,
     pub snapshot_entry_count: u64,
+    /// Small limits split what a leader sends, so that a member can hold a part of it.
+    pub append_limit_bytes: usize,
 }
 
 #[derive(Debug)]
@@ -138,6 +140,7 @@
             heartbeat: DurationMs::new(HEARTBEAT_MS),
             election_timeout: DurationMs::new(ELECTION_TIMEOUT_MS),
             snapshot_entry_count: self.settings.snapshot_entry_count,
+            append_limit_bytes: self.settings.append_limit_bytes,
         };
         let recovered = node.disk.recover();
         let replica = Replica::new(settings, recovered, seed, TimestampMs::new(self.now));
@@ -171,11 +174,12 @@
         }
         let operations: Vec<PersistOperation> =
             process.unsynced.into_iter().flat_map(|batch| batch.operations).collect();
-        let kept = self.random.random_range(0..=operations.len());
+        let all_lost = self.random.random_bool(0.5);
+        let kept = if all_lost { 0 } else { self.random.random_range(0..=operations.len()) };
         for operation in &operations[..kept] {
             node.disk.write(operation);
         }
-        if let Some(PersistOperation::Append(entries)) = operations.get(kept) {
+        if !all_lost && let Some(PersistOperation::Append(entries)) = operations.get(kept) {
             let torn = self.random.random_range(0..=entries.len());
             node.disk.append(&entries[..torn]);
         }
@@ -335,7 +339,8 @@
         let delay = self.random.random_range(0..=self.max_sync_ms);
         let now = self.now;
         let Some(process) = self.process_mut(id) else { return };
-        let done = process.sync_free_at.max(now) + delay;
+        // Whatever waits shares one sync, so delays do not add up.
+        let done = process.sync_free_at.max(now + delay);
         process.sync_free_at = done;
         process.unsynced.push_back(batch.clone());
         let boot = process.boot;
