--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -83,7 +83,7 @@
 
 /// Whether this replica leads.
 enum Role {
-    Leader(Lead),
+    Leader(Box<Lead>),
     Follower { leader_address: Option<SocketAddr> },
 }
 
@@ -274,7 +274,7 @@
         match leadership {
             Leadership::Leader { term } => {
                 log::info!(event = "leadership_gained", term = term.get(); "this replica leads");
-                self.role = Role::Leader(Lead::new(self.clock.now()));
+                self.role = Role::Leader(Box::new(Lead::new(self.clock.now())));
                 self.publisher.become_leader().await;
                 self.check_leadership();
             }
