--- a/crates/yuccatack_cli/src/commands/check.rs
+++ b/crates/yuccatack_cli/src/commands/check.rs
@@ -63,9 +63,10 @@
 }
 
 fn check_document(document: &Document) -> Vec<FileProblem> {
-    let messages = match document.is_record() {
-        true => check_record(&document.content),
-        false => vec!["settings stand among records; give them a file of their own".to_owned()],
+    let messages = if document.is_record() {
+        check_record(&document.content)
+    } else {
+        vec!["settings stand among records; give them a file of their own".to_owned()]
     };
     let problem = |message| FileProblem {
         file: document.file.clone(),
--- a/crates/yuccatack_cli/src/commands/explain.rs
+++ b/crates/yuccatack_cli/src/commands/explain.rs
@@ -29,9 +29,10 @@
         context.message(&format!("error: no job named `{name}` is known; see `get job`"))?;
         return Ok(ExitStatus::Refused);
     };
-    let text = match wants_json(matches) {
-        true => serde_json::to_string_pretty(&explanation)?,
-        false => output::document(&explanation),
+    let text = if wants_json(matches) {
+        serde_json::to_string_pretty(&explanation)?
+    } else {
+        output::document(&explanation)
     };
     context.result(&text)?;
     Ok(ExitStatus::Done)
--- a/crates/yuccatack_cli/src/commands/report.rs
+++ b/crates/yuccatack_cli/src/commands/report.rs
@@ -43,9 +43,10 @@
     if let Some(path) = matches.get_one::<PathBuf>("html") {
         std::fs::write(path, html_page(&report)).context(WriteFileSnafu { path })?;
     }
-    let text = match wants_json(matches) {
-        true => serde_json::to_string_pretty(&report)?,
-        false => burn_table(&report),
+    let text = if wants_json(matches) {
+        serde_json::to_string_pretty(&report)?
+    } else {
+        burn_table(&report)
     };
     context.result(&text)?;
     Ok(ExitStatus::Done)
--- a/crates/yuccatack_cli/src/commands/status.rs
+++ b/crates/yuccatack_cli/src/commands/status.rs
@@ -17,9 +17,10 @@
         let reason = "this address has no status; give the address of an entry".to_owned();
         return Err(CliError::RefusedRead { status: 404, reason });
     };
-    let text = match wants_json(matches) {
-        true => serde_json::to_string_pretty(&status)?,
-        false => output::document(&status),
+    let text = if wants_json(matches) {
+        serde_json::to_string_pretty(&status)?
+    } else {
+        output::document(&status)
     };
     context.result(&text)?;
     Ok(ExitStatus::Done)
--- a/crates/yuccatack_cli/src/documents.rs
+++ b/crates/yuccatack_cli/src/documents.rs
@@ -46,10 +46,7 @@
 }
 
 fn read_text(path: &Path) -> io::Result<String> {
-    match path.as_os_str() == "-" {
-        true => io::read_to_string(io::stdin()),
-        false => fs::read_to_string(path),
-    }
+    if path.as_os_str() == "-" { io::read_to_string(io::stdin()) } else { fs::read_to_string(path) }
 }
 
 impl Document {
--- a/crates/yuccatack_cli/src/lib.rs
+++ b/crates/yuccatack_cli/src/lib.rs
@@ -60,9 +60,10 @@
 
 fn report_usage(error: &clap::Error, context: &mut Context<'_>) -> ExitStatus {
     let text = error.render();
-    let (status, written) = match error.use_stderr() {
-        true => (ExitStatus::Usage, write!(context.messages, "{text}")),
-        false => (ExitStatus::Done, write!(context.results, "{text}")),
+    let (status, written) = if error.use_stderr() {
+        (ExitStatus::Usage, write!(context.messages, "{text}"))
+    } else {
+        (ExitStatus::Done, write!(context.results, "{text}"))
     };
     match written {
         Ok(()) => status,
--- a/crates/yuccatack_telemetry/src/burn/report.rs
+++ b/crates/yuccatack_telemetry/src/burn/report.rs
@@ -94,9 +94,10 @@
         if above(PAGE_BURN_RATE, [Window::FiveMinutes, Window::OneHour]) {
             return Alert::Page;
         }
-        match above(TICKET_BURN_RATE, [Window::ThirtyMinutes, Window::SixHours]) {
-            true => Alert::Ticket,
-            false => Alert::None,
+        if above(TICKET_BURN_RATE, [Window::ThirtyMinutes, Window::SixHours]) {
+            Alert::Ticket
+        } else {
+            Alert::None
         }
     }
 
--- a/crates/yuccatack_telemetry/src/logging/appender.rs
+++ b/crates/yuccatack_telemetry/src/logging/appender.rs
@@ -49,10 +49,7 @@
     }
 
     fn level_of(&self, target: &str) -> LevelFilter {
-        match target.starts_with(OWN_TARGET_PREFIX) {
-            true => self.own_level,
-            false => self.library_level,
-        }
+        if target.starts_with(OWN_TARGET_PREFIX) { self.own_level } else { self.library_level }
     }
 
     fn send(&self, line: Line) {
--- a/crates/yuccatack_telemetry/src/logging/limiter.rs
+++ b/crates/yuccatack_telemetry/src/logging/limiter.rs
@@ -62,10 +62,7 @@
         }
         let window = self.windows.entry(key).or_insert(Window { started_at: now, line_count: 0 });
         window.line_count += 1;
-        match window.line_count > self.line_limit_count {
-            true => Decision::Suppress,
-            false => Decision::Write,
-        }
+        if window.line_count > self.line_limit_count { Decision::Suppress } else { Decision::Write }
     }
 
     /// Ends the windows that are over and summarises those that left lines out.
--- a/crates/yuccatack_telemetry/src/server.rs
+++ b/crates/yuccatack_telemetry/src/server.rs
@@ -157,10 +157,7 @@
 
     fn ready(&self) -> Response<Full<Bytes>> {
         let readiness = self.readiness.borrow().clone();
-        let status = match readiness.ready {
-            true => StatusCode::OK,
-            false => StatusCode::SERVICE_UNAVAILABLE,
-        };
+        let status = if readiness.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         json(status, &readiness)
     }
 }
