Let later checkpointable jobs give way to a starved one

A reservation kept workers idle for as long as half an hour while fragile jobs ended. Checkpointable jobs may now use reserved workers and give way when that completes the gang.

--- a/crates/yuccatack_leases/examples/replay/engine.rs
+++ b/crates/yuccatack_leases/examples/replay/engine.rs
@@ -29,9 +29,11 @@
     pub gang_wait_s: Vec<f64>,
     /// Submission to success of everything else.
     pub other_completion_s: Vec<f64>,
-    /// Samples of the share of free accelerators that cannot serve the gangs' shapes.
-    pub fragmentation: Vec<f64>,
-    /// Samples of the share of free accelerators that whole gangs leave over.
+    /// Samples of free accelerators, of which the gangs' shapes cannot use some.
+    pub free: Vec<f64>,
+    /// Samples of the free accelerators that cannot serve the gangs' shapes.
+    pub unusable: Vec<f64>,
+    /// Samples of the free accelerators that whole gangs leave over.
     pub remainder: Vec<f64>,
     /// Moves by checkpoint.
     pub move_count: u64,
@@ -289,9 +291,10 @@
 
 fn sample(engine: &Engine, profile: &DemandProfile, outcome: &mut Outcome) {
     let cluster = engine.table.cluster();
-    outcome.fragmentation.push(fragmentation(cluster, profile));
-    outcome.remainder.push(remainder(cluster, profile));
     let free = cluster.free_accelerator_count() as f64;
+    outcome.free.push(free);
+    outcome.unusable.push(free * fragmentation(cluster, profile));
+    outcome.remainder.push(free * remainder(cluster, profile));
     outcome.utilisation.push(1.0 - free / 88.0);
 }
 
--- a/crates/yuccatack_leases/src/defragment.rs
+++ b/crates/yuccatack_leases/src/defragment.rs
@@ -1,7 +1,7 @@
 //! Moves of running jobs by checkpoint, where they make room for larger ones.
 
 use yuccatack_core::prelude::*;
-use yuccatack_placement::{Reservation, WorkerIndex, place, slot_count};
+use yuccatack_placement::{Assignment, Reservation, WorkerIndex, place, release_gain, slot_count};
 
 use crate::job::{AttemptPhase, JobEntry};
 use crate::message::LeaseCommand;
@@ -15,9 +15,11 @@
 const SETTLED_AFTER: DurationMs = DurationMs::from_seconds(120);
 /// A job that is expected to end sooner is not worth a move.
 const LEAST_REMAINING: DurationMs = DurationMs::from_seconds(60);
-/// The wait between two searches for moves without a waiting job.
+/// The wait between two moves without a starved job.
 const CONSOLIDATION_INTERVAL: DurationMs = DurationMs::from_seconds(10);
-/// Workers that one such search looks at.
+/// A move that makes fewer accelerators usable is within the error of the estimate.
+const LEAST_USABLE: f64 = 1.0;
+/// Jobs that one such search looks at.
 const MAX_CONSOLIDATED: usize = 64;
 
 /// A way to make room.
@@ -51,37 +53,58 @@
             && attempt.tasks.iter().all(|slot| Some(slot.worker) == first)
     }
 
-    fn offer(&self, worker: WorkerIndex) -> Option<Offer<'a>> {
+    /// Whether the job gives way to a starved one: it came later and keeps its work.
+    fn gives_way(&self, job: &JobEntry, starved: &JobEntry) -> bool {
+        let Some(attempt) = job.attempt() else { return false };
+        attempt.phase == AttemptPhase::Running
+            && attempt.is_borrower()
+            && job.spec.checkpointable
+            && job.spec.class != PriorityClass::Urgent
+            && job.submitted_at > starved.submitted_at
+            && job.spec.accelerator_count() < starved.spec.accelerator_count()
+    }
+
+    fn offer(&self, worker: WorkerIndex, starved: Option<&JobEntry>) -> Option<Offer<'a>> {
         let table = self.table;
         let entry = table.worker_at(worker)?;
         let mut movable: Vec<(&JobName, &JobEntry)> = table
             .tasks_on(entry)
             .map(|(key, job)| (&key.job, job))
-            .filter(|(name, job)| !self.decided.contains(name) && self.is_movable(job))
+            .filter(|(name, job)| {
+                let yields = starved.is_some_and(|starved| self.gives_way(job, starved));
+                !self.decided.contains(name) && (yields || self.is_movable(job))
+            })
             .collect();
         movable.dedup_by_key(|(name, _)| *name);
         movable.sort_by_key(|(name, job)| (job.spec.accelerator_count(), *name));
         Some(Offer { worker, free: self.overlay.free(worker), movable })
     }
 
-    /// Moves jobs out of one domain so that `name` fits there. Returns whether it pays.
-    pub(crate) fn make_room(&mut self, volatile: &mut Volatile, name: &'a JobName) -> bool {
+    /// Moves jobs out of one domain so that `name` fits there. Returns whether it pays. For a
+    /// starved job, later ones give way even when they have to wait themselves.
+    pub(crate) fn make_room(
+        &mut self,
+        volatile: &mut Volatile,
+        name: &'a JobName,
+        starved: bool,
+    ) -> bool {
         let table = self.table;
         let Some(job) = table.jobs.get(name) else { return false };
-        if !job.spec.is_reclaimable() || volatile.defragmented_at + MOVE_PAUSE > self.now {
+        if volatile.defragmented_at + MOVE_PAUSE > self.now {
             return false;
         }
         volatile.defragmented_at = self.now;
         let wait_s = StarvedJob::new(table, name, self.now)
             .map_or(60, |held| held.reservation.start_at.since(self.now).get() / 1000);
-        let Some(plan) = self.cheapest_plan(job) else { return false };
+        let Some(plan) = self.cheapest_plan(job, starved) else { return false };
         if plan.moved_count * MOVE_COST_S >= job.spec.accelerator_count() * wait_s {
             return false;
         }
         for moved in &plan.moved {
             self.move_attempt(moved);
         }
-        let reservation = Reservation { workers: plan.workers, start_at: self.now };
+        let reservation =
+            Reservation { workers: plan.workers, start_at: self.now, exclusive: true };
         volatile.starved = Some(StarvedJob::with_reservation(name, reservation, self.now));
         true
     }
@@ -93,7 +116,7 @@
         self.commands.push(LeaseCommand::MoveAttempt { job, epoch, at: self.now });
     }
 
-    fn cheapest_plan(&self, job: &JobEntry) -> Option<Plan<'a>> {
+    fn cheapest_plan(&self, job: &JobEntry, starved: bool) -> Option<Plan<'a>> {
         let shape = &job.spec.shape;
         let mut domains: FastHashMap<u32, Vec<WorkerIndex>> = FastHashMap::default();
         for (index, cell) in self.table.cluster.workers().filter(|(_, cell)| cell.schedulable) {
@@ -107,17 +130,23 @@
         let mut keys: Vec<u32> = domains.keys().copied().collect();
         keys.sort_unstable();
         let mut plans: Vec<Plan<'a>> =
-            keys.iter().filter_map(|key| self.plan_domain(job, &domains[key])).collect();
+            keys.iter().filter_map(|key| self.plan_domain(job, &domains[key], starved)).collect();
         plans.sort_by_key(|plan| plan.moved_count);
         // The check for new places is the expensive part, so only the cheapest plans get it.
-        plans.into_iter().take(4).find(|plan| self.fits_elsewhere(plan))
+        plans.into_iter().take(4).find(|plan| starved || self.fits_elsewhere(plan))
     }
 
     /// The cheapest moves that free enough slots on `workers`.
-    fn plan_domain(&self, job: &JobEntry, workers: &[WorkerIndex]) -> Option<Plan<'a>> {
+    fn plan_domain(
+        &self,
+        job: &JobEntry,
+        workers: &[WorkerIndex],
+        starved: bool,
+    ) -> Option<Plan<'a>> {
+        let waiting = starved.then_some(job);
         let task = &job.spec.shape.task;
         let mut offers: Vec<Offer<'a>> =
-            workers.iter().filter_map(|worker| self.offer(*worker)).collect();
+            workers.iter().filter_map(|worker| self.offer(*worker, waiting)).collect();
         let slots = |offer: &Offer<'a>| slot_count(&offer.free, task);
         let mut plan = Plan { workers: FastHashSet::default(), moved: Vec::new(), moved_count: 0 };
         let mut total: u32 = offers.iter().map(slots).sum();
@@ -163,55 +192,46 @@
         true
     }
 
-    /// Without waiting jobs: moves a job off a nearly empty worker to a fuller one, so that whole
-    /// workers stay free for gangs.
+    /// Moves the jobs whose move makes the most free accelerators usable, so that gangs find room
+    /// when they arrive.
     pub(crate) fn consolidate(&mut self, volatile: &mut Volatile) {
         if volatile.defragmented_at + CONSOLIDATION_INTERVAL > self.now {
             return;
         }
         volatile.defragmented_at = self.now;
-        let length = self.table.cluster.workers().count().max(1);
+        let length = self.table.active.len().max(1);
         let start = volatile.consolidation_cursor % length;
         volatile.consolidation_cursor = start + MAX_CONSOLIDATED;
-        let cells = self.table.cluster.workers().filter(|(_, cell)| cell.schedulable);
-        let mut sources: Vec<(u32, WorkerIndex)> = cells
-            .skip(start)
-            .chain(self.table.cluster.workers().filter(|(_, cell)| cell.schedulable).take(start))
-            .take(MAX_CONSOLIDATED)
-            .map(|(index, cell)| (cell.used.accelerator_count, index))
-            .filter(|(used, _)| *used > 0)
-            .collect();
-        sources.sort_unstable();
-        for (used, worker) in sources {
-            if self.empty_worker(worker, used) {
-                return;
-            }
+        let active = || self.table.active.iter();
+        let window = active().skip(start).chain(active().take(start)).take(MAX_CONSOLIDATED);
+        let mut gains: Vec<(f64, &'a JobName)> =
+            window.filter_map(|name| Some((self.move_gain(name)?, name))).collect();
+        gains.sort_by(|left, right| right.0.total_cmp(&left.0));
+        if let Some((_, name)) = gains.first() {
+            self.move_attempt(name);
         }
     }
 
-    /// Moves everything off a worker if all of it fits on fuller workers.
-    fn empty_worker(&mut self, worker: WorkerIndex, used: u32) -> bool {
-        let Some(offer) = self.offer(worker) else { return false };
-        let movable: u64 = offer.movable.iter().map(|(_, job)| job.spec.accelerator_count()).sum();
-        if movable < u64::from(used) {
-            return false;
+    /// What a move of the job to its best other place is worth, if it pays.
+    fn move_gain(&self, name: &JobName) -> Option<f64> {
+        let job = self.table.jobs.get(name)?;
+        if !self.is_movable(job) {
+            return None;
         }
-        let emptier: Vec<WorkerIndex> = self
-            .table
-            .cluster
-            .workers()
-            .filter(|(index, cell)| *index == worker || cell.used.accelerator_count < used.max(1))
-            .map(|(index, _)| index)
-            .collect();
-        let moved: Vec<&'a JobName> = offer.movable.iter().map(|(name, _)| *name).collect();
-        let plan = Plan { workers: emptier.into_iter().collect(), moved, moved_count: movable };
-        if !self.fits_elsewhere(&plan) {
-            return false;
-        }
-        for name in &plan.moved {
-            self.move_attempt(name);
-        }
-        true
+        let worker = job.attempt()?.tasks.first()?.worker;
+        let own = [Assignment { worker, task_count: job.spec.shape.task_count }];
+        let task = &job.spec.shape.task;
+        let freed = release_gain(&self.table.cluster, &self.profile, task, &own);
+        let excluded = [worker];
+        let mut request = self.request(job, &excluded);
+        request.weights.fragmentation = 1.0;
+        let found = place(&self.overlay, &request)?;
+        let usable = freed - found.score;
+        let policy = &self.table.policy;
+        let remaining_s = self.table.expected_end(job, self.now).since(self.now).get() / 1000;
+        let worth = policy.fragmentation_weight * usable * remaining_s as f64;
+        let cost = policy.completion_weight * (job.spec.accelerator_count() * MOVE_COST_S) as f64;
+        (usable >= LEAST_USABLE && worth > cost).then_some(worth - cost)
     }
 }
 
--- a/crates/yuccatack_leases/src/reservation.rs
+++ b/crates/yuccatack_leases/src/reservation.rs
@@ -130,5 +130,5 @@
             break;
         }
     }
-    Some(Reservation { workers: chosen, start_at })
+    Some(Reservation { workers: chosen, start_at, exclusive: false })
 }
--- a/crates/yuccatack_leases/src/schedule.rs
+++ b/crates/yuccatack_leases/src/schedule.rs
@@ -173,13 +173,15 @@
         }
         if self.table.waiting.is_empty() {
             volatile.starved = None;
+        } else {
+            self.place_class(PriorityClass::Urgent);
+            self.place_starved(volatile);
+            self.place_class(PriorityClass::Standard);
+            self.place_class(PriorityClass::Batch);
+        }
+        if volatile.starved.is_none() && self.commands.is_empty() {
             self.consolidate(volatile);
-            return;
         }
-        self.place_class(PriorityClass::Urgent);
-        self.place_starved(volatile);
-        self.place_class(PriorityClass::Standard);
-        self.place_class(PriorityClass::Batch);
     }
 
     /// The baselines: every waiting job that fits starts, the oldest first.
@@ -298,7 +300,7 @@
         }
         let current = volatile.starved.as_ref().is_some_and(|held| held.is_current(job, self.now));
         let starved = self.now.since(*at) >= STARVED_AFTER;
-        if !current && !self.make_room(volatile, job) {
+        if !current && !self.make_room(volatile, job, starved) {
             volatile.starved = starved.then(|| StarvedJob::new(table, job, self.now)).flatten();
         }
         self.reservation = volatile.starved.as_ref().map(|held| held.reservation.clone());
@@ -353,6 +355,7 @@
                 .as_ref()
                 .filter(|_| job.spec.class != PriorityClass::Urgent),
             expected_end: self.now + self.table.expected_run_time(job, BACKFILL_QUANTILE),
+            yields: job.spec.checkpointable,
             profile: &self.profile,
             weights: Weights {
                 completion: policy.completion_weight,
@@ -365,7 +368,7 @@
         let request = self.request(job, excluded);
         let barred = request
             .reservation
-            .is_some_and(|reservation| request.expected_end > reservation.start_at);
+            .is_some_and(|reservation| reservation.bars(request.expected_end, request.yields));
         let key = (request.shape, request.holding == Holding::Firm, barred);
         if self.failed.contains(&key) {
             return None;
--- a/crates/yuccatack_placement/src/fragmentation.rs
+++ b/crates/yuccatack_placement/src/fragmentation.rs
@@ -132,6 +132,48 @@
         .sum()
 }
 
+/// How many free accelerators become usable when a running gang leaves `assignments`, net of the
+/// accelerators that it frees itself.
+pub fn release_gain(
+    cluster: &Cluster,
+    profile: &DemandProfile,
+    task: &Resources,
+    assignments: &[Assignment],
+) -> f64 {
+    profile
+        .shapes
+        .iter()
+        .map(|entry| entry.weight * shape_gain(cluster, &entry.shape, task, assignments))
+        .sum()
+}
+
+fn shape_gain(
+    cluster: &Cluster,
+    shape: &Shape,
+    task: &Resources,
+    assignments: &[Assignment],
+) -> f64 {
+    let count = shape.task.accelerator_count;
+    let mut gain = 0;
+    // The parts of one gang mostly share a domain; each part alone is a lower bound.
+    for part in assignments {
+        let Some(cell) = cluster.worker(part.worker) else { continue };
+        let before = cell.free().accelerator_count;
+        let freed = task.accelerator_count * part.task_count;
+        let gained = u64::from((before + freed) / count - before / count);
+        let slots = match shape.adjacency {
+            Adjacency::Worker => u64::from(before / count),
+            Adjacency::Rack => cluster.racks[cell.rack as usize].index.accelerator_slots(count),
+            Adjacency::DataCentre => {
+                cluster.data_centres[cell.data_centre as usize].index.accelerator_slots(count)
+            }
+        };
+        let won = whole_gangs(slots + gained, shape) - whole_gangs(slots, shape);
+        gain += won as i64 - i64::from(freed);
+    }
+    gain as f64
+}
+
 fn shape_growth(
     overlay: &Overlay<'_>,
     shape: &Shape,
--- a/crates/yuccatack_placement/src/lib.rs
+++ b/crates/yuccatack_placement/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use baseline::{best_fit, first_fit};
 pub use cluster::{Cluster, DataCentreIndex, RackIndex, WorkerCell, WorkerIndex};
-pub use fragmentation::{DemandProfile, WeightedShape, fragmentation, remainder};
+pub use fragmentation::{DemandProfile, WeightedShape, fragmentation, release_gain, remainder};
 pub use guarantee::{GuaranteedShape, PackError, nearest_fit, pack, pack_one};
 pub use overlay::Overlay;
 pub use search::{Assignment, Holding, Placement, Request, Reservation, Weights, place};
--- a/crates/yuccatack_placement/src/search.rs
+++ b/crates/yuccatack_placement/src/search.rs
@@ -42,6 +42,15 @@
     pub workers: FastHashSet<WorkerIndex>,
     /// When they are expected to be free.
     pub start_at: TimestampMs,
+    /// Whether nobody else may use them, because they are being freed for the job right now.
+    pub exclusive: bool,
+}
+
+impl Reservation {
+    /// Whether a job must stay off the reserved workers.
+    pub fn bars(&self, expected_end: TimestampMs, yields: bool) -> bool {
+        self.exclusive || (!yields && expected_end > self.start_at)
+    }
 }
 
 /// The weights of the two parts of a score.
@@ -68,6 +77,8 @@
     pub reservation: Option<&'a Reservation>,
     /// When the job is expected to end if it starts now.
     pub expected_end: TimestampMs,
+    /// Whether the job can be checkpointed to give way to the holder of the reservation.
+    pub yields: bool,
     /// The shapes that should remain servable.
     pub profile: &'a DemandProfile,
     /// The weights of the score.
@@ -129,7 +140,8 @@
         return 0;
     }
     let kept_free = request.reservation.is_some_and(|reservation| {
-        request.expected_end > reservation.start_at && reservation.workers.contains(&worker)
+        reservation.bars(request.expected_end, request.yields)
+            && reservation.workers.contains(&worker)
     });
     if kept_free {
         return 0;
