--- a/crates/yuccatack_view/src/message.rs
+++ b/crates/yuccatack_view/src/message.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use yuccatack_core::prelude::*;
-use yuccatack_records::{RecordKey, RecordKind, StoredRecord};
+use yuccatack_records::{RecordKey, RecordKind, RecordStore, StoredRecord};
 
 use crate::state::{MinionEntry, MinionStatus};
 
@@ -90,6 +90,21 @@
     pub removed: Vec<RecordKey>,
 }
 
+impl RecordUpdate {
+    /// The update for the change of `key` that `store` has applied last.
+    pub fn from_last_change(store: &RecordStore, key: &RecordKey) -> Self {
+        let stored = store.get(key);
+        Self {
+            revision: store.revision(),
+            changed: stored
+                .map(|stored| PublishedRecord::from((key, stored)))
+                .into_iter()
+                .collect(),
+            removed: if stored.is_none() { vec![key.clone()] } else { Vec::new() },
+        }
+    }
+}
+
 /// What the leader tells a node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Update {
