Give hints for the first 32 unknown keys only

A document of 59 kB with 6,000 unknown keys took 38 ms to refuse, on every replica and within the application of the log, because each key was compared with all known ones. Only 32 problems are listed in any case.

--- a/crates/yuccatack_records/src/wire/document.rs
+++ b/crates/yuccatack_records/src/wire/document.rs
@@ -13,6 +13,9 @@
 pub const NEWEST_SCHEMA_VERSION: u64 = 2;
 /// The longest accepted document; 64 KiB leave room for a long command line.
 pub const MAX_DOCUMENT_LENGTH_BYTES: usize = 64 * 1024;
+/// The unknown keys that get a hint; 64 KiB hold thousands of keys, and comparing each of them with
+/// all known ones holds up a replica for tens of milliseconds.
+const MAX_HINTS: usize = 32;
 /// The most similar key is offered from this similarity on (1 is equal).
 const LEAST_SIMILARITY: f64 = 0.8;
 
@@ -151,7 +154,9 @@
     let known = known_keys::<Wire>();
     let other = known_keys::<OtherWire>();
     for key in fields.keys().filter(|key| !known.contains(&key.as_str())) {
-        let hint = if other.contains(&key.as_str()) {
+        let hint = if problems.len() >= MAX_HINTS {
+            "remove it".to_owned()
+        } else if other.contains(&key.as_str()) {
             format!(
                 "it belongs to another schema version; here known keys are {}",
                 known.join(", ")
