Log each lease event under its own name; set metrics; serve the burn report

One event name for every lease change lost the lines of single jobs to the limit on repeated lines. The entry serves /v1/burn, and an unknown job is answered with 404.

--- a/crates/yuccatack_agent/src/observe.rs
+++ b/crates/yuccatack_agent/src/observe.rs
@@ -18,6 +18,9 @@
     loop {
         interval.tick().await;
         telemetry.metrics.view.set_revision(view.view().revision);
+        if let Some(age) = view.age(Instant::now()) {
+            telemetry.metrics.view.set_age(age);
+        }
         let status = reports.borrow().clone();
         let slots_in_use = status.as_ref().map_or(0, |status| status.slots_in_use);
         telemetry.metrics.agent.set_slots_in_use(slots_in_use);
--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::Clock;
 use crate::error::ControlFailure;
+use crate::events::log_event;
 use crate::heartbeat;
 use crate::held::{Held, HeldHeartbeats, affected_workers};
 use crate::membership::{WantedReplicas, wanted_replicas};
@@ -135,7 +136,7 @@
     ) -> Result<(), ActorProcessingErr> {
         match message {
             ControlMessage::Committed(committed) => state.committed(committed).await?,
-            ControlMessage::Tick => state.tick()?,
+            ControlMessage::Tick => state.tick().await?,
             ControlMessage::SubmitChange { change, reply } => state.submit_change(change, reply)?,
             ControlMessage::Read { query, reply } => state.read(query, reply),
             ControlMessage::Claim { command, reply } => state.claim(command, reply)?,
@@ -196,7 +197,7 @@
         }
         if let ControlOutcome::Leases(events) = &outcome {
             for event in events {
-                log::info!(event = "lease_event"; "{event:?}");
+                log_event(event);
             }
             if matches!(self.role, Role::Leader(_)) {
                 observe::observe_events(&self.telemetry.metrics, self.state.leases(), events);
@@ -205,8 +206,10 @@
         }
         let leases_changed =
             matches!(&outcome, ControlOutcome::Leases(events) if !events.is_empty());
-        if let Some(proposal) = proposal {
-            self.pending.complete(proposal, outcome);
+        if let Some(proposal) = proposal
+            && let Some(latency) = self.pending.complete(proposal, outcome)
+        {
+            self.telemetry.metrics.replication.observe_commit(latency);
         }
         if leases_changed {
             // The next step of a gang need not wait for the next tick.
@@ -231,14 +234,12 @@
     }
 
     async fn publish(&self, key: RecordKey) {
-        let revision = self.state.records().revision();
-        let published = PublishedRecord::is_published(key.kind);
-        let (changed, removed) = match self.state.records().get(&key) {
-            Some(stored) if published => (vec![PublishedRecord::from((&key, stored))], Vec::new()),
-            None if published => (Vec::new(), vec![key]),
-            Some(_) | None => (Vec::new(), Vec::new()),
-        };
-        self.publisher.publish(RecordUpdate { revision, changed, removed }).await;
+        let mut update = RecordUpdate::from_last_change(self.state.records(), &key);
+        if !PublishedRecord::is_published(key.kind) {
+            update.changed.clear();
+            update.removed.clear();
+        }
+        self.publisher.publish(update).await;
     }
 
     async fn restore(&mut self, index: LogIndex, payload: &[u8]) -> Result<(), ActorProcessingErr> {
@@ -311,9 +312,9 @@
         }
     }
 
-    fn tick(&mut self) -> Result<(), ActorProcessingErr> {
+    async fn tick(&mut self) -> Result<(), ActorProcessingErr> {
         let now = self.clock.now();
-        self.observe(now);
+        self.observe(now).await;
         let Role::Leader(lead) = &mut self.role else { return Ok(()) };
         for (worker, held) in lead.held.take_expired(now) {
             lead.release(self.state.leases(), &worker, held);
@@ -332,7 +333,7 @@
         self.propose_leases(commands, PendingProposal::Schedule)
     }
 
-    fn observe(&mut self, now: TimestampMs) {
+    async fn observe(&mut self, now: TimestampMs) {
         if now.since(self.observed_at) < OBSERVE_INTERVAL {
             return;
         }
@@ -340,9 +341,12 @@
         let metrics = &self.telemetry.metrics;
         metrics.replication.set_committed_index(self.applied_index.get());
         metrics.view.set_revision(self.state.records().revision());
-        if matches!(self.role, Role::Leader(_)) {
-            observe::observe_state(metrics, self.state.leases());
-        }
+        let Role::Leader(lead) = &self.role else { return };
+        observe::observe_state(metrics, self.state.leases());
+        metrics.capacity.set_fragmentation(lead.volatile.fragmentation(self.state.leases()));
+        let in_force = self.publisher.in_force(self.state.records().revision()).await;
+        let missing_count = u32::try_from(in_force.missing_nodes.len()).unwrap_or(u32::MAX);
+        metrics.view.set_nodes_not_in_force(missing_count);
     }
 
     fn propose_leases(
--- a/crates/yuccatack_control/src/lib.rs
+++ b/crates/yuccatack_control/src/lib.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod clock;
 mod error;
+mod events;
 mod forward;
 mod heartbeat;
 mod held;
--- a/crates/yuccatack_control/src/pending.rs
+++ b/crates/yuccatack_control/src/pending.rs
@@ -1,7 +1,7 @@
 //! Calls that wait for the replicated log.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use yuccatack_core::prelude::*;
 use yuccatack_records::ChangeOutcome;
@@ -38,7 +38,7 @@
 #[derive(Debug, Default)]
 pub struct Pending {
     last_number: u64,
-    proposals: FastHashMap<ProposalId, PendingProposal>,
+    proposals: FastHashMap<ProposalId, (Instant, PendingProposal)>,
     reads: FastHashMap<ReadId, PendingRead>,
 }
 
@@ -46,7 +46,7 @@
     /// Registers a proposal.
     pub fn add_proposal(&mut self, waiting: PendingProposal) -> ProposalId {
         let proposal = ProposalId::new(self.next_number());
-        self.proposals.insert(proposal, waiting);
+        self.proposals.insert(proposal, (Instant::now(), waiting));
         proposal
     }
 
@@ -64,12 +64,12 @@
 
     /// Whether decisions of the scheduler are on their way.
     pub fn is_scheduling(&self) -> bool {
-        self.proposals.values().any(|waiting| matches!(waiting, PendingProposal::Schedule))
+        self.proposals.values().any(|(_, waiting)| matches!(waiting, PendingProposal::Schedule))
     }
 
-    /// Answers the call behind an applied proposal.
-    pub fn complete(&mut self, proposal: ProposalId, outcome: ControlOutcome) {
-        let Some(waiting) = self.proposals.remove(&proposal) else { return };
+    /// Answers the call behind an applied proposal and tells how long it took.
+    pub fn complete(&mut self, proposal: ProposalId, outcome: ControlOutcome) -> Option<Duration> {
+        let (proposed_at, waiting) = self.proposals.remove(&proposal)?;
         // A caller that gave up has dropped its end; its resend finds the applied command.
         match (waiting, outcome) {
             (PendingProposal::Change(reply), ControlOutcome::Change(outcome)) => {
@@ -86,6 +86,7 @@
                 );
             }
         }
+        Some(proposed_at.elapsed())
     }
 
     /// Tells the call behind a failed proposal.
@@ -94,7 +95,7 @@
             ProposalFailure::NotLeader { leader_address } => not_leader(leader_address),
             ProposalFailure::Unknown => ControlFailure::Unknown,
         };
-        match self.proposals.remove(&proposal) {
+        match self.proposals.remove(&proposal).map(|(_, waiting)| waiting) {
             Some(PendingProposal::Change(reply)) => {
                 let _ = reply.send(Err(failure));
             }
--- a/crates/yuccatack_control/src/queries.rs
+++ b/crates/yuccatack_control/src/queries.rs
@@ -133,6 +133,7 @@
     let explanation = state.leases().explain(name);
     json!({
         "job": name.as_str(),
+        "known": state.leases().job(name).is_some(),
         "state": state_word(explanation.status),
         "not_run": explanation.not_run,
         "waits_for": explanation.wait.as_ref().map(wait_word),
--- a/crates/yuccatack_entry/src/observe.rs
+++ b/crates/yuccatack_entry/src/observe.rs
@@ -19,6 +19,9 @@
         interval.tick().await;
         let current = view.view();
         telemetry.metrics.view.set_revision(current.revision);
+        if let Some(age) = view.age(Instant::now()) {
+            telemetry.metrics.view.set_age(age);
+        }
         if objectives_revision != Some(current.revision) {
             set_objectives(&current, &telemetry);
             objectives_revision = Some(current.revision);
--- a/crates/yuccatack_entry/src/operators.rs
+++ b/crates/yuccatack_entry/src/operators.rs
@@ -8,6 +8,7 @@
 use yuccatack_core::prelude::*;
 use yuccatack_records::generated::records as wire;
 use yuccatack_records::{Change, ChangeOutcome, Operation, RecordKey, RecordKind, RefusalKind};
+use yuccatack_telemetry::Telemetry;
 
 /// What an operator asks for.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -24,6 +25,8 @@
     Status,
     /// `GET /v1/jobs/{name}/explanation`
     Job(JobName),
+    /// `GET /v1/burn`, answered by the entry itself
+    BurnReport,
 }
 
 impl OperatorRoute {
@@ -39,6 +42,7 @@
                 Some(Self::Record(RecordKey { kind, name: RecordName::new(name).ok()? }))
             }
             ["status"] => Some(Self::Status),
+            ["burn"] => Some(Self::BurnReport),
             ["jobs", name, "explanation"] => Some(Self::Job(JobName::new(name).ok()?)),
             _ => None,
         }
@@ -48,9 +52,12 @@
     pub fn method(&self) -> Method {
         match self {
             Self::SubmitChange => Method::POST,
-            Self::Change(_) | Self::Records(_) | Self::Record(_) | Self::Status | Self::Job(_) => {
-                Method::GET
-            }
+            Self::Change(_)
+            | Self::Records(_)
+            | Self::Record(_)
+            | Self::Status
+            | Self::Job(_)
+            | Self::BurnReport => Method::GET,
         }
     }
 }
@@ -113,6 +120,12 @@
     records: Vec<StoredRecord>,
 }
 
+/// The part of a job's explanation that the entry reads.
+#[derive(Deserialize)]
+struct Explanation {
+    known: bool,
+}
+
 #[derive(Serialize)]
 struct Problem {
     kind: &'static str,
@@ -120,14 +133,22 @@
 }
 
 /// Answers an operator with the help of the control leader.
-pub async fn respond(route: OperatorRoute, body: &[u8], control: &ControlClient) -> OperatorAnswer {
+pub async fn respond(
+    route: OperatorRoute,
+    body: &[u8],
+    control: &ControlClient,
+    telemetry: &Telemetry,
+) -> OperatorAnswer {
     let answer = match route {
         OperatorRoute::SubmitChange => submit_change(body, control).await,
         OperatorRoute::Change(change_id) => read_change(&change_id, control).await,
         OperatorRoute::Records(kind) => list_records(kind, control).await,
         OperatorRoute::Record(key) => read_record(&key, control).await,
         OperatorRoute::Status => control.read_status().await.map(document),
-        OperatorRoute::Job(name) => control.explain_job(&name).await.map(document),
+        OperatorRoute::Job(name) => control.explain_job(&name).await.map(explanation),
+        OperatorRoute::BurnReport => {
+            Ok(json(StatusCode::OK, telemetry.burn_reports.borrow().as_ref()))
+        }
     };
     answer.unwrap_or_else(|error| failure(&error))
 }
@@ -210,6 +231,13 @@
     OperatorAnswer { status: StatusCode::OK, body_json: response.document_json }
 }
 
+fn explanation(response: wire::DocumentResponse) -> OperatorAnswer {
+    let known = serde_json::from_slice(&response.document_json)
+        .map_or(true, |explanation: Explanation| explanation.known);
+    let status = if known { StatusCode::OK } else { StatusCode::NOT_FOUND };
+    OperatorAnswer { status, body_json: response.document_json }
+}
+
 fn failure(error: &ControlError) -> OperatorAnswer {
     let (status, kind) = match error {
         ControlError::NotSent { .. } => (StatusCode::SERVICE_UNAVAILABLE, "not_sent"),
--- a/crates/yuccatack_entry/src/server.rs
+++ b/crates/yuccatack_entry/src/server.rs
@@ -181,7 +181,7 @@
         return problem(StatusCode::METHOD_NOT_ALLOWED, "wrong_method", message);
     }
     match read_body(context, request.into_body()).await {
-        Ok(body) => operators::respond(route, &body, &context.control).await,
+        Ok(body) => operators::respond(route, &body, &context.control, &context.telemetry).await,
         Err(not_run) => problem(StatusCode::BAD_REQUEST, "incomplete", not_run.detail.to_string()),
     }
 }
--- a/crates/yuccatack_leases/src/schedule.rs
+++ b/crates/yuccatack_leases/src/schedule.rs
@@ -68,6 +68,11 @@
     }
 
     /// Remembers what is asked for; a shape that is asked for no more fades.
+    /// The share of free accelerators that cannot serve the shapes in demand.
+    pub fn fragmentation(&self, table: &LeaseTable) -> f64 {
+        yuccatack_placement::fragmentation(&table.cluster, &profile(table, &self.demand))
+    }
+
     fn remember_demand(&mut self, shape: &Shape) {
         let weight = f64::from(shape.task_count) * f64::from(shape.task.accelerator_count);
         for (_, known) in &mut self.demand {
--- a/crates/yuccatack_view/src/state.rs
+++ b/crates/yuccatack_view/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 use yuccatack_core::prelude::*;
@@ -114,6 +114,13 @@
         self.fresh_until.borrow().is_some_and(|limit| now < limit)
     }
 
+    /// How old the confirmation of the view is; `None` before the first one.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let confirmed_until = (*self.fresh_until.borrow())?;
+        let freshness = Duration::from(crate::limits::FRESHNESS);
+        Some(freshness.saturating_sub(confirmed_until.saturating_duration_since(now)))
+    }
+
     /// Waits until the view has changed; an error means that its keeper has stopped.
     pub async fn changed(&mut self) -> Result<(), watch::error::RecvError> {
         self.view.changed().await
