Assert in the program that generations and revisions never go back

The tests checked it from outside only. Debug builds now assert it where a change is committed and where a node applies an update.

Measured: all 50 tests of the three crates pass in a debug build.

--- a/crates/yuccatack_records/src/store.rs
+++ b/crates/yuccatack_records/src/store.rs
@@ -111,6 +111,7 @@
         }
         let now = self.advance_clock(now);
         let Validated { change, key, generation, content, .. } = validated;
+        debug_assert!(generation > self.current_generation(&key), "{key} would go back");
         self.revision = self.revision.next();
         let revision = self.revision;
         match content {
--- a/crates/yuccatack_view/src/subscriber/state.rs
+++ b/crates/yuccatack_view/src/subscriber/state.rs
@@ -184,6 +184,7 @@
     }
 
     fn apply_body(&mut self, revision: Revision, body: UpdateBody) -> Result<(), UpdateError> {
+        debug_assert!(revision >= self.view.revision, "the node would go back to {revision}");
         let mut view = View::clone(&self.view);
         match body {
             UpdateBody::Snapshot { records, minions } => {
