--- a/crates/yuccatack_view/tests/view_consistency/main.rs
+++ b/crates/yuccatack_view/tests/view_consistency/main.rs
@@ -4,6 +4,7 @@
 //! `YUCCATACK_SEED` and `YUCCATACK_SEED_COUNT` choose other seeds.
 #![allow(clippy::print_stdout, clippy::unwrap_used, missing_docs)]
 
+mod faults;
 mod invariants;
 mod network;
 mod node;
