Weigh demand by difficulty, prefer full racks, and time decisions

Many small shapes pushed the gangs' shapes out of the demand profile, so the score did not protect room for gangs; demand now counts by the square of a gang's accelerators, and equal places go to the fuller rack.

--- /dev/null
+++ b/crates/yuccatack_leases/examples/decision_time/main.rs
@@ -0,0 +1,242 @@
+//! Measures the time of one decision and the memory of the lease table.
+//!
+//! `cargo run --release --package yuccatack_leases --example decision_time`
+#![allow(clippy::print_stdout, missing_docs)]
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use yuccatack_core::prelude::*;
+use yuccatack_leases::*;
+
+/// Counts allocated bytes.
+struct Counting;
+
+static ALLOCATED_BYTES: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call is passed on to the system allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED_BYTES.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        ALLOCATED_BYTES.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+const DECISIONS: u64 = 500;
+
+fn main() {
+    println!("time of one decision in microseconds; one job waits, the others run");
+    for worker_count in [11, 1_000, 9_300] {
+        measure(worker_count);
+    }
+}
+
+fn resources(cores: u64, gib: u64, accelerator_count: u32) -> Resources {
+    Resources { cores_milli: cores * 1_000, memory_bytes: gib << 30, accelerator_count }
+}
+
+fn registration(number: usize) -> Option<WorkerRegistration> {
+    let rack = number / 3;
+    // 14,000 accelerators on 9,300 workers: every fourth worker has three, the others one.
+    let accelerators = if number.is_multiple_of(4) { 3 } else { 1 };
+    Some(WorkerRegistration {
+        worker: WorkerName::new(&format!("worker-{number}")).ok()?,
+        incarnation: Incarnation::new(number as u64 + 1),
+        data_centre: DataCentreName::new(&format!("centre-{}", rack % 9)).ok()?,
+        rack: RackName::new(&format!("rack-{rack}")).ok()?,
+        resources: resources(32, 128, accelerators),
+    })
+}
+
+fn job(name: &str, owner: usize, shape: Shape) -> Option<JobSpec> {
+    Some(JobSpec {
+        name: JobName::new(name).ok()?,
+        organisation: OrganisationName::new(&format!("organisation-{owner}")).ok()?,
+        shape,
+        class: PriorityClass::Standard,
+        declared_run_time_s: 3_600,
+        idempotent: true,
+        checkpointable: true,
+        command: vec!["run".to_owned()],
+    })
+}
+
+struct Driver {
+    table: LeaseTable,
+    leader: Volatile,
+    now: u64,
+}
+
+impl Driver {
+    fn at(&self) -> TimestampMs {
+        TimestampMs::new(self.now)
+    }
+
+    fn submit(&mut self, job: JobSpec) {
+        let at = self.at();
+        self.table.apply(LeaseCommand::SubmitJob { job, at });
+    }
+
+    /// Applies what the leader decides, and confirms and starts what it placed.
+    fn settle(&mut self, commands: Vec<LeaseCommand>) {
+        let at = self.at();
+        for command in commands {
+            let LeaseCommand::BeginAttempt(begin) = command else { continue };
+            let (job, epoch) = (begin.job.clone(), begin.epoch);
+            let count: u32 = begin.assignments.iter().map(|part| part.task_count).sum();
+            self.table.apply(LeaseCommand::BeginAttempt(begin));
+            let indexes = (0..count).collect();
+            self.table.apply(LeaseCommand::ConfirmPrepared {
+                job: job.clone(),
+                epoch,
+                indexes,
+                at,
+            });
+            self.table.apply(LeaseCommand::StartAttempt { job, epoch, at });
+        }
+    }
+
+    fn fill(&mut self) {
+        loop {
+            let commands = self.leader.schedule(&self.table, self.at());
+            if !commands.iter().any(|command| matches!(command, LeaseCommand::BeginAttempt(_))) {
+                return;
+            }
+            self.settle(commands);
+        }
+    }
+}
+
+fn measure(worker_count: usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut driver =
+        Driver { table: LeaseTable::new(), leader: Volatile::new(TimestampMs::new(0)), now: 0 };
+    let empty = ALLOCATED_BYTES.load(Ordering::Relaxed);
+    for worker in (0..worker_count).filter_map(registration) {
+        let at = driver.at();
+        driver.table.apply(LeaseCommand::RegisterWorker { worker, at });
+    }
+    let after_workers = ALLOCATED_BYTES.load(Ordering::Relaxed);
+    // 190 organisations; at full size 53,000 tasks run, most of them without an accelerator.
+    let organisations = 190.min(worker_count);
+    for owner in 0..organisations.min(40) {
+        let shape =
+            Shape { task_count: 4, task: resources(2, 8, 1), adjacency: Adjacency::DataCentre };
+        let guarantee = GuaranteeSpec {
+            name: RecordName::new(&format!("kept-{owner}")).unwrap_or_else(|e| panic!("{e}")),
+            organisation: OrganisationName::new(&format!("organisation-{owner}"))
+                .unwrap_or_else(|e| panic!("{e}")),
+            shape,
+            shape_count: 1,
+            data_centres: Vec::new(),
+        };
+        driver.table.apply(LeaseCommand::SetGuarantee(guarantee));
+    }
+    let wanted_tasks = worker_count * 53_000 / 9_300;
+    let before_jobs = ALLOCATED_BYTES.load(Ordering::Relaxed);
+    let (mut tasks, mut jobs) = (0, 0);
+    let wanted_accelerators = worker_count * 14_000 / 9_300 * 8 / 10;
+    let mut accelerators = 0;
+    while tasks < wanted_tasks {
+        let with_accelerator = accelerators < wanted_accelerators && rng.random_bool(0.3);
+        let task_count = [1, 1, 2, 4, 8, 16][rng.random_range(0..6)].min(worker_count as u32 / 4);
+        let count = u32::from(with_accelerator);
+        accelerators += (task_count * count) as usize;
+        let shape =
+            Shape { task_count, task: resources(2, 8, count), adjacency: Adjacency::DataCentre };
+        driver.submit_numbered(&mut jobs, organisations, shape);
+        tasks += task_count as usize;
+        if jobs % 64 == 0 {
+            driver.fill();
+        }
+    }
+    driver.fill();
+    let after_jobs = ALLOCATED_BYTES.load(Ordering::Relaxed);
+    let waiting = driver.table.waiting_job_count();
+    println!(
+        "{worker_count} workers, {tasks} tasks in {jobs} jobs ({waiting} wait), {} accelerators free",
+        driver.table.cluster().free_accelerator_count()
+    );
+    println!(
+        "  memory: {} bytes a worker, {} bytes a task (its share of the job included)",
+        (after_workers - empty) / worker_count,
+        (after_jobs - before_jobs) / tasks
+    );
+    let gang_tasks = 64.min(worker_count as u32);
+    for (name, task_count, adjacency) in
+        [("one task", 1, Adjacency::Worker), ("gang of 64", gang_tasks, Adjacency::DataCentre)]
+    {
+        driver.time_decisions(name, Shape { task_count, task: resources(1, 1, 1), adjacency });
+        let on_cores = format!("{name}, cores only");
+        driver.time_decisions(&on_cores, Shape { task_count, task: resources(1, 1, 0), adjacency });
+    }
+}
+
+impl Driver {
+    fn submit_numbered(&mut self, jobs: &mut usize, organisations: usize, shape: Shape) {
+        *jobs += 1;
+        if let Some(job) = job(&format!("job-{jobs}"), *jobs % organisations, shape) {
+            self.submit(job);
+        }
+    }
+
+    /// Times the decision for one new job, and the log entry that carries it out.
+    fn time_decisions(&mut self, name: &str, shape: Shape) {
+        let Ok(mut decide) = Histogram::<u64>::new(3) else { return };
+        let Ok(mut carry_out) = Histogram::<u64>::new(3) else { return };
+        let mut placed = 0;
+        for number in 0..DECISIONS {
+            // No time passes, so that only the new job is searched for.
+            let text = format!("measured-{}-{}-{number}", shape.task_count, name.len());
+            let Some(job) = job(&text, number as usize % 11, shape) else { return };
+            let job_name = job.name.clone();
+            self.submit(job);
+            let at = self.at();
+            let start = Instant::now();
+            let commands = self.leader.schedule(&self.table, at);
+            let nanoseconds = u64::try_from(start.elapsed().as_nanos()).unwrap_or(u64::MAX);
+            let _ = decide.record(nanoseconds);
+            for command in commands {
+                if matches!(command, LeaseCommand::BeginAttempt(_)) {
+                    placed += 1;
+                    let start = Instant::now();
+                    self.table.apply(command);
+                    let nanoseconds = u64::try_from(start.elapsed().as_nanos()).unwrap_or(u64::MAX);
+                    let _ = carry_out.record(nanoseconds);
+                }
+            }
+            // The job ends again, so that every decision meets the same state.
+            self.table.apply(LeaseCommand::CancelJobs { jobs: vec![job_name.clone()], at });
+            let epoch = FencingEpoch::new(1);
+            for index in 0..shape.task_count {
+                let (job, outcome) = (job_name.clone(), TaskOutcome::Stopped);
+                self.table.apply(LeaseCommand::EndTask { job, epoch, index, outcome, at });
+            }
+        }
+        let micros = |histogram: &Histogram<u64>, quantile| {
+            histogram.value_at_quantile(quantile) as f64 / 1_000.0
+        };
+        println!(
+            "  {name:24} placed {placed}/{DECISIONS}; decide p50 {:.0} p99 {:.0} max {:.0}; apply p50 {:.0} p99 {:.0}",
+            micros(&decide, 0.5),
+            micros(&decide, 0.99),
+            micros(&decide, 1.0),
+            micros(&carry_out, 0.5),
+            micros(&carry_out, 0.99),
+        );
+    }
+}
--- a/crates/yuccatack_leases/src/schedule.rs
+++ b/crates/yuccatack_leases/src/schedule.rs
@@ -69,7 +69,7 @@
 
     /// Remembers what is asked for; a shape that is asked for no more fades.
     fn remember_demand(&mut self, shape: &Shape) {
-        let weight = f64::from(shape.task_count) * f64::from(shape.task.accelerator_count);
+        let weight = difficulty(shape);
         for (_, known) in &mut self.demand {
             *known *= DEMAND_DECAY;
         }
@@ -471,31 +471,33 @@
     }
 }
 
+/// The weight of one gang in the profile. The square keeps few large gangs from being outweighed
+/// by many small ones, which find a place anyway.
+fn difficulty(shape: &Shape) -> f64 {
+    let accelerators = f64::from(shape.task_count) * f64::from(shape.task.accelerator_count);
+    accelerators * accelerators
+}
+
 /// Shapes asked for lately, guaranteed, and at the heads of the queues, weighted by their
 /// accelerators.
 fn profile(table: &LeaseTable, demand: &[(Shape, f64)]) -> DemandProfile {
     let mut shapes: Vec<WeightedShape> = Vec::new();
-    let mut add = |shape: Shape, count: u32| {
-        let weight = f64::from(shape.task_count)
-            * f64::from(shape.task.accelerator_count)
-            * f64::from(count);
-        match shapes.iter_mut().find(|entry| entry.shape == shape) {
+    let mut add =
+        |shape: Shape, weight: f64| match shapes.iter_mut().find(|entry| entry.shape == shape) {
             Some(entry) => entry.weight += weight,
             None => shapes.push(WeightedShape { shape, weight }),
-        }
-    };
+        };
     for (shape, weight) in demand {
-        let accelerators = shape.task_count * shape.task.accelerator_count;
-        add(*shape, (*weight as u32) / accelerators.max(1));
+        add(*shape, *weight);
     }
     for entry in table.guarantees.values() {
-        add(entry.spec.shape, entry.spec.shape_count);
+        add(entry.spec.shape, difficulty(&entry.spec.shape) * f64::from(entry.spec.shape_count));
     }
     for waiting in table.waiting.values() {
         for class in PriorityClass::ALL {
             let head = waiting.class(class).next();
             if let Some(job) = head.and_then(|(_, job)| table.jobs.get(job)) {
-                add(job.spec.shape, 1);
+                add(job.spec.shape, difficulty(&job.spec.shape));
             }
         }
     }
--- a/crates/yuccatack_placement/src/domain.rs
+++ b/crates/yuccatack_placement/src/domain.rs
@@ -47,7 +47,10 @@
     }
 
     /// Workers that may serve `task`, those with the fewest free accelerators first.
-    pub(crate) fn candidates(&self, task: &Resources) -> impl Iterator<Item = WorkerIndex> + '_ {
+    pub(crate) fn candidates(
+        &self,
+        task: &Resources,
+    ) -> impl Iterator<Item = WorkerIndex> + use<'_> {
         let least_cores = core_magnitude(task.cores_milli);
         let least = task.accelerator_count << 8;
         self.groups
--- a/crates/yuccatack_placement/src/fragmentation.rs
+++ b/crates/yuccatack_placement/src/fragmentation.rs
@@ -22,7 +22,7 @@
 }
 
 /// More shapes than this add cost to each decision and hardly change the result.
-const MAX_SHAPE_COUNT: usize = 6;
+const MAX_SHAPE_COUNT: usize = 8;
 
 impl DemandProfile {
     /// Keeps the shapes with the most weight and scales their weights to a sum of one.
--- a/crates/yuccatack_placement/src/search.rs
+++ b/crates/yuccatack_placement/src/search.rs
@@ -85,6 +85,10 @@
     pub weights: Weights,
 }
 
+/// More single workers of one data centre than this are not compared, for the same reason.
+const MAX_WORKER_CANDIDATES: usize = 8;
+/// Small enough that a free rack of 64 accelerators weighs less than one unusable accelerator.
+const RACK_BIAS: f64 = 0.01;
 /// More racks than this are not compared for one gang; they are visited in best-fit order, so
 /// that later ones rarely win.
 const MAX_RACK_CANDIDATES: usize = 12;
@@ -95,7 +99,7 @@
     let mut offer = |assignments: Option<Vec<Assignment>>| {
         let Some(assignments) = assignments else { return false };
         let grown = growth(overlay, request.profile, &request.shape.task, &assignments);
-        let score = request.weights.fragmentation * grown;
+        let score = request.weights.fragmentation * (grown + rack_bias(overlay, &assignments));
         if best.as_ref().is_none_or(|found| score < found.score) {
             best = Some(Placement { assignments, score });
         }
@@ -110,7 +114,11 @@
         let domain = &overlay.cluster().data_centres[data_centre as usize];
         match request.shape.adjacency {
             Adjacency::Worker => {
-                offer(single_worker(overlay, request, &domain.index));
+                let task_count = request.shape.task_count;
+                single_workers(overlay, request, &domain.index)
+                    .filter(|worker| offer(Some(vec![Assignment { worker: *worker, task_count }])))
+                    .take(MAX_WORKER_CANDIDATES)
+                    .for_each(drop);
             }
             Adjacency::DataCentre => {
                 offer(fill(overlay, request, &domain.index));
@@ -153,17 +161,28 @@
     }
 }
 
-fn single_worker(
-    overlay: &Overlay<'_>,
-    request: &Request<'_>,
-    index: &FreeIndex,
-) -> Option<Vec<Assignment>> {
-    let whole = request.shape.task.checked_mul(request.shape.task_count)?;
-    let task_count = request.shape.task_count;
-    index
-        .candidates(&whole)
-        .find(|worker| slots_on(overlay, request, *worker) >= task_count)
-        .map(|worker| vec![Assignment { worker, task_count }])
+/// Single workers that hold the whole gang, those with the least free first.
+fn single_workers<'a>(
+    overlay: &'a Overlay<'_>,
+    request: &'a Request<'_>,
+    index: &'a FreeIndex,
+) -> impl Iterator<Item = WorkerIndex> + 'a {
+    let whole = request.shape.task.checked_mul(request.shape.task_count);
+    let workers = whole.map(|whole| index.candidates(&whole));
+    workers
+        .into_iter()
+        .flatten()
+        .filter(|worker| slots_on(overlay, request, *worker) >= request.shape.task_count)
+}
+
+/// A small preference for racks that are fuller, so that equal places leave whole racks free.
+fn rack_bias(overlay: &Overlay<'_>, assignments: &[Assignment]) -> f64 {
+    let cluster = overlay.cluster();
+    let free = assignments.iter().filter_map(|part| {
+        let rack = cluster.worker(part.worker)?.rack;
+        Some(cluster.racks[rack as usize].index.free_accelerator_count())
+    });
+    RACK_BIAS * free.sum::<u64>() as f64 / assignments.len().max(1) as f64
 }
 
 fn fill(
