Withdraw the records of jobs that ended long ago

Ruled out: dropping records outside the change history, which would let an old resend submit the job again.

--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -26,6 +26,7 @@
 use crate::observe;
 use crate::pending::{Pending, PendingProposal, PendingRead, not_leader};
 use crate::queries;
+use crate::retention;
 use crate::state::{ControlCommand, ControlOutcome, ControlState};
 use crate::wire;
 
@@ -36,6 +37,9 @@
 /// How often the gauges are set; setting them reads every job.
 const OBSERVE_INTERVAL: DurationMs = DurationMs::from_seconds(5);
 
+/// How often the records of forgotten jobs are looked for; the search reads every job record.
+const RETENTION_INTERVAL: DurationMs = DurationMs::from_seconds(60);
+
 /// What the actor starts with.
 pub struct ControlArguments {
     /// The replicated log.
@@ -101,6 +105,7 @@
     telemetry: Telemetry,
     wanted_replicas: watch::Sender<WantedReplicas>,
     observed_at: TimestampMs,
+    cleaned_at: TimestampMs,
 }
 
 impl Actor for ControlActor {
@@ -125,6 +130,7 @@
             telemetry: arguments.telemetry,
             wanted_replicas: arguments.wanted_replicas,
             observed_at: TimestampMs::default(),
+            cleaned_at: TimestampMs::default(),
         })
     }
 
@@ -315,6 +321,7 @@
     async fn tick(&mut self) -> Result<(), ActorProcessingErr> {
         let now = self.clock.now();
         self.observe(now).await;
+        self.withdraw_forgotten_jobs(now)?;
         let Role::Leader(lead) = &mut self.role else { return Ok(()) };
         for (worker, held) in lead.held.take_expired(now) {
             lead.release(self.state.leases(), &worker, held);
@@ -333,6 +340,18 @@
         self.propose_leases(commands, PendingProposal::Schedule)
     }
 
+    fn withdraw_forgotten_jobs(&mut self, now: TimestampMs) -> Result<(), ActorProcessingErr> {
+        let leads = matches!(self.role, Role::Leader(_));
+        if !leads || now.since(self.cleaned_at) < RETENTION_INTERVAL {
+            return Ok(());
+        }
+        self.cleaned_at = now;
+        for change in retention::withdrawals(self.state.records(), self.state.leases()) {
+            self.propose(&ControlCommand::Change { change, now }, PendingProposal::Retention)?;
+        }
+        Ok(())
+    }
+
     async fn observe(&mut self, now: TimestampMs) {
         if now.since(self.observed_at) < OBSERVE_INTERVAL {
             return;
--- a/crates/yuccatack_control/src/lib.rs
+++ b/crates/yuccatack_control/src/lib.rs
@@ -20,6 +20,7 @@
 mod pending;
 mod process;
 mod queries;
+pub mod retention;
 mod specs;
 pub mod state;
 pub mod wire;
--- a/crates/yuccatack_control/src/pending.rs
+++ b/crates/yuccatack_control/src/pending.rs
@@ -23,6 +23,8 @@
     Schedule,
     /// Reports of workers; nobody waits for them.
     Reports,
+    /// The withdrawal of a forgotten job; nobody waits for it.
+    Retention,
 }
 
 /// What waits for a read of the newest committed state.
@@ -78,7 +80,8 @@
             (PendingProposal::Claim(reply), ControlOutcome::Claim(outcome)) => {
                 let _ = reply.send(Ok(outcome));
             }
-            (PendingProposal::Schedule | PendingProposal::Reports, ControlOutcome::Leases(_)) => {}
+            (PendingProposal::Schedule | PendingProposal::Reports, ControlOutcome::Leases(_))
+            | (PendingProposal::Retention, ControlOutcome::Change(_)) => {}
             (waiting, outcome) => {
                 log::error!(
                     event = "proposal_mismatch";
@@ -102,7 +105,10 @@
             Some(PendingProposal::Claim(reply)) => {
                 let _ = reply.send(Err(failure));
             }
-            Some(PendingProposal::Schedule | PendingProposal::Reports) | None => {}
+            Some(
+                PendingProposal::Schedule | PendingProposal::Reports | PendingProposal::Retention,
+            )
+            | None => {}
         }
     }
 
--- a/crates/yuccatack_control/src/process.rs
+++ b/crates/yuccatack_control/src/process.rs
@@ -37,6 +37,10 @@
 /// How often a draining process looks whether calls still wait.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Connections of lost machines are found by pings, since nothing else closes them.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Streams of other processes do not end by themselves; they get this long to notice the shutdown.
 const STREAM_GRACE: Duration = Duration::from_millis(500);
 
@@ -150,6 +154,8 @@
     replication: ReplicationService,
 ) -> Result<(), tonic::transport::Error> {
     Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
+        .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
         .add_service(OperatorsServer::new(OperatorsService::new(actor.clone())))
         .add_service(ClaimsServer::new(ClaimsService::new(actor.clone())))
         .add_service(WorkersServer::new(WorkersService::new(actor)))
