Remove settings that had no effect

lease_ms, clock_margin_ms and checkpoint_limit_ms were read and never used: the worker protocol has fixed times, because replicas with different ones would reassign capacity under a valid lease.

--- a/crates/yuccatack_settings/src/control.rs
+++ b/crates/yuccatack_settings/src/control.rs
@@ -42,15 +42,6 @@
     /// The shortest election timeout; the longest is twice as long.
     #[serde(default = "default_election_timeout_ms")]
     pub election_timeout_ms: u64,
-    /// How long a worker's lease lasts after a heartbeat.
-    #[serde(default = "default_lease_ms")]
-    pub lease_ms: u64,
-    /// The largest difference in rate and delay between two clocks over one lease.
-    #[serde(default = "default_clock_margin_ms")]
-    pub clock_margin_ms: u64,
-    /// How long a task may take to write a checkpoint before it is stopped.
-    #[serde(default = "default_checkpoint_limit_ms")]
-    pub checkpoint_limit_ms: u64,
     /// How long request claims are kept.
     #[serde(default = "default_claim_age_limit_ms")]
     pub claim_age_limit_ms: u64,
@@ -73,18 +64,6 @@
     250
 }
 
-fn default_lease_ms() -> u64 {
-    6_000
-}
-
-fn default_clock_margin_ms() -> u64 {
-    500
-}
-
-fn default_checkpoint_limit_ms() -> u64 {
-    3_000
-}
-
 fn default_claim_age_limit_ms() -> u64 {
     24 * 60 * 60 * 1000
 }
--- a/crates/yuccatack_settings/src/validation/control.rs
+++ b/crates/yuccatack_settings/src/validation/control.rs
@@ -50,24 +50,6 @@
         "The shortest election timeout; the longest is twice as long. At least three times \
          `heartbeat_ms`.",
     ),
-    Field::integer(
-        "lease_ms",
-        6_000,
-        (1_000, 600_000),
-        "How long a worker's lease lasts after a heartbeat.",
-    ),
-    Field::integer(
-        "clock_margin_ms",
-        500,
-        (1, 60_000),
-        "The largest difference between two clocks over one lease. Shorter than `lease_ms`.",
-    ),
-    Field::integer(
-        "checkpoint_limit_ms",
-        3_000,
-        (100, 600_000),
-        "How long a task may take to write a checkpoint before it is stopped.",
-    ),
     Field::integer(
         "claim_age_limit_ms",
         24 * 60 * 60 * 1000,
@@ -175,16 +157,6 @@
             "raise `election_timeout_ms` or lower `heartbeat_ms`",
         ));
     }
-    let (lease, margin) = (section.integer("lease_ms"), section.integer("clock_margin_ms"));
-    if let (Some(lease), Some(margin)) = (lease, margin)
-        && margin >= lease
-    {
-        problems.push(Problem::new(
-            section.path("clock_margin_ms"),
-            format!("a margin of {margin} ms is not shorter than the lease of {lease} ms"),
-            "lower `clock_margin_ms` or raise `lease_ms`",
-        ));
-    }
 }
 
 fn read_replicas(section: &Section<'_>) -> Vec<PlacedReplica> {
