--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -7,7 +7,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
 use yuccatack_core::prelude::*;
-use yuccatack_leases::{LeaseCommand, LeaseEvent, LeaseTable, Volatile};
+use yuccatack_leases::{LeaseCommand, LeaseEvent};
 use yuccatack_records::{Change, ChangeOutcome, RecordKey, RecordKind};
 use yuccatack_replication::{
     Committed, Leadership, LogIndex, ProposalId, ReadFailure, ReadId, ReplicationHandle,
@@ -20,7 +20,7 @@
 use crate::error::ControlFailure;
 use crate::events::log_event;
 use crate::heartbeat;
-use crate::held::{Held, HeldHeartbeats, affected_workers};
+use crate::lead::Lead;
 use crate::membership::{WantedReplicas, wanted_replicas};
 use crate::message::{ControlMessage, HeartbeatAnswer, Query, QueryAnswer, Reply};
 use crate::observe;
@@ -57,35 +57,6 @@
 /// The actor; its state is [`ControlActorState`].
 pub struct ControlActor;
 
-/// What the leader keeps beside the replicated state.
-struct Lead {
-    volatile: Volatile,
-    /// Answers that grant leases; they wait until a leadership check that began later succeeds.
-    unconfirmed: Vec<(Reply<HeartbeatAnswer>, HeartbeatAnswer)>,
-    /// The answers that the leadership check on its way will release.
-    confirming: Vec<(Reply<HeartbeatAnswer>, HeartbeatAnswer)>,
-    checking: bool,
-    held: HeldHeartbeats,
-}
-
-impl Lead {
-    fn new(now: TimestampMs) -> Self {
-        Self {
-            volatile: Volatile::new(now),
-            unconfirmed: Vec::new(),
-            confirming: Vec::new(),
-            checking: false,
-            held: HeldHeartbeats::default(),
-        }
-    }
-
-    /// Answers a held heartbeat with the commands that are due now.
-    fn release(&mut self, leases: &LeaseTable, worker: &WorkerName, mut held: Held) {
-        held.answer.commands = self.volatile.commands_for(leases, worker);
-        self.unconfirmed.push((held.reply, heartbeat::encode(held.answer)));
-    }
-}
-
 /// Whether this replica leads.
 enum Role {
     Leader(Box<Lead>),
@@ -231,11 +202,7 @@
     /// Answers the held heartbeats of workers that have a new command.
     fn release_affected(&mut self, events: &[LeaseEvent]) {
         let Role::Leader(lead) = &mut self.role else { return };
-        for worker in affected_workers(self.state.leases(), events) {
-            if let Some(held) = lead.held.take(&worker) {
-                lead.release(self.state.leases(), &worker, held);
-            }
-        }
+        lead.release_affected(self.state.leases(), events);
         self.check_leadership();
     }
 
@@ -296,11 +263,9 @@
     /// new work and workers get no lease.
     fn check_leadership(&mut self) {
         let Role::Leader(lead) = &mut self.role else { return };
-        if lead.checking {
+        if !lead.begin_check() {
             return;
         }
-        lead.checking = true;
-        lead.confirming.append(&mut lead.unconfirmed);
         let read = self.pending.add_read(PendingRead::LeadershipCheck(Instant::now()));
         self.replication.read(read);
     }
@@ -308,12 +273,7 @@
     async fn leadership_confirmed(&mut self, requested_at: Instant) {
         self.publisher.confirm_leadership(requested_at).await;
         let Role::Leader(lead) = &mut self.role else { return };
-        lead.checking = false;
-        for (reply, answer) in lead.confirming.drain(..) {
-            // A worker that gave up sends its next heartbeat.
-            let _ = reply.send(Ok(answer));
-        }
-        if !lead.unconfirmed.is_empty() {
+        if lead.check_succeeded() {
             self.check_leadership();
         }
     }
@@ -323,9 +283,7 @@
         self.observe(now).await;
         self.withdraw_forgotten_jobs(now)?;
         let Role::Leader(lead) = &mut self.role else { return Ok(()) };
-        for (worker, held) in lead.held.take_expired(now) {
-            lead.release(self.state.leases(), &worker, held);
-        }
+        lead.release_expired(self.state.leases(), now);
         self.check_leadership();
         self.schedule(now)
     }
@@ -336,7 +294,7 @@
         if self.pending.is_scheduling() {
             return Ok(());
         }
-        let commands = lead.volatile.schedule(self.state.leases(), now);
+        let commands = lead.schedule(self.state.leases(), now);
         self.propose_leases(commands, PendingProposal::Schedule)
     }
 
@@ -362,7 +320,7 @@
         metrics.view.set_revision(self.state.records().revision());
         let Role::Leader(lead) = &self.role else { return };
         observe::observe_state(metrics, self.state.leases());
-        metrics.capacity.set_fragmentation(lead.volatile.fragmentation(self.state.leases()));
+        metrics.capacity.set_fragmentation(lead.volatile().fragmentation(self.state.leases()));
         let in_force = self.publisher.in_force(self.state.records().revision()).await;
         let missing_count = u32::try_from(in_force.missing_nodes.len()).unwrap_or(u32::MAX);
         metrics.view.set_nodes_not_in_force(missing_count);
@@ -452,10 +410,7 @@
             }
             Some(PendingRead::LeadershipCheck(_)) => {
                 let Role::Leader(lead) = &mut self.role else { return };
-                lead.checking = false;
-                for (reply, _) in lead.confirming.drain(..) {
-                    let _ = reply.send(Err(not_leader(leader_address)));
-                }
+                lead.check_failed(leader_address);
             }
             None => {}
         }
@@ -481,7 +436,7 @@
             Query::Status => {
                 let replication = self.replication.status().borrow().clone();
                 let volatile = match &self.role {
-                    Role::Leader(lead) => Some((&lead.volatile, self.clock.now())),
+                    Role::Leader(lead) => Some((lead.volatile(), self.clock.now())),
                     Role::Follower { .. } => None,
                 };
                 let document =
@@ -508,15 +463,7 @@
         };
         let now = self.clock.now();
         let Role::Leader(lead) = &mut self.role else { return Ok(()) };
-        let (answer, commands) = lead.volatile.heartbeat(self.state.leases(), report, now);
-        if HeldHeartbeats::may_hold(&answer) {
-            let held = Held { reply, answer, received_at: now };
-            if let Some(replaced) = lead.held.insert(worker.clone(), held) {
-                lead.release(self.state.leases(), worker, replaced);
-            }
-        } else {
-            lead.unconfirmed.push((reply, heartbeat::encode(answer)));
-        }
+        let commands = lead.heartbeat(self.state.leases(), report, reply, now);
         self.check_leadership();
         self.propose_leases(commands, PendingProposal::Reports)
     }
--- a/crates/yuccatack_control/src/lib.rs
+++ b/crates/yuccatack_control/src/lib.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod heartbeat;
 mod held;
+mod lead;
 pub mod membership;
 mod message;
 mod observe;
