--- a/crates/yuccatack_leases/examples/replay/engine.rs
+++ b/crates/yuccatack_leases/examples/replay/engine.rs
@@ -292,22 +292,6 @@
 fn sample(engine: &Engine, profile: &DemandProfile, outcome: &mut Outcome) {
     let cluster = engine.table.cluster();
     let free = cluster.free_accelerator_count() as f64;
-    if std::env::var("IDLE").is_ok() && engine.table.waiting_job_count() > 0 {
-        return;
-    }
-    if std::env::var("DUMP").is_ok() && outcome.free.len() % 60 == 0 {
-        let row: Vec<String> = cluster
-            .workers()
-            .map(|(_, c)| {
-                format!(
-                    "{}/{}",
-                    c.used.accelerator_count,
-                    c.firm.accelerator_count + c.reserved.accelerator_count
-                )
-            })
-            .collect();
-        println!("{row:?}");
-    }
     outcome.free.push(free);
     outcome.unusable.push(free * fragmentation(cluster, profile));
     outcome.remainder.push(free * remainder(cluster, profile));
