Refuse data folders with a missing file

Cause: a folder whose log, hard state or format file was lost opened as if it were new or empty. With the old incarnation the replica would vote or acknowledge for data that it no longer holds; without the hard state it could vote twice in a term.

Change: each of the three is reported as corruption with its remedy.

Result: the three new rows of refused_folders pass.

--- a/crates/yuccatack_storage/src/folder.rs
+++ b/crates/yuccatack_storage/src/folder.rs
@@ -7,12 +7,18 @@
 
 use yuccatack_core::Incarnation;
 
-use crate::error::{LockedSnafu, OtherReplicaSnafu, RefusedSnafu, StorageError};
+use crate::error::{CorruptedSnafu, LockedSnafu, OtherReplicaSnafu, RefusedSnafu, StorageError};
 use crate::file::{read_if_present, replace_file, sync_folder};
 use crate::format::{FORMAT_FILE, FORMAT_VERSION, Format};
+use crate::hard_state::HARD_STATE_FILE;
+use crate::log_store::LOG_FILE;
+use crate::snapshot::SNAPSHOT_FILE;
 
 const LOCK_FILE: &str = "lock";
 
+/// The files that are written after the format file.
+const DATA_FILES: [&str; 3] = [LOG_FILE, HARD_STATE_FILE, SNAPSHOT_FILE];
+
 /// A locked data folder of one replica.
 #[derive(Clone, Debug)]
 pub struct DataFolder {
@@ -33,7 +39,10 @@
         let format_path = path.join(FORMAT_FILE);
         let (format, newly_formatted) = match read_if_present(&format_path)? {
             Some(content) => (Format::decode(&format_path, &content)?, false),
-            None => (write_format(path, replica_id)?, true),
+            None => {
+                refuse_leftovers(path)?;
+                (write_format(path, replica_id)?, true)
+            }
         };
         if format.replica_id != replica_id {
             return OtherReplicaSnafu { path, found: format.replica_id, expected: replica_id }
@@ -112,6 +121,17 @@
     }
 }
 
+/// A folder whose format file is missing must not start over with the files that are left.
+fn refuse_leftovers(path: &Path) -> Result<(), StorageError> {
+    for name in DATA_FILES {
+        if path.join(name).exists() {
+            let detail = "the format file is missing";
+            return CorruptedSnafu { path, offset_bytes: 0u64, detail }.fail();
+        }
+    }
+    Ok(())
+}
+
 fn write_format(path: &Path, replica_id: u64) -> Result<Format, StorageError> {
     let format = Format { version: FORMAT_VERSION, replica_id, incarnation: Incarnation::random() };
     replace_file(path, FORMAT_FILE, &[&format.encode()])?;
--- a/crates/yuccatack_storage/src/hard_state.rs
+++ b/crates/yuccatack_storage/src/hard_state.rs
@@ -5,7 +5,7 @@
 use crate::folder::DataFolder;
 use crate::format::{u32_at, u64_at};
 
-const HARD_STATE_FILE: &str = "hard_state";
+pub(crate) const HARD_STATE_FILE: &str = "hard_state";
 const LENGTH_BYTES: usize = 3 * 8 + 4;
 
 /// What a replica must remember besides its log.
--- a/crates/yuccatack_storage/src/log_store.rs
+++ b/crates/yuccatack_storage/src/log_store.rs
@@ -14,7 +14,7 @@
 use crate::format::{u32_at, u64_at};
 use crate::log_entry::{StoredEntry, decode_entry, encode_entry};
 
-const LOG_FILE: &str = "log";
+pub(crate) const LOG_FILE: &str = "log";
 const MAGIC: &[u8; 8] = b"yuclog1\n";
 const FILE_HEADER_BYTES: usize = 8 + 8 + 8 + 4;
 
--- a/crates/yuccatack_storage/src/snapshot.rs
+++ b/crates/yuccatack_storage/src/snapshot.rs
@@ -7,7 +7,7 @@
 use crate::folder::DataFolder;
 use crate::format::{u32_at, u64_at};
 
-const SNAPSHOT_FILE: &str = "snapshot";
+pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
 const MAGIC: &[u8; 8] = b"yucsnap\n";
 const HEADER_BYTES: usize = 8 + 8 + 8 + 4 + 4;
 
--- a/crates/yuccatack_storage/src/store.rs
+++ b/crates/yuccatack_storage/src/store.rs
@@ -2,10 +2,10 @@
 
 use crate::error::{CorruptedSnafu, StorageError};
 use crate::folder::DataFolder;
-use crate::hard_state::{HardState, HardStateStore};
+use crate::hard_state::{HARD_STATE_FILE, HardState, HardStateStore};
 use crate::log_entry::StoredEntry;
-use crate::log_store::{LogBase, LogStore, OpenedLog};
-use crate::snapshot::{Snapshot, SnapshotStore};
+use crate::log_store::{LOG_FILE, LogBase, LogStore, OpenedLog};
+use crate::snapshot::{SNAPSHOT_FILE, Snapshot, SnapshotStore};
 
 /// The files of one data folder.
 pub struct Store {
@@ -33,10 +33,21 @@
 impl Store {
     /// Opens the files of `folder` and checks that snapshot and log meet without a gap.
     pub fn open(folder: &DataFolder) -> Result<(Self, Recovered), StorageError> {
+        refuse_missing_log(folder)?;
         let (hard_state, recovered_state) = HardStateStore::open(folder)?;
         let (snapshots, snapshot) = SnapshotStore::open(folder)?;
         let (mut log, mut opened) = LogStore::open(folder)?;
         let snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let holds_data = snapshot.is_some() || !opened.entries.is_empty();
+        if recovered_state == HardState::default() && holds_data {
+            // The vote that the replica gave would be forgotten.
+            return CorruptedSnafu {
+                path: folder.path(),
+                offset_bytes: 0u64,
+                detail: "the hard state is missing",
+            }
+            .fail();
+        }
         if opened.base.index > snapshot_index {
             return CorruptedSnafu {
                 path: folder.path(),
@@ -64,6 +75,16 @@
     }
 }
 
+/// The log file is made before the others, so it is missing only when it was lost.
+fn refuse_missing_log(folder: &DataFolder) -> Result<(), StorageError> {
+    let exists = |name| folder.path().join(name).exists();
+    if !exists(LOG_FILE) && (exists(HARD_STATE_FILE) || exists(SNAPSHOT_FILE)) {
+        let detail = "the log file is missing";
+        return CorruptedSnafu { path: folder.path(), offset_bytes: 0u64, detail }.fail();
+    }
+    Ok(())
+}
+
 /// Whether the log holds the last entry that the snapshot includes.
 fn reaches(log: &OpenedLog, snapshot: &Snapshot) -> bool {
     if snapshot.index == log.base.index {
--- a/crates/yuccatack_storage/tests/disk_faults.rs
+++ b/crates/yuccatack_storage/tests/disk_faults.rs
@@ -51,7 +51,10 @@
 /// Guards against a damaged or foreign folder that is used, or refused without a remedy.
 #[test]
 fn refused_folders() {
-    let cases: [(&str, Damage, u64, &str, &str); 9] = [
+    let cases: [(&str, Damage, u64, &str, &str); 12] = [
+        ("format file lost", |p| remove(p, "format"), 1, "Corrupted", "join again"),
+        ("log lost", |p| remove(p, "log"), 1, "Corrupted", "join again"),
+        ("hard state lost", |p| remove(p, "hard_state"), 1, "Corrupted", "join again"),
         (
             "first entry",
             |p| flip_byte(&p.join("log"), HEADER_BYTES + 50),
@@ -125,6 +128,10 @@
     }
 }
 
+fn remove(folder: &Path, name: &str) {
+    fs::remove_file(folder.join(name)).unwrap();
+}
+
 fn truncate(folder: &Path, entry_bytes: u64) {
     let file = OpenOptions::new().write(true).open(folder.join("log")).unwrap();
     file.set_len(HEADER_BYTES + entry_bytes).unwrap();
--- a/crates/yuccatack_storage/tests/stored_log.rs
+++ b/crates/yuccatack_storage/tests/stored_log.rs
@@ -40,6 +40,7 @@
     let path = tempfile::tempdir().unwrap();
     let folder = DataFolder::open(path.path(), 7).unwrap();
     let (mut store, _) = Store::open(&folder).unwrap();
+    store.hard_state.save(HardState { term: 1, voted_for: 1, cluster: 9 }).unwrap();
     let all: Vec<_> = (1..=10).map(|index| entry(1, index)).collect();
     store.log.append(&all).unwrap();
     let snapshot = Snapshot {
@@ -69,6 +70,7 @@
         let path = tempfile::tempdir().unwrap();
         let folder = DataFolder::open(path.path(), 7).unwrap();
         let (mut store, _) = Store::open(&folder).unwrap();
+        store.hard_state.save(HardState { term: 4, voted_for: 1, cluster: 9 }).unwrap();
         store.log.append(&[entry(1, 1), entry(1, 2), entry(1, 3), entry(1, 4)]).unwrap();
         let snapshot = Snapshot {
             index: snapshot_index,
