Test connections that stop responding for good

Cause: a connection can stay open and dead while new ones work; nothing showed that the log notices.

--- a/crates/yuccatack_replication/tests/cluster/mod.rs
+++ b/crates/yuccatack_replication/tests/cluster/mod.rs
@@ -42,13 +42,7 @@
 
 impl Cluster {
     pub async fn new(voter_count: u64, snapshot_entry_count: u64) -> Self {
-        let mut cluster = Self {
-            folder: tempfile::tempdir().unwrap(),
-            addresses: BTreeMap::new(),
-            voters: BTreeMap::new(),
-            nodes: BTreeMap::new(),
-            snapshot_entry_count,
-        };
+        let mut cluster = Self::empty(snapshot_entry_count);
         let mut listeners = BTreeMap::new();
         for number in 1..=voter_count {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -62,6 +56,16 @@
         cluster
     }
 
+    pub fn empty(snapshot_entry_count: u64) -> Self {
+        Self {
+            folder: tempfile::tempdir().unwrap(),
+            addresses: BTreeMap::new(),
+            voters: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            snapshot_entry_count,
+        }
+    }
+
     pub fn data_folder(&self, id: ReplicaId) -> PathBuf {
         self.folder.path().join(format!("replica-{id}"))
     }
@@ -78,7 +82,7 @@
         }
     }
 
-    async fn start_on(&mut self, id: ReplicaId, listener: TcpListener) {
+    pub async fn start_on(&mut self, id: ReplicaId, listener: TcpListener) {
         let (handle, committed, service) = start(self.config(id)).await.unwrap();
         let (shutdown, stopped) = oneshot::channel::<()>();
         let server = tokio::spawn(async move {
