Refuse at once when an agent is gone, and shed what cannot be answered

At overload, requests were started with too little time left and ended as unknown.

Change: a failed new connection counts as not sent. Waiting requests need twice the typical answer time. The stand-in no longer sleeps for a delay of zero.

--- a/crates/yuccatack_entry/src/balancer/actor.rs
+++ b/crates/yuccatack_entry/src/balancer/actor.rs
@@ -264,8 +264,11 @@
         }
     }
 
+    /// A request with less than twice the typical answer time left is late: one that is started
+    /// and not answered in time takes a slot and ends as unknown.
     fn serve_queue(&mut self, service: &ServiceName, queue: &mut FairQueue<ChooseRequest>) {
-        let run_time = self.router.typical_latency(service);
+        let typical = self.router.typical_latency(service);
+        let run_time = typical + typical;
         while self.router.may_choose(service, self.now()) {
             match queue.pop(self.now(), run_time) {
                 Some(Taken::Next(queued)) => {
--- a/crates/yuccatack_entry/src/call.rs
+++ b/crates/yuccatack_entry/src/call.rs
@@ -342,6 +342,10 @@
 ) -> DispatchEvent {
     match ended {
         Ok(resolution) => DispatchEvent::Resolved(claimed.attempt, resolution),
+        Err(error @ LinkError::Connect { .. }) => {
+            links.close(claimed.address).await;
+            not_connected(claimed.attempt, &error)
+        }
         Err(LinkError::Refused { detail }) => {
             let not_run = NotRun::permanent(NotRunReason::Invalid, &detail);
             DispatchEvent::Resolved(claimed.attempt, Resolution::NotRun(not_run))
--- a/crates/yuccatack_entry/src/link.rs
+++ b/crates/yuccatack_entry/src/link.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use snafu::Snafu;
 use tonic::transport::{Channel, Endpoint};
-use tonic::{Code, Request, Status, Streaming};
+use tonic::{Code, ConnectError, Request, Status, Streaming};
 use yuccatack_core::prelude::*;
 use yuccatack_requests::answer_check::{AnswerCollector, AnswerPart};
 use yuccatack_requests::attempts::Resolution;
@@ -27,10 +27,10 @@
 #[derive(Debug, Snafu)]
 pub enum LinkError {
     /// No connection was made, so that nothing was sent.
-    #[snafu(display("cannot connect to the agent: {source}"))]
+    #[snafu(display("cannot connect to the agent: {detail}"))]
     Connect {
-        /// The cause.
-        source: tonic::transport::Error,
+        /// What was seen.
+        detail: Box<str>,
     },
     /// The agent refused the attempt as malformed; it did not start it.
     #[snafu(display("the agent refused the attempt: {detail}"))]
@@ -50,7 +50,26 @@
     LinkError::Broken { detail: detail.to_string().into_boxed_str() }
 }
 
+/// Whether the call failed because an earlier connection is gone and no new one could be made.
+fn never_connected(status: &Status) -> bool {
+    let mut cause = std::error::Error::source(status);
+    while let Some(error) = cause {
+        if error.is::<ConnectError>() {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
+fn connect_error(error: impl std::fmt::Display) -> LinkError {
+    LinkError::Connect { detail: error.to_string().into_boxed_str() }
+}
+
 fn call_error(status: &Status) -> LinkError {
+    if never_connected(status) {
+        return connect_error(status.message());
+    }
     let detail = status.message().to_owned().into_boxed_str();
     match status.code() {
         Code::InvalidArgument => LinkError::Refused { detail },
@@ -61,12 +80,12 @@
 /// Opens a connection to an agent.
 pub async fn connect(address: SocketAddr) -> Result<Channel, LinkError> {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
-        .map_err(|source| LinkError::Connect { source })?
+        .map_err(connect_error)?
         .connect_timeout(CONNECT_TIMEOUT)
         .http2_keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
         .tcp_nodelay(true);
-    endpoint.connect().await.map_err(|source| LinkError::Connect { source })
+    endpoint.connect().await.map_err(connect_error)
 }
 
 /// Sends an attempt and waits for what became of it.
--- a/crates/yuccatack_requests/src/routing/state.rs
+++ b/crates/yuccatack_requests/src/routing/state.rs
@@ -127,10 +127,11 @@
         serving.peek().is_none() || serving.any(|minion| minion.may_take(now))
     }
 
-    /// The shortest typical answer time among the service's minions.
+    /// The mean of the answer times of the service's minions.
     pub fn typical_latency(&self, service: &ServiceName) -> DurationMs {
-        let latency_us = self.serving(service).map(|minion| minion.latency_us).min();
-        DurationMs::new(latency_us.unwrap_or(0) / 1000)
+        let sum_us: u64 = self.serving(service).map(|minion| minion.latency_us).sum();
+        let count = self.serving(service).count().max(1) as u64;
+        DurationMs::new(sum_us / count / 1000)
     }
 
     fn serving(&self, service: &ServiceName) -> impl Iterator<Item = &Minion> {
--- a/crates/yuccatack_stand_ins/src/minion.rs
+++ b/crates/yuccatack_stand_ins/src/minion.rs
@@ -270,7 +270,10 @@
     let run = MinionRun { attempt: attempt.clone(), organisation, body: body.clone() };
     let _ = context.recorder.send(RecorderMessage::Ran(run));
     let _slot = context.slots.acquire().await.map_err(io::Error::other)?;
-    tokio::time::sleep(behaviour.delay).await;
+    if !behaviour.delay.is_zero() {
+        // The timer would round an empty sleep up to a millisecond.
+        tokio::time::sleep(behaviour.delay).await;
+    }
     match behaviour.fault {
         MinionFault::None => Ok(echo(&attempt, body)),
         MinionFault::Truncate => Ok(truncated(&attempt, body)),
