Test outcomes of requests under load and kills

Cause: no test compared what callers were told with what minions ran while processes were killed.

Change: load_kills sends about 140 requests a second through two entries to three agents, kills and restarts an entry, an agent, the control leader and a minion in turn, and compares each outcome with the runs that the stand-ins recorded. The test support starts a second entry and further agents. The root package uses rand and rand_chacha in tests.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, dead_code, missing_docs)]
 
+pub mod minion_port;
+
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -65,11 +67,26 @@
         for number in 1..=control_count {
             deployment.add_control(number);
         }
-        deployment.add_entry();
-        deployment.add_agent();
+        let metrics_addresses = deployment.metrics_addresses.clone();
+        deployment.add_entry(1, entry_address, Some(metrics_addresses[1]));
+        let minion_address = deployment.minion.address();
+        deployment.add_agent(1, agent_address, minion_address, Some(metrics_addresses[2]));
         deployment
     }
 
+    /// Starts a further entry and returns a caller of it.
+    pub fn add_second_entry(&mut self) -> CallerStandIn {
+        let address = free_addresses(1)[0];
+        self.add_entry(2, address, None);
+        CallerStandIn::new(address)
+    }
+
+    /// Starts a further agent for the minion at this address.
+    pub fn add_further_agent(&mut self, number: usize, minion_address: SocketAddr) {
+        let address = free_addresses(1)[0];
+        self.add_agent(number, address, minion_address, None);
+    }
+
     pub fn operator(&self) -> CallerStandIn {
         CallerStandIn::new(self.entry_address)
     }
@@ -149,31 +166,37 @@
         self.add(format!("control-{number}"), &settings);
     }
 
-    fn add_entry(&mut self) {
+    fn add_entry(&mut self, number: usize, address: SocketAddr, metrics: Option<SocketAddr>) {
         let settings = json!({
             "role": "entry",
-            "node": "entry-1",
+            "node": format!("entry-{number}"),
             "data_centre": "putrajaya",
-            "listen_address": self.entry_address,
-            "metrics_address": self.metrics_addresses[1],
+            "listen_address": address,
+            "metrics_address": metrics,
             "control_addresses": self.control_addresses,
         });
-        self.add("entry-1".to_owned(), &settings);
+        self.add(format!("entry-{number}"), &settings);
     }
 
-    fn add_agent(&mut self) {
+    fn add_agent(
+        &mut self,
+        number: usize,
+        address: SocketAddr,
+        minion_address: SocketAddr,
+        metrics: Option<SocketAddr>,
+    ) {
         let settings = json!({
             "role": "agent",
-            "node": "agent-1",
+            "node": format!("agent-{number}"),
             "data_centre": "putrajaya",
             "service": "results",
-            "minion": "minion-1",
-            "minion_address": self.minion.address(),
-            "listen_address": self.agent_address,
-            "metrics_address": self.metrics_addresses[2],
+            "minion": format!("minion-{number}"),
+            "minion_address": minion_address,
+            "listen_address": address,
+            "metrics_address": metrics,
             "control_addresses": self.control_addresses,
         });
-        self.add("agent-1".to_owned(), &settings);
+        self.add(format!("agent-{number}"), &settings);
     }
 
     fn add(&mut self, name: String, settings: &Value) {
@@ -290,6 +313,43 @@
     }
 }
 
+/// Waits until an entry names a control leader other than `former`, and returns its number.
+pub async fn wait_for_leader(operator: &CallerStandIn, former: Option<u64>) -> u64 {
+    let deadline = Instant::now() + STEP_LIMIT;
+    loop {
+        let answer = operator.get("/v1/status").await;
+        if let Ok(answer) = &answer
+            && let Some(leader) = answer.json()["replication"]["leader"].as_u64()
+            && Some(leader) != former
+        {
+            return leader;
+        }
+        assert!(Instant::now() < deadline, "no leader in time: {answer:?}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Waits until this many minions take new work.
+pub async fn wait_for_minions(operator: &CallerStandIn, count: usize) {
+    let deadline = Instant::now() + STEP_LIMIT;
+    loop {
+        let answer = operator.get("/v1/status").await;
+        if let Ok(answer) = &answer
+            && let Some(minions) = answer.json()["minions"].as_array()
+            && minions.iter().filter(|minion| minion["state"] == "ready").count() == count
+        {
+            return;
+        }
+        assert!(Instant::now() < deadline, "not {count} ready minions in time: {answer:?}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// The seed of a randomised test, which `YUCCATACK_SEED` overrides.
+pub fn seed(default: u64) -> u64 {
+    std::env::var("YUCCATACK_SEED").map_or(default, |text| text.parse().unwrap())
+}
+
 /// Sends an idempotent request until it is completed.
 pub async fn complete_request(caller: &CallerStandIn, body: &str) -> CallerAnswer {
     let deadline = Instant::now() + STEP_LIMIT;
