Push commands to workers whose capacity was freed; test reclaim over sockets

Cause: a job that waited for reclaimed capacity became ready to prepare when the borrower's last task ended, and no event named it, so its worker heard of it with the next heartbeat, up to 2 s later. Change: the answers held for workers on which tasks ended are released too, and the scheduler runs after each change of leases instead of with the next tick.

The tests choose ports below the range of outgoing connections: one run of role_restart failed because no cluster formed in 30 s, most likely because another program's connection took a port before the replica listened on it. The logs of that run were gone; a failing test now shows them.

--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -1,5 +1,6 @@
 //! The control actor: owns the replicated state and everything that only the leader keeps.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -20,6 +21,7 @@
 use crate::error::ControlFailure;
 use crate::events::log_event;
 use crate::heartbeat;
+use crate::held::{affected_workers, freed_workers};
 use crate::lead::Lead;
 use crate::membership::{WantedReplicas, wanted_replicas};
 use crate::message::{ControlMessage, HeartbeatAnswer, Query, QueryAnswer, Reply};
@@ -159,30 +161,18 @@
         let command: ControlCommand = wire::decode(payload)?;
         let revision_before = self.state.records().revision();
         let changed_key = changed_key(&command);
+        let leases_changed = matches!(&command, ControlCommand::Leases { .. });
+        let freed = self.freed_workers(&command);
         let outcome = self.state.apply(command);
         self.applied_index = index;
         if self.state.records().revision() != revision_before
             && let Some(key) = changed_key
         {
-            if matches!(key.kind, RecordKind::Objective | RecordKind::Organisation) {
-                observe::set_objectives(&self.telemetry.metrics, self.state.records());
-            }
-            if key.kind == RecordKind::Membership {
-                self.wanted_replicas.send_replace(wanted_replicas(self.state.records()));
-            }
-            self.publish(key).await;
+            self.record_changed(key).await;
         }
         if let ControlOutcome::Leases(events) = &outcome {
-            for event in events {
-                log_event(event);
-            }
-            if matches!(self.role, Role::Leader(_)) {
-                observe::observe_events(&self.telemetry.metrics, self.state.leases(), events);
-            }
-            self.release_affected(events);
+            self.leases_changed(events, freed);
         }
-        let leases_changed =
-            matches!(&outcome, ControlOutcome::Leases(events) if !events.is_empty());
         if let Some(proposal) = proposal
             && let Some(latency) = self.pending.complete(proposal, outcome)
         {
@@ -199,10 +189,31 @@
         Ok(())
     }
 
-    /// Answers the held heartbeats of workers that have a new command.
-    fn release_affected(&mut self, events: &[LeaseEvent]) {
+    fn freed_workers(&self, command: &ControlCommand) -> BTreeSet<WorkerName> {
+        match command {
+            ControlCommand::Leases { commands } => freed_workers(self.state.leases(), commands),
+            ControlCommand::Change { .. } | ControlCommand::Claim { .. } => BTreeSet::new(),
+        }
+    }
+
+    async fn record_changed(&mut self, key: RecordKey) {
+        if matches!(key.kind, RecordKind::Objective | RecordKind::Organisation) {
+            observe::set_objectives(&self.telemetry.metrics, self.state.records());
+        }
+        if key.kind == RecordKind::Membership {
+            self.wanted_replicas.send_replace(wanted_replicas(self.state.records()));
+        }
+        self.publish(key).await;
+    }
+
+    /// Logs the events and answers the held heartbeats of workers that may have a new command.
+    fn leases_changed(&mut self, events: &[LeaseEvent], mut workers: BTreeSet<WorkerName>) {
+        events.iter().for_each(log_event);
         let Role::Leader(lead) = &mut self.role else { return };
-        lead.release_affected(self.state.leases(), events);
+        let leases = self.state.leases();
+        observe::observe_events(&self.telemetry.metrics, leases, events);
+        workers.append(&mut affected_workers(leases, events));
+        lead.release_workers(leases, &workers);
         self.check_leadership();
     }
 
--- a/crates/yuccatack_control/src/held.rs
+++ b/crates/yuccatack_control/src/held.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 
 use yuccatack_core::prelude::*;
-use yuccatack_leases::{HeartbeatReply, LeaseEvent, LeaseTable};
+use yuccatack_leases::{HeartbeatReply, LeaseCommand, LeaseEvent, LeaseTable};
 
 use crate::message::{HeartbeatAnswer, Reply};
 
@@ -63,6 +63,18 @@
     workers
 }
 
+/// The workers on which these commands end tasks. A job that waits for the capacity of an ended task
+/// is prepared on the same worker.
+pub fn freed_workers(leases: &LeaseTable, commands: &[LeaseCommand]) -> BTreeSet<WorkerName> {
+    let freed = commands.iter().filter_map(|command| {
+        let LeaseCommand::EndTask { job, index, .. } = command else { return None };
+        let attempt = leases.job(job)?.attempt()?;
+        let task = attempt.tasks.get(usize::try_from(*index).ok()?)?;
+        Some(leases.cluster().worker(task.worker)?.name.clone())
+    });
+    freed.collect()
+}
+
 const fn job_of(event: &LeaseEvent) -> Option<&JobName> {
     match event {
         LeaseEvent::AttemptBegan(job, _)
--- a/crates/yuccatack_control/src/lead.rs
+++ b/crates/yuccatack_control/src/lead.rs
@@ -1,12 +1,13 @@
 //! What the leader keeps beside the replicated state: leases of workers and answers that wait.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use yuccatack_core::prelude::*;
-use yuccatack_leases::{HeartbeatReport, LeaseCommand, LeaseEvent, LeaseTable, Volatile};
+use yuccatack_leases::{HeartbeatReport, LeaseCommand, LeaseTable, Volatile};
 
 use crate::heartbeat;
-use crate::held::{Held, HeldHeartbeats, affected_workers};
+use crate::held::{Held, HeldHeartbeats};
 use crate::message::{HeartbeatAnswer, Reply};
 use crate::pending::not_leader;
 
@@ -69,11 +70,11 @@
         commands
     }
 
-    /// Answers the held heartbeats of workers that these events give a command.
-    pub fn release_affected(&mut self, leases: &LeaseTable, events: &[LeaseEvent]) {
-        for worker in affected_workers(leases, events) {
-            if let Some(held) = self.held.take(&worker) {
-                self.release(leases, &worker, held);
+    /// Answers the held heartbeats of workers that may have a new command.
+    pub fn release_workers(&mut self, leases: &LeaseTable, workers: &BTreeSet<WorkerName>) {
+        for worker in workers {
+            if let Some(held) = self.held.take(worker) {
+                self.release(leases, worker, held);
             }
         }
     }
--- a/crates/yuccatack_control/src/queries.rs
+++ b/crates/yuccatack_control/src/queries.rs
@@ -119,10 +119,17 @@
 
 fn guarantees_document(leases: &LeaseTable) -> Value {
     let guarantees = leases.guarantees().map(|guarantee| {
+        let claimed = guarantee.instances.iter().filter(|shape| shape.claimed_by.is_some());
+        // A shape without a binding lost its capacity; all others can be reclaimed at any time.
+        let unbacked = guarantee.instances.iter().filter(|shape| shape.binding.is_empty());
+        let unbacked_count = unbacked.count();
         json!({
             "guarantee": guarantee.spec.name.as_str(),
             "organisation": guarantee.spec.organisation.as_str(),
             "shape_count": guarantee.spec.shape_count,
+            "claimed_count": claimed.count(),
+            "can_be_reclaimed": unbacked_count == 0,
+            "unbacked_count": unbacked_count,
         })
     });
     guarantees.collect()
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -20,6 +21,9 @@
 /// Longer than an election and the first report of every process together.
 pub const STEP_LIMIT: Duration = Duration::from_secs(30);
 
+/// Log lines of each role that are shown when a test fails.
+const LOG_LINES_SHOWN: usize = 15;
+
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The processes of a deployment with `control_count` replicas, one entry and one agent.
@@ -207,6 +211,24 @@
     }
 }
 
+impl Drop for Deployment {
+    /// Shows the newest log lines of each role when a test fails.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for process in &self.processes {
+            let log = std::fs::read_to_string(process.settings.with_extension("log"));
+            let log = log.unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            eprintln!("--- {}", process.name);
+            for line in &lines[lines.len().saturating_sub(LOG_LINES_SHOWN)..] {
+                eprintln!("{line}");
+            }
+        }
+    }
+}
+
 impl Drop for RoleProcess {
     fn drop(&mut self) {
         if let Some(child) = &mut self.child {
@@ -251,10 +273,26 @@
     }
 }
 
+/// The first port given out. Ports of outgoing connections come from above 32,768, so one of them
+/// cannot take a port between its choice here and the start of the process that listens on it.
+const FIRST_PORT: u16 = 10_000;
+/// Ports for one test program; programs that run at the same time have different process ids.
+const PORTS_PER_PROGRAM: u16 = 100;
+const PROGRAM_COUNT: u32 = 220;
+
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap()).collect();
-    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
+    static GIVEN_OUT: AtomicU16 = AtomicU16::new(0);
+    let block = u16::try_from(std::process::id() % PROGRAM_COUNT).unwrap();
+    let first = FIRST_PORT + block * PORTS_PER_PROGRAM;
+    let mut addresses = Vec::new();
+    while addresses.len() < count {
+        let offset = GIVEN_OUT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROGRAM;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, first + offset));
+        if TcpListener::bind(address).is_ok() {
+            addresses.push(address);
+        }
+    }
+    addresses
 }
 
 pub fn organisation() -> Value {
