--- a/crates/yuccatack_placement/src/guarantee.rs
+++ b/crates/yuccatack_placement/src/guarantee.rs
@@ -137,12 +137,21 @@
     if task_count > 0 {
         return Some((with_tasks(task_count), 1));
     }
+    let whole = wanted.shape.task;
+    // Cores and memory shrink with the accelerators, because they are mostly asked for with them.
+    let scaled = |amount: u64, accelerator_count: u32| {
+        amount / u64::from(whole.accelerator_count.max(1)) * u64::from(accelerator_count)
+    };
     let with_accelerators = |accelerator_count| Shape {
         task_count: 1,
-        task: Resources { accelerator_count, ..wanted.shape.task },
+        task: Resources {
+            cores_milli: scaled(whole.cores_milli, accelerator_count),
+            memory_bytes: scaled(whole.memory_bytes, accelerator_count),
+            accelerator_count,
+        },
         ..wanted.shape
     };
-    let limit = wanted.shape.task.accelerator_count.saturating_sub(1);
+    let limit = whole.accelerator_count.saturating_sub(1);
     let accelerators = largest(limit, &|count| fits(with_accelerators(count), 1));
     (accelerators > 0).then(|| (with_accelerators(accelerators), 1))
 }
