--- a/crates/yuccatack_cli/src/commands/change.rs
+++ b/crates/yuccatack_cli/src/commands/change.rs
@@ -65,10 +65,10 @@
     let change_id = options.change_id.clone().unwrap_or_else(random_change_id);
     // Printed before anything is sent, so that it is known even if this process is killed.
     context.message(&format!("{} {}: change id {change_id}", wanted.kind, wanted.name))?;
-    let known = known_answer(client, options).await?;
-    let answer = match known {
-        Some(answer) => answer,
-        None => client.submit(&request(client, &wanted, options, &change_id).await?).await?,
+    let request = request(client, &wanted, options, &change_id).await?;
+    let answer = match known_answer(client, options).await? {
+        Some(first) => resend(client, first, request).await?,
+        None => client.submit(&request).await?,
     };
     let (kind, name) = (wanted.kind, wanted.name);
     let (in_force_everywhere, missing_nodes) = (None, Vec::new());
@@ -80,10 +80,48 @@
     Ok(report)
 }
 
-/// The answer that a resent change got before.
+/// The kind of refusal for a change id that belongs to other content.
+const CHANGE_ID_REUSED: &str = "change_id_reused";
+
+/// Sends a change again under an id that is known already.
 ///
-/// A resend must not be built again from the record now in force: once the change has taken effect,
-/// its generation differs, and the same id with different content is refused.
+/// The control leader compares the content with that of the first sending. A request built from the
+/// record now in force differs from it once the change has taken effect, so the forms that the
+/// first sending may have had are tried; one with other content is refused and changes nothing.
+async fn resend(
+    client: &EntryClient,
+    first: ChangeAnswer,
+    mut request: ChangeRequest,
+) -> Result<ChangeAnswer, CliError> {
+    if let ChangeAnswer::Accepted { generation, .. } = first {
+        request.replaces_generation = generation.saturating_sub(1);
+    }
+    let operations: &[Operation] = match request.operation {
+        Operation::Withdraw => &[Operation::Withdraw],
+        Operation::Submit | Operation::Change => &[Operation::Change, Operation::Submit],
+    };
+    let mut refusal = None;
+    for operation in operations {
+        request.operation = *operation;
+        match client.submit(&request).await? {
+            ChangeAnswer::Refused { kind, message, current_generation }
+                if kind == CHANGE_ID_REUSED =>
+            {
+                refusal = Some(ChangeAnswer::Refused { kind, message, current_generation });
+            }
+            answer => return Ok(answer),
+        }
+    }
+    Ok(match (first, refusal) {
+        // The first sending was refused and changed nothing; the generation that it named is not
+        // known here, so it cannot be told from other content.
+        (first @ ChangeAnswer::Refused { .. }, _) => first,
+        (_, Some(refusal)) => refusal,
+        (first, None) => first,
+    })
+}
+
+/// The answer that a resent change got before.
 async fn known_answer(
     client: &EntryClient,
     options: &ChangeOptions,
--- a/crates/yuccatack_stand_ins/src/worker.rs
+++ b/crates/yuccatack_stand_ins/src/worker.rs
@@ -22,6 +22,9 @@
 /// The wait after a control replica refused or failed, before the next one is asked.
 const RETRY_WAIT: Duration = Duration::from_millis(200);
 
+/// The wait after commands that changed nothing, for example while a checkpoint is written.
+const REPEAT_WAIT: Duration = Duration::from_millis(500);
+
 /// How a worker stand-in is set up.
 #[derive(Clone, Debug)]
 pub struct WorkerSettings {
@@ -201,14 +204,18 @@
         match answer {
             Ok(reply) => {
                 let changed = self.model.follow(&reply, sent_at, now);
-                self.next_heartbeat = if changed || ended {
-                    Instant::now()
-                } else if reply.lease.is_none() {
-                    // Unregistered workers ask again soon, so that a start-up takes no full interval.
+                self.next_heartbeat = if reply.lease.is_none() {
+                    // An unregistered worker asks again soon, so that a start-up is short.
                     Instant::now() + RETRY_WAIT
+                } else if changed || ended || !reply.acknowledged.is_empty() {
+                    // A reply that was not held leaves no request open for the next command.
+                    Instant::now()
+                } else if !reply.commands.is_empty() {
+                    // Commands that change nothing yet come again with each reply.
+                    Instant::now() + REPEAT_WAIT
                 } else {
-                    // The interval counts from the sending, so that a held reply is followed at once.
-                    self.instant(sent_at) + Duration::from(HEARTBEAT_INTERVAL)
+                    // Counted from the sending, because the reply may have been held.
+                    self.instant(sent_at + HEARTBEAT_INTERVAL)
                 };
             }
             Err(error) => {
