--- a/crates/yuccatack_replication/src/state/formation.rs
+++ b/crates/yuccatack_replication/src/state/formation.rs
@@ -27,7 +27,12 @@
 
 impl Replica {
     pub(super) fn start_forming_if_new(&mut self) {
-        if self.cluster() != ClusterId::NONE {
+        // A founder that ended between writing its hard state and its first entry has told nobody
+        // of its cluster, because messages wait for both writes.
+        let own_cluster = ClusterId::new(self.settings.incarnation.get());
+        let founded_in_vain =
+            self.cluster() == own_cluster && self.log.last().index == LogIndex::default();
+        if self.cluster() != ClusterId::NONE && !founded_in_vain {
             return;
         }
         let known = BTreeMap::from([(self.settings.replica, self.settings.incarnation)]);
