--- a/crates/yuccatack_entry/src/process.rs
+++ b/crates/yuccatack_entry/src/process.rs
@@ -1,8 +1,11 @@
 //! The entry process: start, drain and end.
 
+use std::io;
+use std::sync::Arc;
+
 use snafu::ResultExt;
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use yuccatack_core::prelude::*;
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_requests::claims::ClaimClient;
@@ -17,6 +20,9 @@
 use crate::links::Links;
 use crate::server::{ServerContext, serve_connection};
 
+/// The callers' connections that are open at once; each costs a task and a buffer.
+const CONNECTION_COUNT_LIMIT: u32 = 10_000;
+
 /// What an entry is connected to.
 #[derive(Debug)]
 pub struct EntryInputs {
@@ -76,14 +82,13 @@
         body_limit_bytes: settings.body_limit_bytes,
     };
     let context = ServerContext::new(call, inputs.view, &settings);
-    // Every connection holds a sender; the channel closes with the last connection.
-    let (open, mut all_closed) = mpsc::channel(1);
-    accept(&inputs.listener, &context, &open, &mut shutdown).await;
+    // Every connection holds a permit; all are free once the last connection has closed.
+    let connections = Arc::new(Semaphore::new(CONNECTION_COUNT_LIMIT as usize));
+    accept(&inputs.listener, &context, &connections, &mut shutdown).await;
     drop(inputs.listener);
-    drop(open);
     log::info!(event = "entry_draining"; "finishing requests");
     let result = tokio::select! {
-        _ = all_closed.recv() => Ok(()),
+        _ = connections.acquire_many(CONNECTION_COUNT_LIMIT) => Ok(()),
         () = shutdown.reached(ShutdownPhase::Aborting) => {
             Err(EntryError::Aborted { request_count: report_left(&balancer_sender).await })
         }
@@ -104,23 +109,32 @@
     in_flight.iter().map(|(_, count)| count).sum()
 }
 
+/// Accepts the next caller once there is room for it.
+async fn accept_one(
+    listener: &TcpListener,
+    connections: &Arc<Semaphore>,
+) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = Arc::clone(connections).acquire_owned().await.map_err(io::Error::other)?;
+    let (stream, _) = listener.accept().await?;
+    Ok((stream, permit))
+}
+
 /// Accepts callers until the shutdown starts.
 async fn accept(
     listener: &TcpListener,
     context: &ServerContext,
-    open: &mpsc::Sender<()>,
+    connections: &Arc<Semaphore>,
     shutdown: &mut Shutdown,
 ) {
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = accept_one(listener, connections) => accepted,
             () = shutdown.reached(ShutdownPhase::Draining) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, permit)) => {
                 let _ = stream.set_nodelay(true);
-                let served =
-                    serve_connection(context.clone(), stream, shutdown.clone(), open.clone());
+                let served = serve_connection(context.clone(), stream, shutdown.clone(), permit);
                 tokio::spawn(served);
             }
             Err(error) => {
--- a/crates/yuccatack_entry/src/server.rs
+++ b/crates/yuccatack_entry/src/server.rs
@@ -2,10 +2,11 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::server::conn::http1;
@@ -14,8 +15,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
+use yuccatack_requests::answer_check::BodyCollector;
 use yuccatack_requests::http_mapping::HttpResponse;
 use yuccatack_requests::prelude::*;
 use yuccatack_settings::EntrySettings;
@@ -31,6 +33,17 @@
 /// The most headers of a request.
 const HEADER_COUNT_LIMIT: usize = 100;
 
+/// The largest bodies that fit into memory at once.
+const LARGEST_BODY_COUNT: u64 = 32;
+/// Memory for bodies is set aside in blocks of this size.
+const MEMORY_BLOCK_BYTES: usize = 1024;
+
+fn body_memory_blocks(body_limit_bytes: u64) -> usize {
+    let bytes = body_limit_bytes.saturating_mul(LARGEST_BODY_COUNT);
+    let blocks = usize::try_from(bytes).unwrap_or(usize::MAX) / MEMORY_BLOCK_BYTES;
+    blocks.min(Semaphore::MAX_PERMITS)
+}
+
 /// What every caller's connection needs.
 #[derive(Clone, Debug)]
 pub struct ServerContext {
@@ -42,6 +55,8 @@
     pub body_limit_bytes: u64,
     /// How long a caller may take to send its request.
     pub receive_limit: Duration,
+    /// The memory for all bodies together, in blocks.
+    pub body_memory: Arc<Semaphore>,
 }
 
 impl ServerContext {
@@ -52,16 +67,17 @@
             view,
             body_limit_bytes: settings.body_limit_bytes,
             receive_limit: Duration::from_millis(settings.receive_limit_ms),
+            body_memory: Arc::new(Semaphore::new(body_memory_blocks(settings.body_limit_bytes))),
         }
     }
 }
 
-/// Serves one caller's connection until it closes or the server drains. `open` is held as long.
+/// Serves one caller's connection until it closes or the server drains. `permit` is held as long.
 pub async fn serve_connection(
     context: ServerContext,
     stream: TcpStream,
     mut shutdown: Shutdown,
-    open: mpsc::Sender<()>,
+    permit: OwnedSemaphorePermit,
 ) {
     let receive_limit = context.receive_limit;
     let service = service_fn(move |request| {
@@ -89,7 +105,7 @@
             answer_timeout(parts.io.into_inner(), &parts.read_buf).await;
         }
     }
-    drop(open);
+    drop(permit);
 }
 
 /// Tells a caller that its head did not arrive in time. An idle connection, on which no byte of a
@@ -131,14 +147,18 @@
     let deadline = caller.deadline_or(default);
     let mut caller = caller;
     let received = Instant::now();
-    match read_body(&context, body).await {
-        Ok(body) => caller.content.body = body,
+    let body = match read_body(&context, body).await {
+        Ok(body) => body,
         Err(not_run) => return not_run.into(),
-    }
+    };
+    caller.content.body = body.bytes;
     let remaining = deadline.saturating_sub(received.elapsed());
     // A task of its own, so that a caller that hangs up does not stop the bookkeeping of what was
     // already sent.
-    let call = tokio::spawn(run_call(context.call, caller.content, caller.key, remaining));
+    let call = tokio::spawn(async move {
+        let _reserved = body.reserved;
+        run_call(context.call, caller.content, caller.key, remaining).await
+    });
     call.await.unwrap_or_else(|error| {
         log::error!(event = "call_failed"; "{error}");
         Outcome::from(Unknown::new(UnknownReason::ShutDown, "the entry failed during the request"))
@@ -150,26 +170,54 @@
     NotRun::permanent(NotRunReason::TooLarge, &detail)
 }
 
-async fn read_body(context: &ServerContext, body: Incoming) -> Result<Bytes, NotRun> {
-    let limit_bytes = context.body_limit_bytes;
-    if body.size_hint().lower() > limit_bytes {
-        return Err(too_large(limit_bytes));
+/// A whole body, and the memory that is set aside for it until the request ends.
+struct ReceivedBody {
+    bytes: Bytes,
+    reserved: OwnedSemaphorePermit,
+}
+
+async fn read_body(context: &ServerContext, body: Incoming) -> Result<ReceivedBody, NotRun> {
+    if body.size_hint().lower() > context.body_limit_bytes {
+        return Err(too_large(context.body_limit_bytes));
     }
-    let limit = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
-    let collect = Limited::new(body, limit).collect();
-    match tokio::time::timeout(context.receive_limit, collect).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large(limit_bytes)),
-        Ok(Err(error)) => {
-            let detail = format!("the body did not arrive whole: {error}");
-            Err(NotRun::permanent(NotRunReason::Invalid, &detail))
-        }
-        Err(_) => Err(NotRun::retryable(
+    let collect = collect_body(context, body);
+    tokio::time::timeout(context.receive_limit, collect).await.unwrap_or_else(|_| {
+        Err(NotRun::retryable(
             NotRunReason::ReceiveTimeout,
             0,
             "the request did not arrive whole within the limit",
-        )),
+        ))
+    })
+}
+
+/// Sets memory aside as the parts arrive, so that slow callers hold little of it.
+async fn collect_body(context: &ServerContext, mut body: Incoming) -> Result<ReceivedBody, NotRun> {
+    let mut collector = BodyCollector::new(context.body_limit_bytes);
+    let mut reserved = reserve(context, 0)?;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            let detail = format!("the body did not arrive whole: {error}");
+            NotRun::permanent(NotRunReason::Invalid, &detail)
+        })?;
+        if let Ok(chunk) = frame.into_data() {
+            collector.push(&chunk).map_err(|_| too_large(context.body_limit_bytes))?;
+            reserved.merge(reserve(context, chunk.len())?);
+        }
     }
+    Ok(ReceivedBody { bytes: collector.into_body(), reserved })
+}
+
+fn reserve(context: &ServerContext, length_bytes: usize) -> Result<OwnedSemaphorePermit, NotRun> {
+    let blocks = length_bytes.div_ceil(MEMORY_BLOCK_BYTES);
+    let blocks = u32::try_from(blocks).unwrap_or(u32::MAX);
+    let memory = Arc::clone(&context.body_memory);
+    memory.try_acquire_many_owned(blocks).map_err(|_| {
+        NotRun::retryable(
+            NotRunReason::QueueFull,
+            1_000,
+            "the bodies of the requests in flight take all the memory set aside for them",
+        )
+    })
 }
 
 fn not_found() -> Response<Full<Bytes>> {
--- a/crates/yuccatack_entry/tests/bad_callers.rs
+++ b/crates/yuccatack_entry/tests/bad_callers.rs
@@ -117,6 +117,30 @@
     }
 }
 
+/// Guards against bodies that together take more memory than is set aside for them, and against
+/// memory that is not freed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn body_memory() {
+    let system = System::start(&[MinionBehaviour::default()]).await;
+    let part = "z".repeat(1024 * 1024 - 1024);
+    let request = head("content-length: 1048576\r\n") + &part;
+    let mut held = Vec::new();
+    for _ in 0..40 {
+        let mut stream = TcpStream::connect(system.entry.address).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        held.push(stream);
+    }
+    let mut refused = 0;
+    for stream in &mut held {
+        let answer = read_all(stream).await;
+        refused += usize::from(answer.contains("yuccatack-reason: queue_full"));
+    }
+    // 32 largest bodies fit; the others of 40 are refused, and the incomplete ones time out.
+    assert!((8..40).contains(&refused), "{refused}");
+    let after = system.post(IDEMPOTENT, "after").await;
+    assert_eq!(after.status, 200, "{after:?}");
+}
+
 /// Guards against pipelined requests whose answers are mixed up or lost.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn pipelined_requests() {
