Ask the claims before a keyed request is refused for want of a minion

Change: when no minion can be chosen, a keyed request claims for an attempt addressed to nobody. An earlier holder is followed as usual; without one the refusal speaks of the key and the claim is released. A claim that is left over by such a question is released by the next sending. Refusals due to overload or limits still come before the claims are asked, with the scope `sending`.

--- a/crates/yuccatack_entry/src/call.rs
+++ b/crates/yuccatack_entry/src/call.rs
@@ -25,6 +25,8 @@
 /// What every call needs.
 #[derive(Clone, Debug)]
 pub struct CallContext {
+    /// This entry.
+    pub node: NodeName,
     /// Chooses minions.
     pub balancer: mpsc::Sender<BalancerMessage>,
     /// Connections to agents.
@@ -97,6 +99,7 @@
     let (events, mut receiver) = mpsc::channel(64);
     let dispatch = Dispatch::new(
         context.settings,
+        context.node.clone(),
         key.is_none(),
         TimestampMs::default() + deadline.into(),
         rand::random(),
--- a/crates/yuccatack_entry/src/process.rs
+++ b/crates/yuccatack_entry/src/process.rs
@@ -75,6 +75,7 @@
     let (balancer, balancer_sender) = Balancer::new(inputs.admission, router, inputs.view.clone());
     let balancer_task = tokio::spawn(balancer.run());
     let call = CallContext {
+        node: settings.node.clone(),
         balancer: balancer_sender.clone(),
         links: Links::spawn(),
         claims: inputs.claims,
--- a/crates/yuccatack_entry/tests/key_claims.rs
+++ b/crates/yuccatack_entry/tests/key_claims.rs
@@ -4,11 +4,13 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::{AgentProcess, EntryProcess, System, post, wall_clock};
 use tokio::net::TcpListener;
 use yuccatack_stand_ins::MinionBehaviour;
+use yuccatack_view::MinionState;
 
 fn headers(key: &str) -> Vec<(&'static str, &str)> {
     vec![
@@ -90,11 +92,36 @@
         AgentProcess::start_on("minion-0", minion, &system.view, listener, agent_address).await;
     let answer = call.await.unwrap();
     assert_eq!((answer.status, answer.reason()), (504, "agent_restarted"), "{answer:?}");
-    // Until the new agent is ready, a resend is refused before the claim is asked, with the scope
-    // `sending`.
-    system.view.wait_for_incarnation(started.incarnation).await;
     let again = system.post(&headers(&key), "rank").await;
     assert_eq!((again.status, again.reason()), (504, "agent_restarted"), "{again:?}");
     assert_eq!(system.run_count().await, 1);
     drop(started);
 }
+
+/// Guards against a resend that is told "not run" about a request that ran, because no minion
+/// takes work at that moment; and against a key that stays blocked by such a question.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resend_without_minions() {
+    let system = System::start(&[MinionBehaviour::default()]).await;
+    let (ran, new) = (new_key("ran"), new_key("new"));
+    assert_eq!(system.post(&headers(&ran), "once").await.status, 200);
+    let set_state = |state| {
+        system.view.change(|view| {
+            for minion in view.minions.values_mut() {
+                Arc::make_mut(minion).status.state = state;
+            }
+        });
+    };
+    set_state(MinionState::Leaving);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let again = system.post(&headers(&ran), "once").await;
+    assert_eq!((again.status, again.body.as_ref()), (200, b"once".as_ref()), "{again:?}");
+    let refused = system.post(&headers(&new), "later").await;
+    assert_eq!((refused.status, refused.reason()), (503, "no_minion"), "{refused:?}");
+    assert_eq!(refused.headers["yuccatack-not-run-scope"], "key");
+    set_state(MinionState::Ready);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let later = system.post(&headers(&new), "later").await;
+    assert_eq!((later.status, later.body.as_ref()), (200, b"later".as_ref()), "{later:?}");
+    assert_eq!(system.run_count().await, 2);
+}
--- a/crates/yuccatack_requests/src/dispatch/claiming.rs
+++ b/crates/yuccatack_requests/src/dispatch/claiming.rs
@@ -19,6 +19,9 @@
     /// Whether every attempt that held the key before the own one provably never ran. A claim is
     /// only granted again after such an attempt was released.
     key_unused: bool,
+    /// Whether the claim only asks for an earlier holder, because no minion can be chosen. Its
+    /// attempt is addressed to nobody and is never sent.
+    looking_up: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -40,6 +43,11 @@
     }
 }
 
+/// Whether a claimed attempt is addressed to nobody; zero is no agent's incarnation.
+fn is_lookup(attempt: &ClaimedAttempt) -> bool {
+    attempt.incarnation == Incarnation::default()
+}
+
 fn refusal(refusal: ClaimRefusal) -> NotRun {
     match refusal {
         ClaimRefusal::KeyTooOld => NotRun::permanent(
@@ -90,6 +98,10 @@
         let Some(own) = claiming.own.clone() else {
             return;
         };
+        if claiming.looking_up && result.is_err() {
+            // The refusal stands, and speaks of this sending only.
+            return self.finish_without_attempts();
+        }
         match result {
             Ok(ClaimOutcome::Granted) => self.claim_granted(own, now),
             Ok(ClaimOutcome::Existing { attempt, state }) => {
@@ -109,6 +121,13 @@
 
     fn claim_granted(&mut self, own: ClaimedAttempt, now: TimestampMs) {
         if let Some(claiming) = &mut self.claiming {
+            if claiming.looking_up {
+                claiming.key_unused = true;
+                claiming.own = None;
+                self.finish_without_attempts();
+                let unused = DispatchCommand::Settle(own.attempt, ClaimState::Released);
+                return self.commands.push(unused);
+            }
             claiming.own = None;
             claiming.failure_count = 0;
             claiming.key_unused = true;
@@ -124,10 +143,7 @@
         now: TimestampMs,
     ) {
         if holder.attempt != own.attempt {
-            if let Some(claiming) = &mut self.claiming {
-                claiming.key_unused = false;
-            }
-            return self.follow(holder);
+            return self.claim_held(holder);
         }
         match state {
             // The reply to the first try was lost. Only this sending may dispatch its attempt,
@@ -147,6 +163,43 @@
         }
     }
 
+    /// Finds out what became of the attempt that holds the key.
+    fn claim_held(&mut self, holder: ClaimedAttempt) {
+        let Some(claiming) = &mut self.claiming else {
+            return;
+        };
+        if is_lookup(&holder) {
+            // Its sending ended without releasing it. It was never sent, so the key is free.
+            claiming.stage = Stage::Releasing(holder.attempt);
+            let release = DispatchCommand::Settle(holder.attempt, ClaimState::Released);
+            return self.commands.push(release);
+        }
+        claiming.key_unused = false;
+        if claiming.looking_up {
+            claiming.looking_up = false;
+            claiming.own = None;
+        }
+        self.follow(holder);
+    }
+
+    /// Asks whether an earlier sending holds the key, although nothing can be sent now. Only
+    /// refusals that are not due to overload are worth the two commands.
+    pub(super) fn look_up(&mut self, reason: NotRunReason) -> bool {
+        let worth = matches!(reason, NotRunReason::NoMinion | NotRunReason::NoSlot);
+        let first = self.attempt_count == 0 && self.legs.is_empty();
+        let Some(claiming) = self.claiming.as_mut().filter(|claiming| claiming.claim_count == 0)
+        else {
+            return false;
+        };
+        if !worth || !first {
+            return false;
+        }
+        claiming.looking_up = true;
+        let nobody = self.lookup_attempt();
+        self.claim(nobody);
+        true
+    }
+
     fn claim_later(&mut self, now: TimestampMs) {
         let Some(claiming) = &mut self.claiming else {
             return;
--- a/crates/yuccatack_requests/src/dispatch/state.rs
+++ b/crates/yuccatack_requests/src/dispatch/state.rs
@@ -1,5 +1,7 @@
 //! The dispatch of one request.
 
+use std::net::SocketAddr;
+
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use yuccatack_core::prelude::*;
@@ -19,6 +21,7 @@
 #[derive(Debug)]
 pub struct Dispatch {
     pub(super) settings: DispatchSettings,
+    node: NodeName,
     pub(super) deadline: TimestampMs,
     pub(super) legs: Vec<Leg>,
     /// `Some` for non-idempotent requests.
@@ -38,15 +41,18 @@
 }
 
 impl Dispatch {
-    /// A request that must be answered by `deadline`. `seed` only spreads the pauses.
+    /// A request that must be answered by `deadline`, at the entry `node`. `seed` spreads the
+    /// pauses and names look-ups.
     pub fn new(
         settings: DispatchSettings,
+        node: NodeName,
         idempotent: bool,
         deadline: TimestampMs,
         seed: u64,
     ) -> Self {
         Self {
             settings,
+            node,
             deadline,
             legs: Vec::new(),
             claiming: (!idempotent).then(Claiming::default),
@@ -169,13 +175,14 @@
 
     fn not_chosen(&mut self, not_run: NotRun, now: TimestampMs) {
         self.choosing = false;
+        let reason = not_run.reason;
         let permanent = not_run.retry_after_ms.is_none();
         let final_word = permanent || !matches!(not_run.reason, NotRunReason::NoSlot);
         // The refusal of an attempt says more than the lack of a second choice.
         if self.attempt_count == 0 || self.last_refusal.is_none() {
             self.last_refusal = Some(not_run);
         }
-        if !self.legs.is_empty() {
+        if !self.legs.is_empty() || self.look_up(reason) {
             return;
         }
         if final_word {
@@ -353,6 +360,16 @@
         self.finish(refusal.into());
     }
 
+    /// An attempt that is addressed to nobody.
+    pub(super) fn lookup_attempt(&mut self) -> ClaimedAttempt {
+        ClaimedAttempt {
+            attempt: AttemptId::new(self.random.random()),
+            node: self.node.clone(),
+            incarnation: Incarnation::default(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+        }
+    }
+
     /// A pause that doubles each time, of which a random half is taken off so that callers who
     /// failed together do not come back together.
     pub(super) fn backoff(&mut self, count: u32) -> DurationMs {
--- a/crates/yuccatack_requests/tests/dispatch_steps.rs
+++ b/crates/yuccatack_requests/tests/dispatch_steps.rs
@@ -25,7 +25,8 @@
 }
 
 fn started(idempotent: bool) -> Dispatch {
-    let mut dispatch = Dispatch::new(DispatchSettings::default(), idempotent, DEADLINE, 1);
+    let mut dispatch =
+        Dispatch::new(DispatchSettings::default(), target("entry").node, idempotent, DEADLINE, 1);
     let commands = dispatch.start(TimestampMs::new(0));
     assert_eq!(commands, [DispatchCommand::Choose(ChoiceKind::First, Vec::new())]);
     dispatch
--- a/crates/yuccatack_requests/tests/world/callers.rs
+++ b/crates/yuccatack_requests/tests/world/callers.rs
@@ -158,6 +158,11 @@
     }
 
     fn choose(&mut self, call: usize, excluded: &[NodeName]) {
+        if self.chance(self.faults.no_minion) {
+            let refusal = NotRun::retryable(NotRunReason::NoMinion, 10, "no minion");
+            let event = DispatchEvent::Chosen(Err(refusal));
+            return self.schedule(1, Due::Event { call, event });
+        }
         let mut index = self.random.random_range(0..self.agents.len());
         if excluded.contains(&self.agents[index].node) {
             index = self.random.random_range(0..self.agents.len());
--- a/crates/yuccatack_requests/tests/world/mod.rs
+++ b/crates/yuccatack_requests/tests/world/mod.rs
@@ -164,6 +164,7 @@
 
     pub fn new_dispatch(&mut self, idempotent: bool, deadline: TimestampMs) -> Dispatch {
         let seed = self.random.random();
-        Dispatch::new(self.faults.dispatch, idempotent, deadline, seed)
+        let node = NodeName::new("entry").unwrap();
+        Dispatch::new(self.faults.dispatch, node, idempotent, deadline, seed)
     }
 }
--- a/crates/yuccatack_requests/tests/world/network.rs
+++ b/crates/yuccatack_requests/tests/world/network.rs
@@ -25,6 +25,7 @@
     pub crossing: f64,
     pub truncation: f64,
     pub minion_failure: f64,
+    pub no_minion: f64,
     pub impatience: f64,
     pub kill_count: usize,
     pub dispatch: DispatchSettings,
@@ -40,6 +41,7 @@
             crossing: 0.0,
             truncation: 0.0,
             minion_failure: 0.0,
+            no_minion: 0.0,
             impatience: 0.0,
             kill_count: 0,
             dispatch: DispatchSettings {
@@ -60,6 +62,7 @@
             crossing: 0.05,
             truncation: 0.05,
             minion_failure: 0.1,
+            no_minion: 0.15,
             impatience: 0.3,
             kill_count: 6,
             ..Self::none()
