--- a/crates/yuccatack_entry/src/process.rs
+++ b/crates/yuccatack_entry/src/process.rs
@@ -1,10 +1,12 @@
 //! The entry process: start, drain and end.
 
+use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use snafu::ResultExt;
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use yuccatack_control_client::{ControlClient, ControlClientConfig};
 use yuccatack_core::prelude::*;
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
@@ -23,6 +25,9 @@
 use crate::observe::observe_view;
 use crate::server::{ServerContext, serve_connection};
 
+/// The callers' connections that are open at once; each costs a task and a buffer.
+const CONNECTION_COUNT_LIMIT: u32 = 10_000;
+
 /// What an entry is connected to.
 #[derive(Debug)]
 pub struct EntryInputs {
@@ -94,6 +99,7 @@
     let (balancer, balancer_sender) = Balancer::new(inputs.admission, router, inputs.view.clone());
     let balancer_task = tokio::spawn(balancer.run());
     let call = CallContext {
+        node: settings.node.clone(),
         balancer: balancer_sender.clone(),
         links: Links::spawn(),
         claims: inputs.claims,
@@ -102,14 +108,13 @@
     };
     let context =
         ServerContext::new(call, inputs.view, inputs.control, inputs.telemetry, &settings);
-    // Every connection holds a sender; the channel closes with the last connection.
-    let (open, mut all_closed) = mpsc::channel(1);
-    accept(&inputs.listener, &context, &open, &mut shutdown).await;
+    // Every connection holds a permit; all are free once the last connection has closed.
+    let connections = Arc::new(Semaphore::new(CONNECTION_COUNT_LIMIT as usize));
+    accept(&inputs.listener, &context, &connections, &mut shutdown).await;
     drop(inputs.listener);
-    drop(open);
     log::info!(event = "entry_draining"; "finishing requests");
     let result = tokio::select! {
-        _ = all_closed.recv() => Ok(()),
+        _ = connections.acquire_many(CONNECTION_COUNT_LIMIT) => Ok(()),
         () = shutdown.reached(ShutdownPhase::Aborting) => {
             Err(EntryError::Aborted { request_count: report_left(&balancer_sender).await })
         }
@@ -130,23 +135,32 @@
     in_flight.iter().map(|(_, count)| count).sum()
 }
 
+/// Accepts the next caller once there is room for it.
+async fn accept_one(
+    listener: &TcpListener,
+    connections: &Arc<Semaphore>,
+) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = Arc::clone(connections).acquire_owned().await.map_err(io::Error::other)?;
+    let (stream, _) = listener.accept().await?;
+    Ok((stream, permit))
+}
+
 /// Accepts callers until the shutdown starts.
 async fn accept(
     listener: &TcpListener,
     context: &ServerContext,
-    open: &mpsc::Sender<()>,
+    connections: &Arc<Semaphore>,
     shutdown: &mut Shutdown,
 ) {
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = accept_one(listener, connections) => accepted,
             () = shutdown.reached(ShutdownPhase::Draining) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, permit)) => {
                 let _ = stream.set_nodelay(true);
-                let served =
-                    serve_connection(context.clone(), stream, shutdown.clone(), open.clone());
+                let served = serve_connection(context.clone(), stream, shutdown.clone(), permit);
                 tokio::spawn(served);
             }
             Err(error) => {
