Drop what waits for an unreachable replica; start a sole voter at once

Cause: up to 256 outdated messages waited for a stopped replica and arrived in a burst at its restart. A replica that is a quorum by itself waited for an election timeout at each start.

--- a/crates/yuccatack_replication/src/state/mod.rs
+++ b/crates/yuccatack_replication/src/state/mod.rs
@@ -132,6 +132,11 @@
         replica.reload_memberships();
         replica.reset_election_deadline();
         replica.start_forming_if_new();
+        let own = replica.settings.replica;
+        if replica.is_voter() && replica.membership().has_quorum(|voter| voter == own) {
+            // Nobody else can lead, so there is nothing to wait for.
+            replica.election_deadline = now;
+        }
         replica.announce_leader(None);
         replica
     }
--- a/crates/yuccatack_replication/src/transport.rs
+++ b/crates/yuccatack_replication/src/transport.rs
@@ -100,10 +100,15 @@
         }
     };
     while !waiting.is_closed() {
-        if let Ok(channel) = endpoint.connect().await
-            && !send_until_broken(channel, &mut waiting).await
-        {
-            return;
+        match endpoint.connect().await {
+            Ok(channel) => {
+                if !send_until_broken(channel, &mut waiting).await {
+                    return;
+                }
+            }
+            // What waited is outdated by the time the replica answers again, and would only delay
+            // what it needs then.
+            Err(_) => while waiting.try_recv().is_ok() {},
         }
         tokio::time::sleep(RECONNECT_DELAY).await;
     }
--- a/crates/yuccatack_replication/tests/cluster/mod.rs
+++ b/crates/yuccatack_replication/tests/cluster/mod.rs
@@ -24,6 +24,8 @@
     pub committed: mpsc::Receiver<Committed>,
     pub applied: Vec<(LogIndex, Bytes)>,
     pub snapshot: Option<(LogIndex, Bytes)>,
+    /// The shortest snapshot that this node makes.
+    pub snapshot_bytes: usize,
     shutdown: Option<oneshot::Sender<()>>,
     server: tokio::task::JoinHandle<()>,
 }
@@ -36,6 +38,15 @@
     pub snapshot_entry_count: u64,
 }
 
+/// The made-up state as of `index`: a text, and bytes that differ from place to place.
+pub fn state_at(index: LogIndex, shortest_bytes: usize) -> Bytes {
+    let mut state = format!("state at {index}").into_bytes();
+    while state.len() < shortest_bytes {
+        state.extend_from_slice(&(state.len() as u64 ^ index.get()).to_le_bytes());
+    }
+    Bytes::from(state)
+}
+
 pub fn replica(number: u64) -> ReplicaId {
     ReplicaId::new(number)
 }
@@ -99,6 +110,7 @@
             committed,
             applied: Vec::new(),
             snapshot: None,
+            snapshot_bytes: 0,
             shutdown: Some(shutdown),
             server,
         };
@@ -152,7 +164,7 @@
                 self.snapshot = Some((index, payload));
             }
             Committed::SnapshotWanted { index } => {
-                self.handle.store_snapshot(index, Bytes::from(format!("state at {index}")));
+                self.handle.store_snapshot(index, state_at(index, self.snapshot_bytes));
             }
             _ => {}
         }
--- a/crates/yuccatack_replication/tests/log_service.rs
+++ b/crates/yuccatack_replication/tests/log_service.rs
@@ -3,7 +3,7 @@
 
 mod cluster;
 
-use cluster::{Cluster, replica};
+use cluster::{Cluster, replica, state_at};
 use yuccatack_replication::{Committed, ProposalFailure};
 
 /// Guards against losing acknowledged entries on a restart.
@@ -80,7 +80,7 @@
     cluster.start(late).await;
     cluster.node(late).until_entry("command 299").await;
     let (index, payload) = cluster.node(late).snapshot.clone().expect("a snapshot");
-    assert_eq!(payload, format!("state at {index}"));
+    assert_eq!(payload, state_at(index, 0));
     assert!(cluster.node(late).applied.len() < 150);
 
     cluster.stop(late).await;
@@ -88,3 +88,21 @@
     cluster.node(late).until(|item| matches!(item, Committed::Snapshot { .. })).await;
     cluster.node(late).until_entry("command 299").await;
 }
+
+/// Guards against a snapshot of several messages that arrives incomplete or out of order.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn large_snapshots_arrive_whole() {
+    const SNAPSHOT_BYTES: usize = 9_000_001;
+    let mut cluster = Cluster::new(3, 50).await;
+    let leader = cluster.leader().await;
+    let late = if leader == replica(3) { replica(2) } else { replica(3) };
+    cluster.stop(late).await;
+    cluster.node(leader).snapshot_bytes = SNAPSHOT_BYTES;
+    for number in 0..600 {
+        cluster.node(leader).propose(number, &format!("command {number}")).await;
+    }
+    cluster.start(late).await;
+    cluster.node(late).until_entry("command 599").await;
+    let (index, payload) = cluster.node(late).snapshot.clone().expect("a snapshot");
+    assert!(payload == state_at(index, SNAPSHOT_BYTES), "the snapshot at {index} differs");
+}
