Say that a failed read had no effect; show draining in the readiness

A read whose answer was lost was reported as possibly having had an effect; a draining entry still called itself ready; the metric of the commit index lagged after membership changes, because it followed delivered commands.

--- a/crates/yuccatack_agent/src/observe.rs
+++ b/crates/yuccatack_agent/src/observe.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
+use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_telemetry::Telemetry;
 use yuccatack_view::{MinionState, MinionStatus, ViewHandle};
 
@@ -13,6 +14,7 @@
     view: ViewHandle,
     reports: watch::Receiver<Option<MinionStatus>>,
     telemetry: Telemetry,
+    shutdown: Shutdown,
 ) {
     let mut interval = tokio::time::interval(OBSERVE_INTERVAL);
     loop {
@@ -28,7 +30,9 @@
         if !view.is_fresh(Instant::now()) {
             reasons.push("the view of records is not confirmed; check the control replicas".into());
         }
-        if status.is_none_or(|status| status.state != MinionState::Ready) {
+        if shutdown.phase() != ShutdownPhase::Running {
+            reasons.push("the agent is shutting down; use another minion".into());
+        } else if status.is_none_or(|status| status.state != MinionState::Ready) {
             reasons.push("the minion does not take requests; check it".into());
         }
         telemetry.set_readiness(reasons);
--- a/crates/yuccatack_agent/src/process.rs
+++ b/crates/yuccatack_agent/src/process.rs
@@ -49,7 +49,8 @@
         control_addresses: settings.control_addresses.clone(),
     };
     let view = ViewSubscriber::spawn(subscription, reports_receiver.clone());
-    let observer = tokio::spawn(observe_agent(view.clone(), reports_receiver, telemetry));
+    let observer =
+        tokio::spawn(observe_agent(view.clone(), reports_receiver, telemetry, shutdown.clone()));
     let inputs = AgentInputs { listener, incarnation, view, reports };
     let result = serve(settings, inputs, shutdown).await;
     observer.abort();
--- a/crates/yuccatack_cli/tests/operator_commands.rs
+++ b/crates/yuccatack_cli/tests/operator_commands.rs
@@ -257,7 +257,7 @@
 #[test]
 fn resend_keeps_first_form() {
     let files = Files::new();
-    let entry = Entry::start(|request| leader_knows_submission(request));
+    let entry = Entry::start(leader_knows_submission);
     let path = files.write("organisation.yaml", ORGANISATION);
     let outcome = entry.run(&["apply", path.to_str().unwrap(), "--change-id", "c-1"]);
     assert_eq!(outcome.status, ExitStatus::Done, "{}", outcome.text());
@@ -267,7 +267,7 @@
 #[test]
 fn reused_id_is_refused() {
     let files = Files::new();
-    let entry = Entry::start(|request| leader_knows_submission(request));
+    let entry = Entry::start(leader_knows_submission);
     let other = ORGANISATION.replace("selangor", "johor");
     let path = files.write("organisation.yaml", &other);
     let outcome = entry.run(&["apply", path.to_str().unwrap(), "--change-id", "c-1"]);
--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -327,7 +327,8 @@
         }
         self.observed_at = now;
         let metrics = &self.telemetry.metrics;
-        metrics.replication.set_committed_index(self.applied_index.get());
+        let commit = self.replication.status().borrow().commit;
+        metrics.replication.set_committed_index(commit.get());
         metrics.view.set_revision(self.state.records().revision());
         let Role::Leader(lead) = &self.role else { return };
         observe::observe_state(metrics, self.state.leases());
--- a/crates/yuccatack_control_client/src/client.rs
+++ b/crates/yuccatack_control_client/src/client.rs
@@ -127,7 +127,8 @@
             .call(request, |channel, request| async move {
                 OperatorsClient::new(channel).read_record(request).await
             })
-            .await?;
+            .await
+            .map_err(ControlError::of_read)?;
         Ok(answer.message.record)
     }
 
@@ -142,7 +143,8 @@
                 let client = OperatorsClient::new(channel);
                 client.max_decoding_message_size(MAX_LIST_LENGTH_BYTES).list_records(request).await
             })
-            .await?;
+            .await
+            .map_err(ControlError::of_read)?;
         Ok(answer.message.records)
     }
 
@@ -156,7 +158,8 @@
             .call(request, |channel, request| async move {
                 OperatorsClient::new(channel).read_change(request).await
             })
-            .await?;
+            .await
+            .map_err(ControlError::of_read)?;
         Ok(answer.message)
     }
 
@@ -166,7 +169,8 @@
             .call(wire::ReadStatusRequest {}, |channel, request| async move {
                 OperatorsClient::new(channel).read_status(request).await
             })
-            .await?;
+            .await
+            .map_err(ControlError::of_read)?;
         Ok(answer.message)
     }
 
@@ -177,7 +181,8 @@
             .call(request, |channel, request| async move {
                 OperatorsClient::new(channel).explain_job(request).await
             })
-            .await?;
+            .await
+            .map_err(ControlError::of_read)?;
         Ok(answer.message)
     }
 
--- a/crates/yuccatack_control_client/src/error.rs
+++ b/crates/yuccatack_control_client/src/error.rs
@@ -46,3 +46,13 @@
         detail: String,
     },
 }
+
+impl ControlError {
+    /// The same failure of a call that only reads: a lost answer had no effect either.
+    pub(crate) fn of_read(self) -> Self {
+        match self {
+            Self::AnswerLost { deadline_ms, detail } => Self::NotSent { deadline_ms, detail },
+            other => other,
+        }
+    }
+}
--- a/crates/yuccatack_entry/src/observe.rs
+++ b/crates/yuccatack_entry/src/observe.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use yuccatack_core::prelude::*;
+use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_records::{ObjectiveRecord, Record, RecordKey, RecordKind};
 use yuccatack_requests::prelude::*;
 use yuccatack_telemetry::Telemetry;
@@ -12,7 +13,7 @@
 const OBSERVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Observes the view until the process ends.
-pub async fn observe_view(view: ViewHandle, telemetry: Telemetry) {
+pub async fn observe_view(view: ViewHandle, telemetry: Telemetry, shutdown: Shutdown) {
     let mut interval = tokio::time::interval(OBSERVE_INTERVAL);
     let mut objectives_revision = None;
     loop {
@@ -26,7 +27,9 @@
             set_objectives(&current, &telemetry);
             objectives_revision = Some(current.revision);
         }
-        let reasons = if view.is_fresh(Instant::now()) {
+        let reasons = if shutdown.phase() != ShutdownPhase::Running {
+            vec!["the entry is shutting down; use another one".to_owned()]
+        } else if view.is_fresh(Instant::now()) {
             Vec::new()
         } else {
             vec!["the view of records is not confirmed; check the control replicas".to_owned()]
--- a/crates/yuccatack_entry/src/process.rs
+++ b/crates/yuccatack_entry/src/process.rs
@@ -67,7 +67,7 @@
     };
     let (_no_minion, reports) = watch::channel(None);
     let view = ViewSubscriber::spawn(subscription, reports);
-    let observer = tokio::spawn(observe_view(view.clone(), telemetry.clone()));
+    let observer = tokio::spawn(observe_view(view.clone(), telemetry.clone(), shutdown.clone()));
     let control = ControlClient::spawn(ControlClientConfig {
         control_addresses: settings.control_addresses.clone(),
         call_deadline: CONTROL_CALL_LIMIT,
