--- a/crates/yuccatack_leases/examples/replay/main.rs
+++ b/crates/yuccatack_leases/examples/replay/main.rs
@@ -83,4 +83,23 @@
         }
         println!("{line}");
     }
+    compare(&results);
+}
+
+/// Counts the seeds in which the policy reaches each target.
+fn compare(results: &[Vec<Outcome>]) {
+    let [policy, first, best] = results else { return };
+    let count = |reached: &dyn Fn(usize) -> bool| (0..policy.len()).filter(|i| reached(*i)).count();
+    let urgent_mean = |o: &Outcome| mean(&o.urgent_completion_s);
+    let urgent_p99 = |o: &Outcome| quantile(&o.urgent_completion_s, 0.99);
+    let fragmented = |o: &Outcome| mean(&o.unusable) / mean(&o.free);
+    println!(
+        "of {} seeds: urgent mean at least 30% below first fit in {}, urgent p99 no later than best \
+         fit in {} and than first fit in {}, fragmentation at most half of first fit in {}",
+        policy.len(),
+        count(&|i| urgent_mean(&policy[i]) <= 0.7 * urgent_mean(&first[i])),
+        count(&|i| urgent_p99(&policy[i]) <= urgent_p99(&best[i])),
+        count(&|i| urgent_p99(&policy[i]) <= urgent_p99(&first[i])),
+        count(&|i| fragmented(&policy[i]) <= 0.5 * fragmented(&first[i])),
+    );
 }
