--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -68,7 +68,8 @@
             deployment.add_control(number);
         }
         let metrics_addresses = deployment.metrics_addresses.clone();
-        deployment.add_entry(1, entry_address, Some(metrics_addresses[1]));
+        let control_addresses = deployment.control_addresses.clone();
+        deployment.add_entry(1, entry_address, Some(metrics_addresses[1]), &control_addresses);
         let minion_address = deployment.minion.address();
         deployment.add_agent(1, agent_address, minion_address, Some(metrics_addresses[2]));
         deployment
@@ -76,8 +77,13 @@
 
     /// Starts a further entry and returns a caller of it.
     pub fn add_second_entry(&mut self) -> CallerStandIn {
+        self.add_entry_of(&self.control_addresses.clone())
+    }
+
+    /// Starts a second entry that is told only these control replicas, and returns a caller of it.
+    pub fn add_entry_of(&mut self, control_addresses: &[SocketAddr]) -> CallerStandIn {
         let address = free_addresses(1)[0];
-        self.add_entry(2, address, None);
+        self.add_entry(2, address, None, control_addresses);
         CallerStandIn::new(address)
     }
 
@@ -166,14 +172,20 @@
         self.add(format!("control-{number}"), &settings);
     }
 
-    fn add_entry(&mut self, number: usize, address: SocketAddr, metrics: Option<SocketAddr>) {
+    fn add_entry(
+        &mut self,
+        number: usize,
+        address: SocketAddr,
+        metrics: Option<SocketAddr>,
+        control_addresses: &[SocketAddr],
+    ) {
         let settings = json!({
             "role": "entry",
             "node": format!("entry-{number}"),
             "data_centre": "putrajaya",
             "listen_address": address,
             "metrics_address": metrics,
-            "control_addresses": self.control_addresses,
+            "control_addresses": control_addresses,
         });
         self.add(format!("entry-{number}"), &settings);
     }
