Test the end of new work for a silent agent

Cause: a minion whose agent stops responding without a closed connection is found only by its silence, and no test with processes covered that.

--- a/tests/minion_departure.rs
+++ b/tests/minion_departure.rs
@@ -1,4 +1,5 @@
-//! Guards against new work for a minion whose agent announced its departure or was killed.
+//! Guards against new work for a minion whose agent announced its departure, was killed, or
+//! went silent.
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
@@ -22,16 +23,28 @@
 const SENDING_INTERVAL: Duration = Duration::from_millis(10);
 /// The resolution of the measured time.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// An entry waits this long for a silent agent; a call that takes less was not sent to one.
+const SILENCE: Duration = Duration::from_secs(1);
 /// The load takes a quarter of the remaining minion's slots, so that a refusal is not for their lack.
 const RUN_TIME: Duration = Duration::from_millis(20);
 
-async fn call(entry: CallerStandIn, body: String) -> (String, std::io::Result<CallerAnswer>) {
-    let answer = entry.request("putrajaya-club", "results", body.clone().into()).await;
-    (body, answer)
+/// A request that was answered.
+#[derive(Debug)]
+struct Call {
+    sent_at: Instant,
+    time: Duration,
+    body: String,
+    answer: CallerAnswer,
 }
 
-/// Sends idempotent requests through both entries, and counts the outcomes.
-async fn load(entries: [CallerStandIn; 2], time: Duration) -> BTreeMap<String, usize> {
+async fn call(entry: CallerStandIn, body: String) -> Call {
+    let sent_at = Instant::now();
+    let answer = entry.request("putrajaya-club", "results", body.clone().into()).await.unwrap();
+    Call { sent_at, time: sent_at.elapsed(), body, answer }
+}
+
+/// Sends idempotent requests through both entries.
+async fn load(entries: [CallerStandIn; 2], time: Duration) -> Vec<Call> {
     let mut calls = JoinSet::new();
     let end = Instant::now() + time;
     let mut ticks = tokio::time::interval(SENDING_INTERVAL);
@@ -41,10 +54,14 @@
         let number = calls.len();
         calls.spawn(call(entries[number % 2].clone(), format!("bib {number}")));
     }
+    calls.join_all().await
+}
+
+/// Counts the outcomes and checks the answers.
+fn outcomes(calls: &[Call]) -> BTreeMap<String, usize> {
     let mut counts = BTreeMap::new();
-    for (body, answer) in calls.join_all().await {
-        let answer = answer.unwrap();
-        let outcome = answer.outcome().unwrap().to_owned();
+    for Call { body, answer, .. } in calls {
+        let outcome = answer.outcome().unwrap();
         if outcome == "completed" {
             assert_eq!(answer.body, body.as_bytes());
         }
@@ -71,7 +88,7 @@
 struct Scene {
     deployment: Deployment,
     leaving: MinionStandIn,
-    load: JoinHandle<BTreeMap<String, usize>>,
+    load: JoinHandle<Vec<Call>>,
 }
 
 impl Scene {
@@ -102,7 +119,7 @@
     let signalled_at = Instant::now();
     scene.deployment.signal("agent-2", "-TERM");
     let (last, count) = watch(&scene.leaving, signalled_at, run_count).await;
-    let counts = scene.load.await.unwrap();
+    let counts = outcomes(&scene.load.await.unwrap());
     eprintln!("SIGTERM: {count} more calls, the last after {last:?}; outcomes {counts:?}");
     assert!(last <= DEPARTURE_LIMIT, "a call reached the minion {last:?} after SIGTERM");
     // A planned stop interrupts nothing, and another minion takes every call.
@@ -117,9 +134,38 @@
     let signalled_at = Instant::now();
     scene.deployment.kill("agent-2");
     let (last, count) = watch(&scene.leaving, signalled_at, run_count).await;
-    let counts = scene.load.await.unwrap();
+    let counts = outcomes(&scene.load.await.unwrap());
     eprintln!("SIGKILL: {count} more calls, the last after {last:?}; outcomes {counts:?}");
     assert!(last <= DEPARTURE_LIMIT, "a call reached the minion {last:?} after SIGKILL");
     // Idempotent requests are sent to another minion when their agent is lost.
     assert_eq!(counts.keys().collect::<Vec<_>>(), ["completed"], "{counts:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_new_work_after_silence() {
+    let mut scene = Scene::start().await;
+    let run_count = scene.leaving.runs().await.len();
+    let signalled_at = Instant::now();
+    scene.deployment.signal("agent-2", "-STOP");
+    let (last, count) = watch(&scene.leaving, signalled_at, run_count).await;
+    let calls = scene.load.await.unwrap();
+    let counts = outcomes(&calls);
+    let held: Vec<Duration> = calls
+        .iter()
+        .filter(|call| call.time >= SILENCE)
+        .map(|call| call.sent_at.saturating_duration_since(signalled_at))
+        .collect();
+    let last_held = held.iter().max().copied().unwrap_or_default();
+    eprintln!("SIGSTOP: {count} more calls, the last after {last:?}; outcomes {counts:?}");
+    eprintln!("SIGSTOP: {} calls to the silent agent, the last after {last_held:?}", held.len());
+    assert!(last <= DEPARTURE_LIMIT, "a call reached the minion {last:?} after SIGSTOP");
+    assert!(
+        last_held <= DEPARTURE_LIMIT,
+        "a call was sent to the silent agent {last_held:?} after"
+    );
+    let resumed_count = scene.leaving.runs().await.len();
+    scene.deployment.signal("agent-2", "-CONT");
+    tokio::time::sleep(SILENCE).await;
+    let late = scene.leaving.runs().await.split_off(resumed_count);
+    assert!(late.is_empty(), "calls that were answered elsewhere ran late: {late:?}");
+}
