--- /dev/null
+++ b/crates/yuccatack_cli/tests/help_text.rs
@@ -0,0 +1,66 @@
+//! Guards against help that changes unnoticed; `docs/command-line.md` quotes it.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use std::path::Path;
+
+use support::run;
+use yuccatack_cli::ExitStatus;
+
+const COMMANDS: [&[&str]; 11] = [
+    &[],
+    &["run"],
+    &["check"],
+    &["apply"],
+    &["get"],
+    &["withdraw"],
+    &["status"],
+    &["explain", "job"],
+    &["report"],
+    &["report", "burn"],
+    &["completions"],
+];
+
+#[test]
+fn every_command() {
+    let mut text = String::new();
+    for command in COMMANDS {
+        let mut arguments = command.to_vec();
+        arguments.push("--help");
+        let outcome = run(&arguments);
+        assert_eq!(outcome.status, ExitStatus::Done);
+        text.push_str(&format!("## yuccatack {}\n\n{}\n", command.join(" "), outcome.results));
+    }
+    insta::assert_snapshot!(text);
+}
+
+/// Guards against a page that describes other options than the program has.
+#[test]
+fn page_quotes_help() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/command-line.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    for command in COMMANDS {
+        let mut arguments = command.to_vec();
+        arguments.push("--help");
+        let help = run(&arguments).results;
+        let help: Vec<&str> = help.lines().map(str::trim_end).collect();
+        let quoted = format!("```text\n{}\n```", help.join("\n"));
+        assert!(page.contains(&quoted), "docs/command-line.md must quote:\n{quoted}");
+    }
+}
+
+#[test]
+fn definition_is_consistent() {
+    yuccatack_cli::command().debug_assert();
+}
+
+#[test]
+fn completions_name_commands() {
+    for shell in ["bash", "zsh", "fish"] {
+        let outcome = run(&["completions", shell]);
+        assert_eq!(outcome.status, ExitStatus::Done);
+        assert!(outcome.results.contains("withdraw"), "{shell}");
+    }
+}
--- a/crates/yuccatack_entry/src/error.rs
+++ b/crates/yuccatack_entry/src/error.rs
@@ -18,6 +18,12 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// The metrics are not served.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Why.
+        source: yuccatack_telemetry::MetricsServerError,
+    },
     /// The process was ended before the drain completed.
     #[snafu(display(
         "ended during the drain with {request_count} requests in flight; their callers must take the \
--- a/crates/yuccatack_entry/src/process.rs
+++ b/crates/yuccatack_entry/src/process.rs
@@ -2,22 +2,27 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+use yuccatack_control_client::{ControlClient, ControlClientConfig};
 use yuccatack_core::prelude::*;
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
-use yuccatack_requests::claims::ClaimClient;
+use yuccatack_requests::claims::{ClaimClient, claim_channel};
 use yuccatack_requests::dispatch::DispatchSettings;
 use yuccatack_requests::routing::{Router, RoutingSettings};
 use yuccatack_settings::EntrySettings;
-use yuccatack_view::ViewHandle;
+use yuccatack_telemetry::Telemetry;
+use yuccatack_view::{NodeRole, SubscriberConfig, ViewHandle, ViewSubscriber};
 
 use crate::balancer::{Balancer, BalancerMessage, BalancerSettings};
 use crate::call::CallContext;
-use crate::error::{EntryError, ListenSnafu};
+use crate::claims::forward_claims;
+use crate::error::{EntryError, ListenSnafu, MetricsSnafu};
 use crate::links::Links;
+use crate::observe::observe_view;
 use crate::server::{ServerContext, serve_connection};
 
 /// The callers' connections that are open at once; each costs a task and a buffer.
@@ -32,6 +37,10 @@
     pub view: ViewHandle,
     /// Claims of non-idempotent keys.
     pub claims: ClaimClient,
+    /// The control leader, for operators.
+    pub control: ControlClient,
+    /// Metrics and readiness.
+    pub telemetry: Telemetry,
     /// Times and bounds of dispatching.
     pub dispatch: DispatchSettings,
     /// Times and bounds of the choice of minions.
@@ -40,29 +49,44 @@
     pub admission: BalancerSettings,
 }
 
+/// How long a call to the control leader may take; it covers an election.
+const CONTROL_CALL_LIMIT: Duration = Duration::from_secs(5);
+
 /// Runs an entry until it has drained.
-///
-/// `subscribe` connects the node's view and the claims: it gets the entry's incarnation.
-pub async fn run<Subscribe>(
-    settings: EntrySettings,
-    subscribe: Subscribe,
-    shutdown: Shutdown,
-) -> Result<(), EntryError>
-where
-    Subscribe: FnOnce(Incarnation) -> (ViewHandle, ClaimClient),
-{
+pub async fn run(settings: EntrySettings, shutdown: Shutdown) -> Result<(), EntryError> {
     let address = settings.listen_address;
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
-    let (view, claims) = subscribe(Incarnation::random());
+    let telemetry =
+        Telemetry::start(settings.metrics_address, shutdown.clone()).await.context(MetricsSnafu)?;
+    let subscription = SubscriberConfig {
+        node: settings.node.clone(),
+        incarnation: Incarnation::random(),
+        role: NodeRole::Entry,
+        data_centre: settings.data_centre.clone(),
+        control_addresses: settings.control_addresses.clone(),
+    };
+    let (_no_minion, reports) = watch::channel(None);
+    let view = ViewSubscriber::spawn(subscription, reports);
+    let observer = tokio::spawn(observe_view(view.clone(), telemetry.clone()));
+    let control = ControlClient::spawn(ControlClientConfig {
+        control_addresses: settings.control_addresses.clone(),
+        call_deadline: CONTROL_CALL_LIMIT,
+    });
+    let (claims, claim_messages) = claim_channel();
+    tokio::spawn(forward_claims(claim_messages, control.clone()));
     let inputs = EntryInputs {
         listener,
         view,
         claims,
+        control,
+        telemetry,
         dispatch: DispatchSettings::default(),
         routing: RoutingSettings::default(),
         admission: BalancerSettings::default(),
     };
-    serve(settings, inputs, shutdown).await
+    let result = serve(settings, inputs, shutdown).await;
+    observer.abort();
+    result
 }
 
 /// Runs an entry on inputs that are already connected.
@@ -82,7 +106,8 @@
         settings: inputs.dispatch,
         body_limit_bytes: settings.body_limit_bytes,
     };
-    let context = ServerContext::new(call, inputs.view, &settings);
+    let context =
+        ServerContext::new(call, inputs.view, inputs.control, inputs.telemetry, &settings);
     // Every connection holds a permit; all are free once the last connection has closed.
     let connections = Arc::new(Semaphore::new(CONNECTION_COUNT_LIMIT as usize));
     accept(&inputs.listener, &context, &connections, &mut shutdown).await;
--- a/crates/yuccatack_entry/src/server.rs
+++ b/crates/yuccatack_entry/src/server.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -16,16 +16,20 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use yuccatack_control_client::ControlClient;
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_requests::answer_check::BodyCollector;
 use yuccatack_requests::http_mapping::HttpResponse;
 use yuccatack_requests::prelude::*;
 use yuccatack_settings::EntrySettings;
+use yuccatack_telemetry::Telemetry;
 use yuccatack_view::ViewHandle;
 
 use crate::balancer::service_record;
 use crate::call::{CallContext, run_call};
 use crate::caller::CallerRequest;
+use crate::observe::{observe_request, request_labels};
+use crate::operators::{self, OperatorAnswer, OperatorRoute, problem};
 use crate::routes::Route;
 
 /// The largest head of a request.
@@ -51,6 +55,10 @@
     pub call: CallContext,
     /// The node's view.
     pub view: ViewHandle,
+    /// For operators.
+    pub control: ControlClient,
+    /// For metrics.
+    pub telemetry: Telemetry,
     /// The largest request body.
     pub body_limit_bytes: u64,
     /// How long a caller may take to send its request.
@@ -61,10 +69,18 @@
 
 impl ServerContext {
     /// Takes the bounds from the settings.
-    pub fn new(call: CallContext, view: ViewHandle, settings: &EntrySettings) -> Self {
+    pub fn new(
+        call: CallContext,
+        view: ViewHandle,
+        control: ControlClient,
+        telemetry: Telemetry,
+        settings: &EntrySettings,
+    ) -> Self {
         Self {
             call,
             view,
+            control,
+            telemetry,
             body_limit_bytes: settings.body_limit_bytes,
             receive_limit: Duration::from_millis(settings.receive_limit_ms),
             body_memory: Arc::new(Semaphore::new(body_memory_blocks(settings.body_limit_bytes))),
@@ -132,10 +148,20 @@
             let (parts, body) = request.into_parts();
             let method = parts.method.as_str();
             match CallerRequest::decode(service, method, &minion_path, &parts.headers) {
-                Ok(caller) => run_request(context, caller, body).await,
+                Ok(caller) => {
+                    let received = Instant::now();
+                    let labels = request_labels(&context.view.view(), &caller.content);
+                    let telemetry = context.telemetry.clone();
+                    let outcome = run_request(context, caller, body).await;
+                    observe_request(&telemetry, labels.as_ref(), &outcome, received.elapsed());
+                    outcome
+                }
                 Err(not_run) => not_run.into(),
             }
         }
+        Route::Operator(route) => {
+            return operator_response(run_operator(&context, route, request).await);
+        }
         Route::NotFound => return not_found(),
     };
     http_response(outcome.into())
@@ -165,6 +191,30 @@
     })
 }
 
+async fn run_operator(
+    context: &ServerContext,
+    route: OperatorRoute,
+    request: Request<Incoming>,
+) -> OperatorAnswer {
+    if request.method() != route.method() {
+        let message = format!("use {} for this path", route.method());
+        return problem(StatusCode::METHOD_NOT_ALLOWED, "wrong_method", message);
+    }
+    match read_body(context, request.into_body()).await {
+        Ok(body) => {
+            operators::respond(route, &body.bytes, &context.control, &context.telemetry).await
+        }
+        Err(not_run) => problem(StatusCode::BAD_REQUEST, "incomplete", not_run.detail.to_string()),
+    }
+}
+
+fn operator_response(answer: OperatorAnswer) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(answer.body_json));
+    *response.status_mut() = answer.status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 fn too_large(limit_bytes: u64) -> NotRun {
     let detail = format!("the body is larger than {limit_bytes} bytes");
     NotRun::permanent(NotRunReason::TooLarge, &detail)
--- a/crates/yuccatack_entry/tests/common/mod.rs
+++ b/crates/yuccatack_entry/tests/common/mod.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use yuccatack_agent::{AgentError, AgentInputs};
+use yuccatack_control_client::{ControlClient, ControlClientConfig};
 use yuccatack_core::prelude::*;
 use yuccatack_entry::{BalancerSettings, EntryError, EntryInputs};
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase, ShutdownTrigger, shutdown_channel};
@@ -26,6 +27,7 @@
 use yuccatack_requests::routing::RoutingSettings;
 use yuccatack_settings::{AgentSettings, EntrySettings};
 use yuccatack_stand_ins::{MinionBehaviour, MinionStandIn};
+use yuccatack_telemetry::Telemetry;
 use yuccatack_view::{
     MinionEntry, MinionState, MinionStatus, RecordEntry, RecordKey, View, ViewHandle,
 };
@@ -246,7 +248,13 @@
             body_limit_bytes: 1024 * 1024,
             receive_limit_ms: 1_000,
         };
+        let control = ControlClient::spawn(ControlClientConfig {
+            control_addresses: Vec::new(),
+            call_deadline: Duration::from_secs(1),
+        });
         let mut inputs = EntryInputs {
+            control,
+            telemetry: Telemetry::unserved(),
             listener,
             view: view.handle(),
             claims,
--- /dev/null
+++ b/crates/yuccatack_leases/src/schedule.rs
@@ -0,0 +1,510 @@
+//! The leader's decisions: deadlines, starts and placements.
+
+use yuccatack_core::prelude::*;
+use yuccatack_placement::{
+    Assignment, DemandProfile, Holding, Overlay, Placement, Request, Reservation, WeightedShape,
+    Weights, WorkerIndex, best_fit, first_fit, place,
+};
+
+use crate::job::{AttemptPhase, JobEntry};
+use crate::message::{BeginAttempt, Claim, LeaseCommand, StopReason, WorkerTasks};
+use crate::reservation::{BACKFILL_QUANTILE, DEFRAGMENT_AFTER, STARVED_AFTER, StarvedJob};
+use crate::table::{GuaranteeEntry, LeaseTable};
+use crate::volatile::Volatile;
+use crate::worker::WorkerHealth;
+
+/// Decisions of one call. They are in force only after the log has them; a bound keeps the
+/// overlay small and lets urgent jobs that arrive meanwhile go first in the next call.
+const MAX_DECISIONS: usize = 64;
+/// One decision's share in the memory of demand halves after about 350 further decisions.
+const DEMAND_DECAY: f64 = 0.998;
+/// Shapes that weigh less than this are forgotten.
+const LEAST_DEMAND: f64 = 0.5;
+/// Jobs of one queue that are looked at in one call.
+const MAX_SCANNED: usize = 128;
+/// Searches of one call, successful or not.
+const MAX_SEARCHES: usize = 256;
+/// A quarantined worker that no waiting job can probe serves again after this time.
+const PROBATION_AFTER: DurationMs = DurationMs::from_seconds(60);
+/// A batch job that waited this long is treated like a standard one.
+const AGING_LIMIT: DurationMs = DurationMs::from_seconds(30 * 60);
+
+/// How waiting jobs are placed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Strategy {
+    /// Classes, fair share, claims, backfill and the weighted score.
+    #[default]
+    Policy,
+    /// Baseline: in arrival order, the first place that fits.
+    FirstFit,
+    /// Baseline: in arrival order, the place with the least free capacity that fits.
+    BestFit,
+}
+
+impl Volatile {
+    /// Chooses how waiting jobs are placed; the baselines are for comparison only.
+    pub fn with_strategy(mut self, strategy: Strategy) -> Self {
+        self.strategy = strategy;
+        self
+    }
+
+    /// What the leader decides at `now`. Call it again once the commands are applied, after each
+    /// change of the table, and at [`Volatile::next_deadline`].
+    pub fn schedule(&mut self, table: &LeaseTable, now: TimestampMs) -> Vec<LeaseCommand> {
+        let mut commands = self.lose_silent(table, now);
+        commands.extend(overdue(table, now));
+        commands.extend(self.starts(table, now));
+        let mut pass = Pass::new(table, now, &self.demand);
+        pass.run(self);
+        for command in &pass.commands {
+            if let LeaseCommand::BeginAttempt(begin) = command
+                && let Some(job) = table.jobs.get(&begin.job)
+            {
+                self.remember_demand(&job.spec.shape);
+            }
+        }
+        commands.extend(pass.commands);
+        commands
+    }
+
+    /// Remembers what is asked for; a shape that is asked for no more fades.
+    /// The share of free accelerators that cannot serve the shapes in demand.
+    pub fn fragmentation(&self, table: &LeaseTable) -> f64 {
+        yuccatack_placement::fragmentation(&table.cluster, &profile(table, &self.demand))
+    }
+
+    fn remember_demand(&mut self, shape: &Shape) {
+        let weight = difficulty(shape);
+        for (_, known) in &mut self.demand {
+            *known *= DEMAND_DECAY;
+        }
+        match self.demand.iter_mut().find(|(known, _)| known == shape) {
+            Some((_, known)) => *known += weight,
+            None => self.demand.push((*shape, weight)),
+        }
+        self.demand.retain(|(_, known)| *known > LEAST_DEMAND);
+    }
+
+    fn starts(&self, table: &LeaseTable, now: TimestampMs) -> Vec<LeaseCommand> {
+        let mut commands = Vec::new();
+        for name in &table.ready {
+            let Some(attempt) = table.jobs.get(name).and_then(JobEntry::attempt) else { continue };
+            let live = |worker: WorkerIndex| {
+                table.worker_name(worker).is_some_and(|name| self.has_lease(&name, now))
+            };
+            // A gang with a silent worker would start in part.
+            if attempt.tasks.iter().all(|slot| live(slot.worker)) {
+                let (job, epoch) = (name.clone(), attempt.epoch);
+                commands.push(LeaseCommand::StartAttempt { job, epoch, at: now });
+            }
+        }
+        commands
+    }
+}
+
+fn overdue(table: &LeaseTable, now: TimestampMs) -> Vec<LeaseCommand> {
+    let mut commands = Vec::new();
+    for (deadline, job) in &table.deadlines {
+        if *deadline > now {
+            break;
+        }
+        let Some(attempt) = table.jobs.get(job).and_then(JobEntry::attempt) else { continue };
+        let reason = match attempt.phase {
+            AttemptPhase::Checkpointing(_) => StopReason::CheckpointOverdue,
+            _ => StopReason::PrepareOverdue,
+        };
+        let (job, epoch) = (job.clone(), attempt.epoch);
+        commands.push(LeaseCommand::StopAttempt { job, epoch, reason, at: now });
+    }
+    commands
+}
+
+/// One round of placements over an overlay of its own decisions.
+pub(crate) struct Pass<'a> {
+    pub(crate) table: &'a LeaseTable,
+    pub(crate) now: TimestampMs,
+    pub(crate) overlay: Overlay<'a>,
+    pub(crate) guarantees: FastHashMap<&'a OrganisationName, Vec<&'a GuaranteeEntry>>,
+    pub(crate) claimed: FastHashSet<(&'a RecordName, u32)>,
+    pub(crate) held: FastHashMap<&'a OrganisationName, u64>,
+    pub(crate) failed: FastHashSet<(Shape, bool, bool)>,
+    pub(crate) profile: DemandProfile,
+    pub(crate) reservation: Option<Reservation>,
+    pub(crate) search_count: usize,
+    pub(crate) decided: FastHashSet<&'a JobName>,
+    pub(crate) commands: Vec<LeaseCommand>,
+}
+
+type FindPlace = fn(&Overlay<'_>, &Shape) -> Option<Placement>;
+
+struct Queue<'a> {
+    organisation: &'a OrganisationName,
+    jobs: Vec<&'a JobName>,
+    next: usize,
+}
+
+impl<'a> Pass<'a> {
+    fn new(table: &'a LeaseTable, now: TimestampMs, demand: &[(Shape, f64)]) -> Self {
+        let mut guarantees: FastHashMap<_, Vec<&GuaranteeEntry>> = FastHashMap::default();
+        for entry in table.guarantees.values() {
+            guarantees.entry(&entry.spec.organisation).or_default().push(entry);
+        }
+        Self {
+            table,
+            now,
+            overlay: Overlay::new(&table.cluster),
+            guarantees,
+            claimed: FastHashSet::default(),
+            held: FastHashMap::default(),
+            failed: FastHashSet::default(),
+            profile: profile(table, demand),
+            reservation: None,
+            search_count: 0,
+            decided: FastHashSet::default(),
+            commands: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, volatile: &mut Volatile) {
+        self.probe_quarantined();
+        let find = match volatile.strategy {
+            Strategy::Policy => None,
+            Strategy::FirstFit => Some(first_fit as FindPlace),
+            Strategy::BestFit => Some(best_fit as FindPlace),
+        };
+        if let Some(find) = find {
+            self.place_in_arrival_order(find);
+            return;
+        }
+        if self.table.waiting.is_empty() {
+            volatile.starved = None;
+        } else {
+            self.place_class(PriorityClass::Urgent);
+            self.place_starved(volatile);
+            self.place_class(PriorityClass::Standard);
+            self.place_class(PriorityClass::Batch);
+        }
+        if volatile.starved.is_none() && self.commands.is_empty() {
+            self.consolidate(volatile);
+        }
+    }
+
+    /// The baselines: every waiting job that fits starts, the oldest first.
+    fn place_in_arrival_order(&mut self, find: FindPlace) {
+        let table = self.table;
+        let mut jobs: Vec<&'a (TimestampMs, JobName)> = table
+            .waiting
+            .values()
+            .flat_map(|waiting| PriorityClass::ALL.iter().flat_map(|class| waiting.class(*class)))
+            .collect();
+        jobs.sort();
+        for (_, name) in jobs {
+            let Some(job) = table.jobs.get(name) else { continue };
+            if self.decided.contains(name) || !job.may_start_again() || !self.within_quota(job) {
+                continue;
+            }
+            let key = (job.spec.shape, false, false);
+            if self.commands.len() >= MAX_DECISIONS || self.failed.contains(&key) {
+                continue;
+            }
+            match find(&self.overlay, &job.spec.shape) {
+                Some(placement) => self.decide(name, job, placement.assignments, None),
+                None => drop(self.failed.insert(key)),
+            }
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.commands.len() >= MAX_DECISIONS || self.search_count >= MAX_SEARCHES
+    }
+
+    /// Jobs that count as `class`, oldest first.
+    fn queue(&self, organisation: &OrganisationName, class: PriorityClass) -> Vec<&'a JobName> {
+        let Some(waiting) = self.table.waiting.get(organisation) else { return Vec::new() };
+        let aged = |at: TimestampMs| self.now.since(at) >= AGING_LIMIT;
+        let own = waiting.class(class);
+        let jobs: Vec<&(TimestampMs, JobName)> = match class {
+            PriorityClass::Urgent => own.take(MAX_SCANNED).collect(),
+            PriorityClass::Standard => {
+                let old = waiting.class(PriorityClass::Batch).take_while(|(at, _)| aged(*at));
+                let mut jobs: Vec<_> = old.take(MAX_SCANNED).chain(own.take(MAX_SCANNED)).collect();
+                jobs.sort();
+                jobs
+            }
+            PriorityClass::Batch => own.skip_while(|(at, _)| aged(*at)).take(MAX_SCANNED).collect(),
+        };
+        jobs.into_iter().map(|(_, job)| job).collect()
+    }
+
+    /// Places jobs of one class; the organisation with the smallest weighted share goes first.
+    fn place_class(&mut self, class: PriorityClass) {
+        let table = self.table;
+        let mut queues: Vec<Queue<'a>> = table
+            .waiting
+            .keys()
+            .map(|organisation| Queue {
+                organisation,
+                jobs: self.queue(organisation, class),
+                next: 0,
+            })
+            .filter(|queue| !queue.jobs.is_empty())
+            .collect();
+        while !self.is_full() {
+            let share = |queue: &Queue<'a>| self.share(queue.organisation);
+            let least = queues
+                .iter()
+                .enumerate()
+                .filter(|(_, queue)| queue.next < queue.jobs.len())
+                .min_by(|(_, left), (_, right)| share(left).total_cmp(&share(right)))
+                .map(|(position, _)| position);
+            let Some(position) = least else { break };
+            let queue = &mut queues[position];
+            let job = queue.jobs[queue.next];
+            queue.next += 1;
+            self.try_place(job);
+        }
+    }
+
+    fn held_count(&self, organisation: &OrganisationName) -> u64 {
+        let table = self.table.organisations.get(organisation);
+        let decided = self.held.get(organisation).copied().unwrap_or_default();
+        decided + table.map_or(0, |entry| entry.held_accelerator_count)
+    }
+
+    fn share(&self, organisation: &OrganisationName) -> f64 {
+        let quota = self.table.organisations.get(organisation).and_then(|entry| {
+            let quota = entry.quota.as_ref()?;
+            Some(quota.fair_share_weight.max(1))
+        });
+        self.held_count(organisation) as f64 / f64::from(quota.unwrap_or(1))
+    }
+
+    fn within_quota(&self, job: &JobEntry) -> bool {
+        let held = self.held_count(&job.spec.organisation) + job.spec.accelerator_count();
+        self.table.quota_of(&job.spec.organisation).is_none_or(|quota| held <= u64::from(quota))
+    }
+
+    /// The oldest waiting job of each queue is its head, so only heads can be the oldest.
+    fn place_starved(&mut self, volatile: &mut Volatile) {
+        let table = self.table;
+        let classes = [PriorityClass::Standard, PriorityClass::Batch];
+        let oldest = table
+            .waiting
+            .values()
+            .flat_map(|waiting| classes.iter().filter_map(|class| waiting.class(*class).next()))
+            .filter(|(at, _)| self.now.since(*at) >= DEFRAGMENT_AFTER)
+            .filter(|(_, job)| table.jobs.get(job).is_some_and(|job| self.within_quota(job)))
+            .min();
+        let Some((at, job)) = oldest else {
+            volatile.starved = None;
+            return;
+        };
+        if self.try_place(job) {
+            volatile.starved = None;
+            return;
+        }
+        let current = volatile.starved.as_ref().is_some_and(|held| held.is_current(job, self.now));
+        let starved = self.now.since(*at) >= STARVED_AFTER;
+        if !current && !self.make_room(volatile, job, starved) {
+            volatile.starved = starved.then(|| StarvedJob::new(table, job, self.now)).flatten();
+        }
+        self.reservation = volatile.starved.as_ref().map(|held| held.reservation.clone());
+        // The failure above was found without the reservation; keys include its effect.
+        self.failed.clear();
+    }
+
+    fn try_place(&mut self, name: &'a JobName) -> bool {
+        let table = self.table;
+        let Some(job) = table.jobs.get(name) else { return false };
+        if self.is_full()
+            || self.decided.contains(name)
+            || !job.may_start_again()
+            || !self.within_quota(job)
+        {
+            return false;
+        }
+        let excluded: Vec<WorkerIndex> = job
+            .failed_on
+            .iter()
+            .filter_map(|(worker, _)| table.cluster.worker_index(worker))
+            .collect();
+        if let Some((placement, claim)) = self.claim_free(job) {
+            self.decide(name, job, placement, Some(claim));
+            return true;
+        }
+        if let Some(placement) = self.place_unclaimed(job, &excluded) {
+            self.decide(name, job, placement.assignments, None);
+            return true;
+        }
+        if let Some((placement, claim)) = self.claim_reclaim(job) {
+            self.decide(name, job, placement, Some(claim));
+            return true;
+        }
+        false
+    }
+
+    pub(crate) fn request<'b>(
+        &'b self,
+        job: &JobEntry,
+        excluded: &'b [WorkerIndex],
+    ) -> Request<'b> {
+        let policy = &self.table.policy;
+        let reclaimable = job.spec.is_reclaimable();
+        Request {
+            shape: job.spec.shape,
+            data_centres: &[],
+            holding: if reclaimable { Holding::Borrowed } else { Holding::Firm },
+            excluded,
+            reservation: self
+                .reservation
+                .as_ref()
+                .filter(|_| job.spec.class != PriorityClass::Urgent),
+            expected_end: self.now + self.table.expected_run_time(job, BACKFILL_QUANTILE),
+            yields: job.spec.checkpointable,
+            profile: &self.profile,
+            weights: Weights {
+                completion: policy.completion_weight,
+                fragmentation: policy.fragmentation_weight,
+            },
+        }
+    }
+
+    fn place_unclaimed(&mut self, job: &JobEntry, excluded: &[WorkerIndex]) -> Option<Placement> {
+        let request = self.request(job, excluded);
+        let barred = request
+            .reservation
+            .is_some_and(|reservation| reservation.bars(request.expected_end, request.yields));
+        let key = (request.shape, request.holding == Holding::Firm, barred);
+        if self.failed.contains(&key) {
+            return None;
+        }
+        let found = place(&self.overlay, &request);
+        self.search_count += 1;
+        if found.is_none() && excluded.is_empty() {
+            self.failed.insert(key);
+        }
+        found
+    }
+
+    pub(crate) fn named<Parts>(&self, parts: Parts) -> Vec<WorkerTasks>
+    where
+        Parts: Iterator<Item = (WorkerIndex, u32)>,
+    {
+        parts
+            .filter_map(|(worker, task_count)| {
+                Some(WorkerTasks { worker: self.table.worker_name(worker)?, task_count })
+            })
+            .collect()
+    }
+
+    fn decide(
+        &mut self,
+        name: &'a JobName,
+        job: &'a JobEntry,
+        parts: Vec<Assignment>,
+        claim: Option<Claim>,
+    ) {
+        self.decided.insert(name);
+        let firm = claim.is_none() && !job.spec.is_reclaimable();
+        for part in &parts {
+            if let Some(amount) = job.spec.shape.task.checked_mul(part.task_count) {
+                self.overlay.take(part.worker, &amount, firm);
+            }
+        }
+        if let Some(claim) = &claim
+            && let Some((guarantee, entry)) = self.table.guarantees.get_key_value(&claim.guarantee)
+        {
+            self.claimed.insert((guarantee, claim.instance));
+            let task = entry.spec.shape.task;
+            // A moved binding counts as firm at its new place; the old place stays set aside in
+            // this pass, which is safe and ends with it.
+            for part in &claim.binding {
+                let worker = self.table.cluster.worker_index(&part.worker);
+                if let Some((worker, amount)) = worker.zip(task.checked_mul(part.task_count)) {
+                    self.overlay.take(worker, &amount, true);
+                    self.overlay.untake(worker, &amount, false);
+                }
+            }
+        }
+        *self.held.entry(&job.spec.organisation).or_default() += job.spec.accelerator_count();
+        let assignments = self.named(parts.iter().map(|part| (part.worker, part.task_count)));
+        self.commands.push(LeaseCommand::BeginAttempt(BeginAttempt {
+            job: name.clone(),
+            epoch: job.last_epoch.next(),
+            assignments,
+            claim,
+            at: self.now,
+        }));
+    }
+
+    /// Gives each quarantined worker whose wait is over one small job that may be repeated.
+    fn probe_quarantined(&mut self) {
+        let table = self.table;
+        for name in &table.quarantined {
+            let Some(worker) = table.workers.get(name) else { continue };
+            let WorkerHealth::Quarantined { probe_at } = worker.health else { continue };
+            if probe_at > self.now || !worker.tasks.is_empty() {
+                continue;
+            }
+            let probed = self.probe(worker.index, &worker.resources);
+            if !probed && self.now.since(probe_at) >= PROBATION_AFTER {
+                let worker = name.clone();
+                self.commands.push(LeaseCommand::ReleaseOnProbation { worker, at: self.now });
+            }
+        }
+    }
+
+    fn probe(&mut self, worker: WorkerIndex, resources: &Resources) -> bool {
+        let table = self.table;
+        let classes = [PriorityClass::Batch, PriorityClass::Standard];
+        let suitable = |name: &&'a JobName| {
+            table.jobs.get(*name).is_some_and(|job| {
+                let spec = &job.spec;
+                let whole = spec.shape.task.checked_mul(spec.shape.task_count);
+                let fits = whole.is_some_and(|whole| resources.contains(&whole));
+                fits && spec.idempotent && job.failed_on.is_empty() && self.within_quota(job)
+            })
+        };
+        let heads = table.waiting.values().flat_map(|waiting| {
+            classes.iter().flat_map(|class| waiting.class(*class).take(MAX_SCANNED))
+        });
+        let Some(name) = heads.map(|(_, job)| job).find(suitable) else { return false };
+        let Some(job) = table.jobs.get(name) else { return false };
+        let task_count = job.spec.shape.task_count;
+        self.decide(name, job, vec![Assignment { worker, task_count }], None);
+        true
+    }
+}
+
+/// The weight of one gang in the profile. The square keeps few large gangs from being outweighed
+/// by many small ones, which find a place anyway.
+fn difficulty(shape: &Shape) -> f64 {
+    let accelerators = f64::from(shape.task_count) * f64::from(shape.task.accelerator_count);
+    accelerators * accelerators
+}
+
+/// Shapes asked for lately, guaranteed, and at the heads of the queues, weighted by their
+/// accelerators.
+fn profile(table: &LeaseTable, demand: &[(Shape, f64)]) -> DemandProfile {
+    let mut shapes: Vec<WeightedShape> = Vec::new();
+    let mut add =
+        |shape: Shape, weight: f64| match shapes.iter_mut().find(|entry| entry.shape == shape) {
+            Some(entry) => entry.weight += weight,
+            None => shapes.push(WeightedShape { shape, weight }),
+        };
+    for (shape, weight) in demand {
+        add(*shape, *weight);
+    }
+    for entry in table.guarantees.values() {
+        add(entry.spec.shape, difficulty(&entry.spec.shape) * f64::from(entry.spec.shape_count));
+    }
+    for waiting in table.waiting.values() {
+        for class in PriorityClass::ALL {
+            let head = waiting.class(class).next();
+            if let Some(job) = head.and_then(|(_, job)| table.jobs.get(job)) {
+                add(job.spec.shape, difficulty(&job.spec.shape));
+            }
+        }
+    }
+    DemandProfile::new(shapes)
+}
--- a/crates/yuccatack_stand_ins/src/lib.rs
+++ b/crates/yuccatack_stand_ins/src/lib.rs
@@ -1,5 +1,11 @@
-//! Stand-ins for the platform's workers and minions, for tests and examples.
+//! Stand-ins for the platform's workers, minions and callers, for tests and examples.
 
+mod caller;
 pub mod minion;
+mod worker;
+mod worker_model;
 
+pub use caller::{CallerAnswer, CallerStandIn};
 pub use minion::{MinionBehaviour, MinionFault, MinionRun, MinionStandIn};
+pub use worker::{WorkerSettings, WorkerStandIn};
+pub use worker_model::{Behaviour, SharedAccelerator, TaskRecord, WorkerModel};
