--- a/crates/yuccatack_leases/examples/decision_time/main.rs
+++ b/crates/yuccatack_leases/examples/decision_time/main.rs
@@ -184,6 +184,11 @@
         let on_cores = format!("{name}, cores only");
         driver.time_decisions(&on_cores, Shape { task_count, task: resources(1, 1, 0), adjacency });
     }
+    let start = Instant::now();
+    let verified = driver.table.verify();
+    let elapsed = start.elapsed().as_micros();
+    println!("  full check of the invariants: {elapsed} ({verified:?})");
+    driver.time_waiting_memory();
     driver.time_starved(gang_tasks);
     driver.time_heartbeats();
 }
@@ -233,6 +238,25 @@
         );
     }
 
+    /// Measures the memory of waiting jobs, and the cancellation of all of them in one command.
+    fn time_waiting_memory(&mut self) {
+        const COUNT: usize = 5_000;
+        let before = ALLOCATED_BYTES.load(Ordering::Relaxed);
+        let shape = Shape { task_count: 1, task: resources(1, 1, 1), adjacency: Adjacency::Worker };
+        let specs = (0..COUNT).filter_map(|number| job(&format!("idle-{number}"), 0, shape));
+        let mut names = Vec::new();
+        for spec in specs {
+            names.push(spec.name.clone());
+            self.submit(spec);
+        }
+        let bytes = (ALLOCATED_BYTES.load(Ordering::Relaxed) - before) / COUNT;
+        let at = self.at();
+        let start = Instant::now();
+        self.table.apply(LeaseCommand::CancelJobs { jobs: names, at });
+        let elapsed = start.elapsed().as_micros();
+        println!("  {bytes} bytes a waiting job; {COUNT} cancellations in one command: {elapsed}");
+    }
+
     /// Times the handling of one heartbeat of every worker.
     fn time_heartbeats(&mut self) {
         let Ok(mut handling) = Histogram::<u64>::new(3) else { return };
--- a/crates/yuccatack_leases/src/defragment.rs
+++ b/crates/yuccatack_leases/src/defragment.rs
@@ -85,6 +85,11 @@
         Some(Offer { worker, free: self.overlay.free(worker), movable })
     }
 
+    /// Whether the pause since the last search is over.
+    pub(crate) fn may_search_room(&self, volatile: &Volatile) -> bool {
+        volatile.defragmented_at + MOVE_PAUSE <= self.now
+    }
+
     /// Moves jobs out of one domain so that `name` fits there. Returns whether it pays. For a
     /// starved job, later ones give way even when they have to wait themselves.
     pub(crate) fn make_room(
@@ -92,15 +97,12 @@
         volatile: &mut Volatile,
         name: &'a JobName,
         starved: bool,
+        held: Option<&StarvedJob>,
     ) -> bool {
         let table = self.table;
         let Some(job) = table.jobs.get(name) else { return false };
-        if volatile.defragmented_at + MOVE_PAUSE > self.now {
-            return false;
-        }
         volatile.defragmented_at = self.now;
-        let wait_s = StarvedJob::new(table, name, self.now)
-            .map_or(60, |held| held.reservation.start_at.since(self.now).get() / 1000);
+        let wait_s = held.map_or(60, |held| held.reservation.start_at.since(self.now).get() / 1000);
         let Some(plan) = self.cheapest_plan(job, starved) else { return false };
         if plan.moved_count * MOVE_COST_S >= job.spec.accelerator_count() * wait_s {
             return false;
@@ -110,7 +112,7 @@
         }
         let reservation =
             Reservation { workers: plan.workers, start_at: self.now, exclusive: true };
-        volatile.starved = Some(StarvedJob::with_reservation(name, reservation, self.now));
+        volatile.starved = Some(StarvedJob::with_reservation(name, reservation));
         true
     }
 
--- a/crates/yuccatack_leases/src/reservation.rs
+++ b/crates/yuccatack_leases/src/reservation.rs
@@ -10,8 +10,6 @@
 pub(crate) const STARVED_AFTER: DurationMs = DurationMs::from_seconds(120);
 /// For a job that waits this long, others are moved if that makes room.
 pub(crate) const DEFRAGMENT_AFTER: DurationMs = DurationMs::from_seconds(5);
-/// A reservation visits every task, so it is kept this long before it is computed again.
-const RESERVATION_LIFETIME: DurationMs = DurationMs::from_seconds(10);
 /// Backfilled jobs must be expected to end in time with this probability.
 pub(crate) const BACKFILL_QUANTILE: f32 = 0.8;
 
@@ -20,25 +18,16 @@
 pub(crate) struct StarvedJob {
     pub(crate) job: JobName,
     pub(crate) reservation: Reservation,
-    computed_at: TimestampMs,
 }
 
 impl StarvedJob {
     pub(crate) fn new(table: &LeaseTable, job: &JobName, now: TimestampMs) -> Option<Self> {
         let reservation = reserve(table, table.jobs.get(job)?, now)?;
-        Some(Self { job: job.clone(), reservation, computed_at: now })
+        Some(Self { job: job.clone(), reservation })
     }
 
-    pub(crate) fn with_reservation(
-        job: &JobName,
-        reservation: Reservation,
-        now: TimestampMs,
-    ) -> Self {
-        Self { job: job.clone(), reservation, computed_at: now }
-    }
-
-    pub(crate) fn is_current(&self, job: &JobName, now: TimestampMs) -> bool {
-        self.job == *job && now.since(self.computed_at) < RESERVATION_LIFETIME
+    pub(crate) fn with_reservation(job: &JobName, reservation: Reservation) -> Self {
+        Self { job: job.clone(), reservation }
     }
 }
 
--- a/crates/yuccatack_leases/src/schedule.rs
+++ b/crates/yuccatack_leases/src/schedule.rs
@@ -298,10 +298,15 @@
             volatile.starved = None;
             return;
         }
-        let current = volatile.starved.as_ref().is_some_and(|held| held.is_current(job, self.now));
         let starved = self.now.since(*at) >= STARVED_AFTER;
-        if !current && !self.make_room(volatile, job, starved) {
-            volatile.starved = starved.then(|| StarvedJob::new(table, job, self.now)).flatten();
+        if self.may_search_room(volatile) {
+            // Both searches visit many tasks, so they run at most once in a pause.
+            let held = StarvedJob::new(table, job, self.now);
+            if !self.make_room(volatile, job, starved, held.as_ref()) {
+                volatile.starved = held.filter(|_| starved);
+            }
+        } else if volatile.starved.as_ref().is_some_and(|held| held.job != *job) {
+            volatile.starved = None;
         }
         self.reservation = volatile.starved.as_ref().map(|held| held.reservation.clone());
         // The failure above was found without the reservation; keys include its effect.
--- a/crates/yuccatack_placement/src/cluster.rs
+++ b/crates/yuccatack_placement/src/cluster.rs
@@ -9,9 +9,9 @@
 
 /// Data centres in which room for a starved gang is sought.
 const MAX_SOUGHT_CENTRES: usize = 4;
-/// Workers of one data centre in which room for a starved gang is sought; four times the largest
-/// gang of 64.
-const MAX_SOUGHT_WORKERS: usize = 256;
+/// Workers of one data centre in which room for a starved gang is sought; half more than the
+/// largest gang of 64 has tasks.
+const MAX_SOUGHT_WORKERS: usize = 96;
 /// Racks, or single workers, of one data centre in which room is sought.
 const MAX_SOUGHT_RACKS: usize = 24;
 
