--- a/crates/yuccatack_entry/src/server.rs
+++ b/crates/yuccatack_entry/src/server.rs
@@ -204,6 +204,9 @@
         Ok(body) => {
             operators::respond(route, &body.bytes, &context.control, &context.telemetry).await
         }
+        Err(not_run) if not_run.retry_after_ms.is_some() => {
+            problem(StatusCode::SERVICE_UNAVAILABLE, "not_sent", not_run.detail.to_string())
+        }
         Err(not_run) => problem(StatusCode::BAD_REQUEST, "incomplete", not_run.detail.to_string()),
     }
 }
