--- a/crates/yuccatack_agent/src/actor.rs
+++ b/crates/yuccatack_agent/src/actor.rs
@@ -9,6 +9,7 @@
 use yuccatack_requests::attempts::{AttemptLimits, AttemptTable, Resolution, StartDecision};
 use yuccatack_requests::prelude::*;
 use yuccatack_settings::AgentSettings;
+use yuccatack_telemetry::metrics::{AgentMetrics, RequestOutcome};
 use yuccatack_view::{MinionState, MinionStatus, ViewHandle};
 
 use crate::connection::MinionConnection;
@@ -35,6 +36,7 @@
     messages: mpsc::Receiver<AgentMessage>,
     sender: mpsc::Sender<AgentMessage>,
     in_flight: watch::Sender<usize>,
+    metrics: AgentMetrics,
     probing: bool,
 }
 
@@ -52,6 +54,8 @@
     pub view: ViewHandle,
     /// Where the number of attempts in flight goes.
     pub in_flight: watch::Sender<usize>,
+    /// Counts calls and connections.
+    pub metrics: AgentMetrics,
 }
 
 /// The wall clock, which attempt identifiers carry.
@@ -79,6 +83,7 @@
             messages,
             sender: sender.clone(),
             in_flight: inputs.in_flight,
+            metrics: inputs.metrics,
             probing: false,
         };
         (actor, sender)
@@ -116,6 +121,7 @@
             }
             AgentMessage::ExchangeEnded { attempt, outcome, duration, connection } => {
                 self.report.exchange_ended(&outcome, duration);
+                self.metrics.count_call(outcome_label(&outcome));
                 self.idle.extend(connection);
                 self.finish(attempt, outcome);
             }
@@ -234,6 +240,8 @@
     fn publish(&mut self) {
         let running = self.table.running_count();
         self.report.set_slots_in_use(u32::try_from(running).unwrap_or(u32::MAX));
+        let connections = running + self.idle.len();
+        self.metrics.set_connections_open(u32::try_from(connections).unwrap_or(u32::MAX));
         let status = self.report.status();
         self.reports.send_if_modified(|current| {
             let changed = current.as_ref() != Some(&status);
@@ -245,3 +253,11 @@
         self.in_flight.send_replace(running);
     }
 }
+
+const fn outcome_label(outcome: &Outcome) -> RequestOutcome {
+    match outcome {
+        Outcome::Completed(_) => RequestOutcome::Completed,
+        Outcome::NotRun(_) => RequestOutcome::NotRun,
+        Outcome::Unknown(_) => RequestOutcome::Unknown,
+    }
+}
--- a/crates/yuccatack_agent/src/process.rs
+++ b/crates/yuccatack_agent/src/process.rs
@@ -31,6 +31,8 @@
     pub view: ViewHandle,
     /// Where reports go.
     pub reports: watch::Sender<Option<MinionStatus>>,
+    /// Metrics and readiness.
+    pub telemetry: Telemetry,
 }
 
 /// Runs an agent until it has drained.
@@ -49,9 +51,13 @@
         control_addresses: settings.control_addresses.clone(),
     };
     let view = ViewSubscriber::spawn(subscription, reports_receiver.clone());
-    let observer =
-        tokio::spawn(observe_agent(view.clone(), reports_receiver, telemetry, shutdown.clone()));
-    let inputs = AgentInputs { listener, incarnation, view, reports };
+    let observer = tokio::spawn(observe_agent(
+        view.clone(),
+        reports_receiver,
+        telemetry.clone(),
+        shutdown.clone(),
+    ));
+    let inputs = AgentInputs { listener, incarnation, view, reports, telemetry };
     let result = serve(settings, inputs, shutdown).await;
     observer.abort();
     result
@@ -84,6 +90,7 @@
         reports: inputs.reports,
         view: inputs.view,
         in_flight,
+        metrics: inputs.telemetry.metrics.agent.clone(),
     });
     let actor_task = tokio::spawn(actor.run());
     let service = AttemptsServer::new(AttemptService::new(sender.clone(), body_limit_bytes));
--- a/crates/yuccatack_entry/src/call.rs
+++ b/crates/yuccatack_entry/src/call.rs
@@ -14,6 +14,7 @@
 };
 use yuccatack_requests::prelude::*;
 use yuccatack_requests::routing::Feedback;
+use yuccatack_telemetry::metrics::RequestMetrics;
 
 use crate::balancer::{BalancerMessage, ChooseRequest};
 use crate::link::{self, LinkError};
@@ -37,6 +38,8 @@
     pub settings: DispatchSettings,
     /// The largest answer.
     pub body_limit_bytes: u64,
+    /// Counts retries.
+    pub metrics: RequestMetrics,
 }
 
 /// A minion that was chosen and whose end the balancer has not been told.
@@ -56,6 +59,7 @@
     events: mpsc::Sender<DispatchEvent>,
     reservations: Vec<Reservation>,
     outcome: Option<Outcome>,
+    attempt_count: u32,
 }
 
 fn wall_clock() -> TimestampMs {
@@ -115,6 +119,7 @@
         events,
         reservations: Vec::new(),
         outcome: None,
+        attempt_count: 0,
     };
     let commands = call.dispatch.start(call.now());
     call.carry_out(commands);
@@ -291,7 +296,11 @@
         });
     }
 
-    fn execute(&self, claimed: ClaimedAttempt) {
+    fn execute(&mut self, claimed: ClaimedAttempt) {
+        if self.attempt_count > 0 {
+            self.context.metrics.count_retry(&self.content.service);
+        }
+        self.attempt_count += 1;
         let links = self.context.links.clone();
         let content = self.content.clone();
         let remaining = self.remaining();
--- a/crates/yuccatack_entry/src/process.rs
+++ b/crates/yuccatack_entry/src/process.rs
@@ -105,6 +105,7 @@
         claims: inputs.claims,
         settings: inputs.dispatch,
         body_limit_bytes: settings.body_limit_bytes,
+        metrics: inputs.telemetry.metrics.requests.clone(),
     };
     let context =
         ServerContext::new(call, inputs.view, inputs.control, inputs.telemetry, &settings);
--- a/crates/yuccatack_entry/src/server.rs
+++ b/crates/yuccatack_entry/src/server.rs
@@ -152,6 +152,9 @@
                     let received = Instant::now();
                     let labels = request_labels(&context.view.view(), &caller.content);
                     let telemetry = context.telemetry.clone();
+                    let _in_flight = labels
+                        .as_ref()
+                        .map(|labels| telemetry.metrics.requests.start(&labels.service));
                     let outcome = run_request(context, caller, body).await;
                     observe_request(&telemetry, labels.as_ref(), &outcome, received.elapsed());
                     outcome
--- a/crates/yuccatack_entry/tests/common/mod.rs
+++ b/crates/yuccatack_entry/tests/common/mod.rs
@@ -199,7 +199,13 @@
         let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
         let task = runtime.spawn(async move {
             let listener = TcpListener::from_std(listener).unwrap();
-            let inputs = AgentInputs { listener, incarnation, view: handle, reports };
+            let inputs = AgentInputs {
+                listener,
+                incarnation,
+                view: handle,
+                reports,
+                telemetry: Telemetry::unserved(),
+            };
             yuccatack_agent::serve(settings, inputs, shutdown).await
         });
         let runtime = Some(runtime);
--- a/crates/yuccatack_telemetry/src/metrics/mod.rs
+++ b/crates/yuccatack_telemetry/src/metrics/mod.rs
@@ -27,7 +27,7 @@
 pub use labels::{JobOutcome, JobPhase, RequestOutcome, WorkerHealth};
 pub use objectives::ObjectiveMetrics;
 pub use replication::ReplicationMetrics;
-pub use requests::{RequestLabels, RequestMetrics};
+pub use requests::{InFlightRequest, RequestLabels, RequestMetrics};
 pub use view::ViewMetrics;
 
 /// The prefix of every metric name.
--- a/crates/yuccatack_telemetry/src/metrics/requests.rs
+++ b/crates/yuccatack_telemetry/src/metrics/requests.rs
@@ -97,10 +97,12 @@
         self.requests.get_or_create(&labels).inc();
     }
 
-    /// Sets how many requests for `service` wait for their outcome.
-    pub fn set_in_flight(&self, service: &ServiceName, request_count: u64) {
+    /// Counts a request for `service` as in flight until the result is dropped.
+    pub fn start(&self, service: &ServiceName) -> InFlightRequest {
         let labels = ServiceLabels { service: NameLabel(service.clone()) };
-        self.in_flight.get_or_create(&labels).set(request_count.try_into().unwrap_or(i64::MAX));
+        let gauge = self.in_flight.get_or_create(&labels).clone();
+        gauge.inc();
+        InFlightRequest { gauge }
     }
 
     /// Counts an attempt after the first one of a request.
@@ -109,3 +111,15 @@
         self.retries.get_or_create(&labels).inc();
     }
 }
+
+/// A request that waits for its outcome.
+#[derive(Debug)]
+pub struct InFlightRequest {
+    gauge: Gauge,
+}
+
+impl Drop for InFlightRequest {
+    fn drop(&mut self) {
+        self.gauge.dec();
+    }
+}
--- a/crates/yuccatack_telemetry/tests/metric_names.rs
+++ b/crates/yuccatack_telemetry/tests/metric_names.rs
@@ -24,7 +24,7 @@
     let urgent = PriorityClass::Urgent;
     metrics.objectives.set_objectives(&[fast_rankings()], std::slice::from_ref(&selangor));
     observe(&metrics, "selangor", RequestOutcome::Completed, 20, 1);
-    metrics.requests.set_in_flight(&service, 1);
+    let _in_flight = metrics.requests.start(&service);
     metrics.requests.count_retry(&service);
     metrics.agent.set_slots_in_use(1);
     metrics.agent.set_connections_open(1);
