--- a/crates/yuccatack_leases/src/schedule.rs
+++ b/crates/yuccatack_leases/src/schedule.rs
@@ -2,16 +2,16 @@
 
 use yuccatack_core::prelude::*;
 use yuccatack_placement::{
-    Assignment, DemandProfile, Holding, Overlay, Placement, Request, Reservation, WeightedShape,
-    Weights, WorkerIndex, best_fit, first_fit, place,
+    Assignment, DemandProfile, Holding, Overlay, Placement, Request, Reservation, Weights,
+    WorkerIndex, best_fit, first_fit, place,
 };
 
+use crate::demand::{difficulty, profile};
 use crate::job::{AttemptPhase, JobEntry};
 use crate::message::{BeginAttempt, Claim, LeaseCommand, StopReason, WorkerTasks};
 use crate::reservation::{BACKFILL_QUANTILE, DEFRAGMENT_AFTER, STARVED_AFTER, StarvedJob};
 use crate::table::{GuaranteeEntry, LeaseTable};
 use crate::volatile::Volatile;
-use crate::worker::WorkerHealth;
 
 /// Decisions of one call. They are in force only after the log has them; a bound keeps the
 /// overlay small and lets urgent jobs that arrive meanwhile go first in the next call.
@@ -21,11 +21,9 @@
 /// Shapes that weigh less than this are forgotten.
 const LEAST_DEMAND: f64 = 0.5;
 /// Jobs of one queue that are looked at in one call.
-const MAX_SCANNED: usize = 128;
+pub(crate) const MAX_SCANNED: usize = 128;
 /// Searches of one call, successful or not.
 const MAX_SEARCHES: usize = 256;
-/// A quarantined worker that no waiting job can probe serves again after this time.
-const PROBATION_AFTER: DurationMs = DurationMs::from_seconds(60);
 /// A batch job that waited this long is treated like a standard one.
 const AGING_LIMIT: DurationMs = DurationMs::from_seconds(30 * 60);
 
@@ -274,7 +272,7 @@
         self.held_count(organisation) as f64 / f64::from(quota.unwrap_or(1))
     }
 
-    fn within_quota(&self, job: &JobEntry) -> bool {
+    pub(crate) fn within_quota(&self, job: &JobEntry) -> bool {
         let held = self.held_count(&job.spec.organisation) + job.spec.accelerator_count();
         self.table.quota_of(&job.spec.organisation).is_none_or(|quota| held <= u64::from(quota))
     }
@@ -397,7 +395,7 @@
             .collect()
     }
 
-    fn decide(
+    pub(crate) fn decide(
         &mut self,
         name: &'a JobName,
         job: &'a JobEntry,
@@ -436,75 +434,4 @@
             at: self.now,
         }));
     }
-
-    /// Gives each quarantined worker whose wait is over one small job that may be repeated.
-    fn probe_quarantined(&mut self) {
-        let table = self.table;
-        for name in &table.quarantined {
-            let Some(worker) = table.workers.get(name) else { continue };
-            let WorkerHealth::Quarantined { probe_at } = worker.health else { continue };
-            if probe_at > self.now || !worker.tasks.is_empty() {
-                continue;
-            }
-            let probed = self.probe(worker.index, &worker.resources);
-            if !probed && self.now.since(probe_at) >= PROBATION_AFTER {
-                let worker = name.clone();
-                self.commands.push(LeaseCommand::ReleaseOnProbation { worker, at: self.now });
-            }
-        }
-    }
-
-    fn probe(&mut self, worker: WorkerIndex, resources: &Resources) -> bool {
-        let table = self.table;
-        let classes = [PriorityClass::Batch, PriorityClass::Standard];
-        let suitable = |name: &&'a JobName| {
-            table.jobs.get(*name).is_some_and(|job| {
-                let spec = &job.spec;
-                let whole = spec.shape.task.checked_mul(spec.shape.task_count);
-                let fits = whole.is_some_and(|whole| resources.contains(&whole));
-                fits && spec.idempotent && job.failed_on.is_empty() && self.within_quota(job)
-            })
-        };
-        let heads = table.waiting.values().flat_map(|waiting| {
-            classes.iter().flat_map(|class| waiting.class(*class).take(MAX_SCANNED))
-        });
-        let Some(name) = heads.map(|(_, job)| job).find(suitable) else { return false };
-        let Some(job) = table.jobs.get(name) else { return false };
-        let task_count = job.spec.shape.task_count;
-        self.decide(name, job, vec![Assignment { worker, task_count }], None);
-        true
-    }
-}
-
-/// The weight of one gang in the profile. The square keeps few large gangs from being outweighed
-/// by many small ones, which find a place anyway.
-fn difficulty(shape: &Shape) -> f64 {
-    let accelerators = f64::from(shape.task_count) * f64::from(shape.task.accelerator_count);
-    accelerators * accelerators
-}
-
-/// Shapes asked for lately, guaranteed, and at the heads of the queues, weighted by their
-/// accelerators.
-fn profile(table: &LeaseTable, demand: &[(Shape, f64)]) -> DemandProfile {
-    let mut shapes: Vec<WeightedShape> = Vec::new();
-    let mut add =
-        |shape: Shape, weight: f64| match shapes.iter_mut().find(|entry| entry.shape == shape) {
-            Some(entry) => entry.weight += weight,
-            None => shapes.push(WeightedShape { shape, weight }),
-        };
-    for (shape, weight) in demand {
-        add(*shape, *weight);
-    }
-    for entry in table.guarantees.values() {
-        add(entry.spec.shape, difficulty(&entry.spec.shape) * f64::from(entry.spec.shape_count));
-    }
-    for waiting in table.waiting.values() {
-        for class in PriorityClass::ALL {
-            let head = waiting.class(class).next();
-            if let Some(job) = head.and_then(|(_, job)| table.jobs.get(job)) {
-                add(job.spec.shape, difficulty(&job.spec.shape));
-            }
-        }
-    }
-    DemandProfile::new(shapes)
 }
