Read at a stopped leader while it wakes

Change: sixteen readers start 0.2 s before SIGCONT, half of them through an entry that is already connected to the stopped leader alone.

--- a/tests/leader_freeze.rs
+++ b/tests/leader_freeze.rs
@@ -13,6 +13,7 @@
     Deployment, complete_request, job, organisation, service, submit, wait_for_job,
     wait_for_leader, wait_for_minions, wait_for_worker,
 };
+use tokio::task::JoinSet;
 use yuccatack_core::prelude::*;
 use yuccatack_stand_ins::CallerStandIn;
 
@@ -20,6 +21,9 @@
 const FREEZE_TIME: Duration = Duration::from_secs(8);
 /// How long the woken replica is asked for records.
 const READ_TIME: Duration = Duration::from_secs(3);
+const READER_COUNT: usize = 8;
+/// Reads start this long before the replica wakes.
+const READ_LEAD: Duration = Duration::from_millis(200);
 const READ_INTERVAL: Duration = Duration::from_millis(10);
 const SERVICE_PATH: &str = "/v1/records/service/results";
 /// A job that is started before the freeze ends after it.
@@ -57,25 +61,23 @@
 }
 
 /// Reads the service over and over and requires that no answer is older than `oldest`.
-async fn read_only_new(readers: &[CallerStandIn], oldest: u64) -> BTreeMap<String, usize> {
+async fn read_only_new(reader: CallerStandIn, oldest: u64) -> BTreeMap<String, usize> {
     let deadline = Instant::now() + READ_TIME;
     let mut counts = BTreeMap::new();
     while Instant::now() < deadline {
-        for reader in readers {
-            let answer = reader.get(SERVICE_PATH).await;
-            let name = match &answer {
-                Ok(answer) if answer.status.is_success() => {
-                    let document = answer.json();
-                    let generation = document["generation"].as_u64().unwrap();
-                    assert!(generation >= oldest, "an old record was read: {document}");
-                    assert_eq!(document["record"], service_with(generation));
-                    "read".to_owned()
-                }
-                Ok(answer) => format!("status {}", answer.status),
-                Err(error) => format!("error {}", error.kind()),
-            };
-            *counts.entry(name).or_insert(0) += 1;
-        }
+        let answer = reader.get(SERVICE_PATH).await;
+        let name = match &answer {
+            Ok(answer) if answer.status.is_success() => {
+                let document = answer.json();
+                let generation = document["generation"].as_u64().unwrap();
+                assert!(generation >= oldest, "an old record was read: {document}");
+                assert_eq!(document["record"], service_with(generation));
+                "read".to_owned()
+            }
+            Ok(answer) => format!("status {}", answer.status),
+            Err(error) => format!("error {}", error.kind()),
+        };
+        *counts.entry(name).or_insert(0) += 1;
         tokio::time::sleep(READ_INTERVAL).await;
     }
     counts
@@ -102,6 +104,7 @@
     // An entry that knows only the stopped replica reads from it as soon as it wakes.
     let old_address = deployment.control_addresses[usize::try_from(old_leader).unwrap() - 1];
     let direct = deployment.add_entry_of(&[old_address]);
+    wait_for_leader(&direct, None).await;
     let old_name = format!("control-{old_leader}");
     deployment.signal(&old_name, "-STOP");
     let frozen_at = Instant::now();
@@ -113,11 +116,19 @@
     }
     tokio::time::sleep_until((frozen_at + FREEZE_TIME).into()).await;
 
-    let readers = [operator.clone(), direct];
-    let reading = tokio::spawn(async move { read_only_new(&readers, meanwhile).await });
+    let mut reading = JoinSet::new();
+    for _ in 0..READER_COUNT {
+        reading.spawn(read_only_new(direct.clone(), meanwhile));
+        reading.spawn(read_only_new(operator.clone(), meanwhile));
+    }
+    // The reads through the second entry wait at the stopped replica when it wakes.
+    tokio::time::sleep(READ_LEAD).await;
     deployment.signal(&old_name, "-CONT");
     let after = change_service(&operator, meanwhile, 5).await;
-    let reads = reading.await.unwrap();
+    let mut reads: BTreeMap<String, usize> = BTreeMap::new();
+    for (name, count) in reading.join_all().await.into_iter().flatten() {
+        *reads.entry(name).or_insert(0) += count;
+    }
     eprintln!("reads after the wake-up: {reads:?}");
     assert!(reads.contains_key("read"), "nothing was read: {reads:?}");
 
