Keep the terminated agent in its drain past the limit

Cause: in a trial with an agent that does not announce its departure and refuses nothing, minion_departure passed: the drain ended 0.35 s after SIGTERM, before the 3 s limit.

Change: non-idempotent requests of 4 s keep the agent in its drain while the load goes on, and must complete.

--- a/tests/minion_departure.rs
+++ b/tests/minion_departure.rs
@@ -6,12 +6,12 @@
 mod support;
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use support::{Deployment, complete_request, organisation, service, submit, wait_for_minions};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::MissedTickBehavior;
-use yuccatack_stand_ins::{CallerAnswer, CallerStandIn, MinionBehaviour, MinionStandIn};
+use yuccatack_stand_ins::{CallerAnswer, CallerStandIn, MinionBehaviour, MinionRun, MinionStandIn};
 
 /// A departing minion gets no new work after this time.
 const DEPARTURE_LIMIT: Duration = Duration::from_secs(3);
@@ -37,6 +37,12 @@
     answer: CallerAnswer,
 }
 
+/// Longer than the departure limit, so that the agent still drains when the limit has passed.
+const HELD_RUN_TIME: Duration = Duration::from_millis(4_000);
+const HELD_COUNT: usize = 6;
+/// The held requests reach their minions within this time.
+const HOLD_LEAD: Duration = Duration::from_millis(150);
+
 async fn call(entry: CallerStandIn, body: String) -> Call {
     let sent_at = Instant::now();
     let answer = entry.request("putrajaya-club", "results", body.clone().into()).await.unwrap();
@@ -112,9 +118,33 @@
     }
 }
 
+/// Starts non-idempotent requests, some of which keep the leaving agent in its drain.
+async fn hold_open(scene: &Scene) -> JoinSet<CallerAnswer> {
+    let delay = HELD_RUN_TIME;
+    scene.leaving.set_behaviour(MinionBehaviour { delay, ..MinionBehaviour::default() });
+    let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    let mut held = JoinSet::new();
+    for number in 0..HELD_COUNT {
+        let caller = scene.deployment.operator();
+        held.spawn(async move {
+            let key = format!("{now_ms}-held-{number}");
+            let body = key.clone().into();
+            caller.request_once("putrajaya-club", "results", &key, body).await.unwrap()
+        });
+    }
+    tokio::time::sleep(HOLD_LEAD).await;
+    let delay = RUN_TIME;
+    scene.leaving.set_behaviour(MinionBehaviour { delay, ..MinionBehaviour::default() });
+    let runs = scene.leaving.runs().await;
+    let is_held = |run: &MinionRun| run.body.windows(6).any(|part| part == b"-held-");
+    assert!(runs.iter().any(is_held), "no request keeps the agent in its drain");
+    held
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn no_new_work_after_terminate() {
     let mut scene = Scene::start().await;
+    let held = hold_open(&scene).await;
     let run_count = scene.leaving.runs().await.len();
     let signalled_at = Instant::now();
     scene.deployment.signal("agent-2", "-TERM");
@@ -122,6 +152,9 @@
     let counts = outcomes(&scene.load.await.unwrap());
     eprintln!("SIGTERM: {count} more calls, the last after {last:?}; outcomes {counts:?}");
     assert!(last <= DEPARTURE_LIMIT, "a call reached the minion {last:?} after SIGTERM");
+    for answer in held.join_all().await {
+        assert_eq!(answer.outcome(), Some("completed"), "a held request was cut: {answer:?}");
+    }
     // A planned stop interrupts nothing, and another minion takes every call.
     assert_eq!(counts.keys().collect::<Vec<_>>(), ["completed"], "{counts:?}");
     assert_eq!(scene.deployment.wait_for_exit("agent-2").code(), Some(0));
