Check freshness when a request is sent to the minion

Cause: an agent checked its view once, when it accepted an attempt, and counted the deadline anew when the exchange ran. An agent paused in between sent the request to the minion after the pause, when its view was stale and the deadline had passed; so did one whose connection to the minion opened slowly.

A pause between this check and the write of the connection task remains possible.

Result: minion_departure (SIGSTOP) was seen to fail before, in 1 run of the unchanged test.

--- a/crates/yuccatack_agent/src/actor.rs
+++ b/crates/yuccatack_agent/src/actor.rs
@@ -169,11 +169,13 @@
     }
 
     fn spawn_exchange(&mut self, head: AttemptHead, content: RequestContent) {
+        let deadline = Instant::now() + head.remaining_deadline.into();
         let exchange = Exchange {
             attempt: head.attempt,
             content,
             minion_address: self.settings.minion_address,
-            remaining: head.remaining_deadline.into(),
+            deadline: deadline.into(),
+            view: self.view.clone(),
             body_limit_bytes: self.settings.body_limit_bytes,
             idle: self.take_idle(),
         };
--- a/crates/yuccatack_agent/src/exchange.rs
+++ b/crates/yuccatack_agent/src/exchange.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -13,6 +12,7 @@
 use yuccatack_core::prelude::*;
 use yuccatack_requests::answer_check::BodyCollector;
 use yuccatack_requests::prelude::*;
+use yuccatack_view::ViewHandle;
 
 use crate::connection::MinionConnection;
 
@@ -44,8 +44,10 @@
     pub content: RequestContent,
     /// Where the minion answers.
     pub minion_address: SocketAddr,
-    /// The time left.
-    pub remaining: Duration,
+    /// When the answer is no longer wanted, counted from the arrival of the attempt.
+    pub deadline: Instant,
+    /// Tells whether new work may still start when the request is sent.
+    pub view: ViewHandle,
     /// The largest answer.
     pub body_limit_bytes: u64,
     /// An idle connection, if there is one.
@@ -105,7 +107,7 @@
 
 /// Runs an exchange to its end. Dropping the future closes the connection.
 pub async fn run_exchange(exchange: Exchange) -> ExchangeEnd {
-    let deadline = Instant::now() + exchange.remaining;
+    let deadline = exchange.deadline;
     let request = build_request(exchange.attempt, &exchange.content, exchange.minion_address);
     let Some(request) = request else {
         return NotRun::permanent(
@@ -115,6 +117,10 @@
         .into();
     };
     let mut request = request;
+    // The process may have been paused since the attempt was accepted.
+    if let Some(refusal) = late_refusal(&exchange.view, deadline) {
+        return refusal.into();
+    }
     if let Some(connection) = exchange.idle {
         match send(
             connection,
@@ -147,6 +153,10 @@
                 .into();
             }
         };
+    // Opening the connection may have taken longer than the view stays fresh.
+    if let Some(refusal) = late_refusal(&exchange.view, deadline) {
+        return refusal.into();
+    }
     let sent = send(
         connection,
         request,
@@ -166,6 +176,26 @@
     }
 }
 
+/// Why a request that was accepted may not be sent any more.
+fn late_refusal(view: &ViewHandle, deadline: Instant) -> Option<NotRun> {
+    let now = Instant::now();
+    if now >= deadline {
+        return Some(NotRun::retryable(
+            NotRunReason::Deadline,
+            100,
+            "the deadline passed before the request was sent to the minion",
+        ));
+    }
+    if !view.is_fresh(now.into_std()) {
+        return Some(NotRun::retryable(
+            NotRunReason::StaleView,
+            1_000,
+            "the agent had no confirmed configuration when the request was to be sent",
+        ));
+    }
+    None
+}
+
 enum SendEnd {
     Ended(ExchangeEnd),
     NotSent(Request<Full<Bytes>>),
