--- a/examples/footprint/roles.rs
+++ b/examples/footprint/roles.rs
@@ -121,9 +121,12 @@
             accelerator_count: 8,
         },
     };
+    // Workers start at different replicas, as they would behind a list in another order each.
+    let mut control_addresses = control.to_vec();
+    control_addresses.rotate_left(number % control.len());
     Ok(WorkerStandIn::start(WorkerSettings {
         registration,
-        control_addresses: control.to_vec(),
+        control_addresses,
         default_run_time: DurationMs::from_seconds(1),
     }))
 }
