--- a/crates/yuccatack_control/src/error.rs
+++ b/crates/yuccatack_control/src/error.rs
@@ -80,7 +80,7 @@
     /// The call itself is wrong.
     #[snafu(display("{message}"))]
     Invalid {
-        /// What is wrong and how to mend it.
+        /// What is wrong and how to correct it.
         message: String,
     },
 }
--- a/crates/yuccatack_leases/tests/support/check.rs
+++ b/crates/yuccatack_leases/tests/support/check.rs
@@ -98,7 +98,7 @@
                     violations.push(format!(
                         "{name} epoch {epoch} task {} ran {alone_ms} ms without the rest: {:?}",
                         record.task.index,
-                        self.story(record)
+                        self.task_events(record)
                     ));
                 }
             }
@@ -106,15 +106,15 @@
     }
 
     /// What happened to an attempt, for the message of a violation.
-    fn story(&self, record: &TaskRecord) -> Vec<String> {
-        let mut story = Vec::new();
+    fn task_events(&self, record: &TaskRecord) -> Vec<String> {
+        let mut lines = Vec::new();
         for worker in &self.workers {
             for other in worker.model.records() {
                 let same = other.task.job == record.task.job;
                 if same && other.task.epoch == record.task.epoch {
                     let name = &worker.model.registration().worker;
                     let (from, to) = (other.started_at.get(), other.ended);
-                    story.push(format!(
+                    lines.push(format!(
                         "{name} {} {from} {to:?} {:?}",
                         other.task.index, worker.freezes
                     ));
@@ -123,8 +123,8 @@
         }
         let of_job = |event: &LeaseEvent| format!("{event:?}").contains(record.task.job.as_str());
         let events = self.events.iter().filter(|(_, event)| of_job(event));
-        story.extend(events.map(|(at, event)| format!("{at} {event:?}")));
-        story
+        lines.extend(events.map(|(at, event)| format!("{at} {event:?}")));
+        lines
     }
 
     /// How many tasks of an attempt were falsely reported and not run.
