--- a/crates/yuccatack_cli/src/arguments.rs
+++ b/crates/yuccatack_cli/src/arguments.rs
@@ -28,6 +28,7 @@
         .args([address(), output(), timeout()])
         .subcommands([
             run(),
+            host(),
             check(),
             apply(),
             get(),
@@ -88,6 +89,18 @@
         )
 }
 
+fn host() -> Command {
+    Command::new("host")
+        .about("Runs a role from the settings that the hosting platform provides")
+        .arg(
+            Arg::new("role")
+                .value_name("ROLE")
+                .value_parser(PossibleValuesParser::new(["entry", "agent", "control"]))
+                .required(true)
+                .help("What the process does"),
+        )
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Names every problem of settings and record files; sends nothing")
--- a/crates/yuccatack_cli/src/commands/mod.rs
+++ b/crates/yuccatack_cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod completions;
 mod explain;
 mod get;
+mod host;
 mod process;
 mod report;
 mod status;
@@ -29,6 +30,7 @@
 ) -> Result<ExitStatus, CliError> {
     match matches.subcommand() {
         Some(("run", matches)) => process::run(matches),
+        Some(("host", matches)) => host::run(matches),
         Some(("check", matches)) => check::run(matches, context),
         Some(("apply", matches)) => block_on(apply::run(matches, context))?,
         Some(("get", matches)) => block_on(get::run(matches, context))?,
--- a/crates/yuccatack_cli/src/error.rs
+++ b/crates/yuccatack_cli/src/error.rs
@@ -135,6 +135,12 @@
         /// What went wrong.
         source: RunError,
     },
+    /// A role on the hosting platform did not start or failed.
+    #[snafu(transparent)]
+    Host {
+        /// Why.
+        source: yuccatack_platform::PlatformError,
+    },
     /// The output could not be written.
     #[snafu(display("cannot write the output: {source}; check the disk or the reading program"))]
     #[snafu(context(false))]
@@ -164,6 +170,7 @@
             Self::NoAnswer { .. } | Self::AnswerLost { .. } => ExitStatus::Unknown,
             Self::RefusedRead { .. }
             | Self::Run { .. }
+            | Self::Host { .. }
             | Self::WriteFile { .. }
             | Self::Output { .. }
             | Self::Encode { .. } => ExitStatus::Refused,
--- a/crates/yuccatack_core/src/lib.rs
+++ b/crates/yuccatack_core/src/lib.rs
@@ -14,8 +14,8 @@
     AttemptId, ChangeId, FencingEpoch, Generation, Incarnation, ParseAttemptIdError, Revision,
 };
 pub use names::{
-    DataCentreName, InvalidNameError, JobName, MinionName, NodeName, OrganisationName, RackName,
-    RecordName, ServiceName, WorkerName,
+    DataCentreName, InvalidNameError, JobName, MinionName, NodeName, OrganisationName, QueueName,
+    RackName, RecordName, ServiceName, WorkerName,
 };
 pub use resources::Resources;
 pub use shape::{Adjacency, PriorityClass, Shape};
@@ -26,7 +26,7 @@
     pub use crate::{
         Adjacency, AttemptId, ChangeId, DataCentreName, DurationMs, FastHashMap, FastHashSet,
         FencingEpoch, Generation, Incarnation, JobName, MinionName, NodeName, OrganisationName,
-        PriorityClass, RackName, RecordName, Resources, Revision, ServiceName, Shape, TimestampMs,
-        WorkerName,
+        PriorityClass, QueueName, RackName, RecordName, Resources, Revision, ServiceName, Shape,
+        TimestampMs, WorkerName,
     };
 }
--- a/crates/yuccatack_core/src/names.rs
+++ b/crates/yuccatack_core/src/names.rs
@@ -102,6 +102,8 @@
     NodeName,
     /// A job submitted by an organisation.
     JobName,
+    /// A queue of the platform configuration, to which callers submit jobs.
+    QueueName,
     /// The name of a record of any kind.
     RecordName,
 }
--- /dev/null
+++ b/crates/yuccatack_dispatch/src/health.rs
@@ -0,0 +1,87 @@
+//! Which workers fail, hang or slow down what they run.
+
+use yuccatack_core::{DurationMs, FastHashMap, TimestampMs};
+use yuccatack_runs::{RunId, RunOutcome};
+
+use crate::protocol::RunningRun;
+
+/// Failures in a row, without a task done in between, after which a worker is set aside. One failure
+/// is as likely the fault of the task.
+const FAILURE_LIMIT: u32 = 2;
+
+/// How long a worker is set aside the first time; doubled each further time in a row.
+const FIRST_REST: DurationMs = DurationMs::new(4_000);
+
+/// The longest time that a worker is set aside.
+const LONGEST_REST: DurationMs = DurationMs::new(16_000);
+
+/// A run whose progress stands still for this long is stuck. Tasks of the deployments last up to
+/// eleven seconds, so that a sound one shows progress several times in that time.
+const STALL_LIMIT: DurationMs = DurationMs::new(3_000);
+
+/// What a worker's runs have shown.
+#[derive(Debug, Default)]
+pub(crate) struct Health {
+    failures_in_a_row: u32,
+    rests_in_a_row: u32,
+    resting_until: Option<TimestampMs>,
+    progress: FastHashMap<RunId, (u8, TimestampMs)>,
+}
+
+impl Health {
+    /// Whether the worker may get new work.
+    pub fn is_usable(&self, now: TimestampMs) -> bool {
+        self.resting_until.is_none_or(|until| now >= until)
+    }
+
+    /// Whether the worker has no failure on record, so that it may get a task's last attempt.
+    pub fn is_trusted(&self) -> bool {
+        self.failures_in_a_row == 0 && self.rests_in_a_row == 0
+    }
+
+    pub fn on_end(&mut self, run: &RunId, outcome: RunOutcome, now: TimestampMs) {
+        self.progress.remove(run);
+        match outcome {
+            RunOutcome::Done => {
+                self.failures_in_a_row = 0;
+                self.rests_in_a_row = 0;
+                self.resting_until = None;
+            }
+            RunOutcome::Failed => {
+                self.failures_in_a_row += 1;
+                if self.failures_in_a_row >= FAILURE_LIMIT {
+                    self.rest(now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Sets the worker aside for a while.
+    pub fn rest(&mut self, now: TimestampMs) {
+        if !self.is_usable(now) {
+            return;
+        }
+        let doubled_ms = FIRST_REST.get() << self.rests_in_a_row.min(8);
+        self.resting_until = Some(now + DurationMs::new(doubled_ms.min(LONGEST_REST.get())));
+        self.rests_in_a_row += 1;
+    }
+
+    /// Notes how far the runs are, and returns those that stand still.
+    pub fn on_running(&mut self, running: &[RunningRun], now: TimestampMs) -> Vec<RunId> {
+        let mut stalled = Vec::new();
+        for row in running {
+            let seen = self.progress.entry(row.run.clone()).or_insert((row.percent, now));
+            if seen.0 != row.percent {
+                *seen = (row.percent, now);
+            }
+            if now.since(seen.1) >= STALL_LIMIT {
+                stalled.push(row.run.clone());
+            }
+        }
+        if self.progress.len() > running.len() {
+            self.progress.retain(|run, _| running.iter().any(|row| row.run == *run));
+        }
+        stalled
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_dispatch/src/reclaim.rs
@@ -0,0 +1,108 @@
+//! Which runs give way to a more urgent unit.
+
+use yuccatack_core::{FastHashMap, FastHashSet, OrganisationName, Resources};
+use yuccatack_queues::ConfigurationStore;
+use yuccatack_runs::{JobTable, RunId};
+
+use crate::capacity::{Slot, add, footprint, subtract};
+use crate::demand::{Tier, Unit, within_guarantee};
+use crate::placement::{Placement, candidate_sets, loss_of, step_allowance};
+
+/// What a decision about victims needs to know.
+pub(crate) struct Reclaim<'a> {
+    pub table: &'a JobTable,
+    pub configuration: &'a ConfigurationStore,
+    pub needs: &'a FastHashMap<OrganisationName, u64>,
+    /// Runs that are being stopped already.
+    pub stopping: &'a FastHashSet<RunId>,
+}
+
+/// Where a unit fits once the victims have stopped.
+#[derive(Debug)]
+pub(crate) struct Eviction {
+    pub placement: Placement,
+    pub victims: Vec<RunId>,
+}
+
+impl Reclaim<'_> {
+    /// Finds the cheapest victims that make room for the unit.
+    pub fn find(&self, unit: &Unit<'_>, slots: &[Slot]) -> Option<Eviction> {
+        let sets = candidate_sets(unit, slots);
+        let evictions = sets.iter().filter_map(|set| self.find_in(unit, slots, set));
+        evictions.min_by_key(|(cost, _)| *cost).map(|(_, eviction)| eviction)
+    }
+
+    fn find_in(&self, unit: &Unit<'_>, slots: &[Slot], set: &[usize]) -> Option<(u64, Eviction)> {
+        let need = footprint(unit.spec);
+        let mut free: FastHashMap<usize, Resources> =
+            set.iter().map(|at| (*at, slots[*at].free_soon)).collect();
+        let mut allowed: FastHashMap<usize, u32> =
+            set.iter().map(|at| (*at, step_allowance(unit, &slots[*at]))).collect();
+        let mut victims = FastHashSet::default();
+        let mut placement = Vec::with_capacity(unit.tasks.len());
+        let mut total_cost = 0;
+        for _ in &unit.tasks {
+            let options = set.iter().filter(|at| allowed[at] > 0).filter_map(|at| {
+                let chosen = self.victims_on(unit, &slots[*at], free[at], need, &victims)?;
+                Some((chosen.iter().map(|run| loss_of(run, self.table)).sum::<u64>(), *at, chosen))
+            });
+            let (cost, at, chosen) = options.min_by_key(|(cost, at, _)| (*cost, *at))?;
+            total_cost += cost;
+            let freed = chosen.iter().filter_map(|run| self.footprint_of(run)).fold(free[&at], add);
+            free.insert(at, subtract(freed, need));
+            allowed.entry(at).and_modify(|left| *left -= 1);
+            victims.extend(chosen);
+            placement.push(at);
+        }
+        let mut victims: Vec<RunId> = victims.into_iter().collect();
+        victims.sort_unstable();
+        Some((total_cost, Eviction { placement, victims }))
+    }
+
+    fn footprint_of(&self, run: &RunId) -> Option<Resources> {
+        self.table.job(&run.task.job)?.step_spec(run.task.step).map(footprint)
+    }
+
+    /// The cheapest runs of a worker that make room for one task, cheapest first.
+    fn victims_on(
+        &self,
+        unit: &Unit<'_>,
+        slot: &Slot,
+        mut free: Resources,
+        need: Resources,
+        taken: &FastHashSet<RunId>,
+    ) -> Option<Vec<RunId>> {
+        let mut chosen = Vec::new();
+        if free.contains(&need) {
+            return Some(chosen);
+        }
+        let mut candidates: Vec<&RunId> = slot
+            .runs
+            .iter()
+            .filter(|run| !taken.contains(run) && !self.stopping.contains(run))
+            .filter(|run| self.may_evict(unit, run))
+            .collect();
+        candidates.sort_by_key(|run| (loss_of(run, self.table), (*run).clone()));
+        for run in candidates {
+            free = add(free, self.footprint_of(run).unwrap_or_default());
+            chosen.push(run.clone());
+            if free.contains(&need) {
+                return Some(chosen);
+            }
+        }
+        None
+    }
+
+    /// Whether a run must give way: only less urgent work does, and never what is guaranteed.
+    fn may_evict(&self, unit: &Unit<'_>, run: &RunId) -> bool {
+        let Some(job) = self.table.job(&run.task.job) else { return false };
+        let submission = &job.submission;
+        let guaranteed = submission.priority == 0
+            && within_guarantee(submission.organisation.as_ref(), self.needs, self.configuration);
+        match unit.urgency.tier {
+            Tier::Guaranteed => !guaranteed,
+            Tier::Priority(priority) => priority == 0 && submission.priority > 0,
+            Tier::Overdue(_) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -0,0 +1,417 @@
+//! The actor that owns the replicated state and the leader's memory.
+
+use std::net::SocketAddr;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::{mpsc, oneshot};
+use yuccatack_core::{DurationMs, FastHashMap, TimestampMs};
+use yuccatack_dispatch::{DispatchSettings, Dispatcher, TableChange};
+use yuccatack_queue_client::protocol::{LeaderFrame, LeaderHint, Request, Response};
+use yuccatack_replication::{
+    Committed, Leadership, LogIndex, ProposalFailure, ProposalId, ReadFailure, ReadId, ReplicaId,
+    ReplicationHandle,
+};
+
+use crate::agents::Agents;
+use crate::calls::{Plan, answer, plan};
+use crate::command::{Command, decode, encode};
+use crate::message::{ControlMessage, JoinRequest};
+use crate::state::QueueState;
+
+/// The shortest time from one confirmation of the lead for leases to the next; leases last several
+/// seconds, and each confirmation costs a round of messages.
+const CONFIRM_INTERVAL: DurationMs = DurationMs::new(100);
+
+/// How often agents are shown that the leader is alive. They give a stream up after three misses.
+const BEAT_INTERVAL: DurationMs = DurationMs::new(500);
+
+/// How often ended jobs are dropped.
+const FORGET_INTERVAL: DurationMs = DurationMs::new(30_000);
+
+/// What waits for a proposal.
+enum Proposed {
+    Call(oneshot::Sender<Response>),
+    /// A batch of table changes; the next one is decided after it.
+    Changes,
+    Housekeeping,
+}
+
+/// What waits for a confirmation of the lead.
+enum Confirmed {
+    Call(Request, oneshot::Sender<Response>),
+    Leases { began_at: TimestampMs },
+}
+
+pub(crate) struct ControlActor;
+
+pub(crate) struct ControlArguments {
+    pub replication: ReplicationHandle,
+    pub settings: DispatchSettings,
+    pub joins: mpsc::Sender<JoinRequest>,
+}
+
+pub(crate) struct ControlState {
+    replication: ReplicationHandle,
+    settings: DispatchSettings,
+    joins: mpsc::Sender<JoinRequest>,
+    started: Instant,
+    state: QueueState,
+    applied: LogIndex,
+    leader_address: Option<SocketAddr>,
+    dispatcher: Option<Dispatcher>,
+    agents: Agents,
+    proposals: FastHashMap<ProposalId, Proposed>,
+    reads: FastHashMap<ReadId, Confirmed>,
+    next_number: u64,
+    changes: Vec<TableChange>,
+    changes_proposed: bool,
+    schedule_requested: bool,
+    lease_read: bool,
+    confirmed_at: TimestampMs,
+    forgot_at: TimestampMs,
+    beat_at: TimestampMs,
+    drains: Vec<oneshot::Sender<()>>,
+}
+
+impl Actor for ControlActor {
+    type Msg = ControlMessage;
+    type State = ControlState;
+    type Arguments = ControlArguments;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<ControlMessage>,
+        arguments: ControlArguments,
+    ) -> Result<ControlState, ActorProcessingErr> {
+        let ControlArguments { replication, settings, joins } = arguments;
+        Ok(ControlState {
+            replication,
+            settings,
+            joins,
+            started: Instant::now(),
+            state: QueueState::default(),
+            applied: LogIndex::default(),
+            leader_address: None,
+            dispatcher: None,
+            agents: Agents::default(),
+            proposals: FastHashMap::default(),
+            reads: FastHashMap::default(),
+            next_number: 0,
+            changes: Vec::new(),
+            changes_proposed: false,
+            schedule_requested: false,
+            lease_read: false,
+            confirmed_at: TimestampMs::default(),
+            forgot_at: TimestampMs::default(),
+            beat_at: TimestampMs::default(),
+            drains: Vec::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<ControlMessage>,
+        message: ControlMessage,
+        state: &mut ControlState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            ControlMessage::Committed(item) => state.on_committed(item)?,
+            ControlMessage::Call { request, reply } => state.on_call(request, reply),
+            ControlMessage::AgentConnected { stream, node, frames } => match &mut state.dispatcher {
+                Some(dispatcher) => {
+                    log::info!(event = "agent_attached", node = node.as_str(); "an agent attached");
+                    dispatcher.connect(&node);
+                    state.agents.connect(node, stream, frames, dispatcher.token());
+                }
+                None => {
+                    let hint = state.hint();
+                    // The agent may be gone already.
+                    let _ = frames.try_send(LeaderFrame::NotLeader(hint));
+                }
+            },
+            ControlMessage::AgentReport { stream, node, message } => {
+                let now = state.now();
+                if state.agents.is_current(&node, stream)
+                    && let Some(dispatcher) = &mut state.dispatcher
+                {
+                    let changes = dispatcher.on_message(&node, message, &state.state.jobs, now);
+                    state.changes.extend(changes);
+                }
+            }
+            ControlMessage::AgentGone { stream, node } => {
+                if state.agents.is_current(&node, stream) {
+                    log::warn!(event = "agent_detached", node = node.as_str(); "an agent's stream ended");
+                    state.agents.disconnect(&node);
+                    if let Some(dispatcher) = &mut state.dispatcher {
+                        dispatcher.disconnect(&node);
+                    }
+                }
+            }
+            ControlMessage::Schedule => return state.schedule().map_err(Into::into),
+            ControlMessage::Tick => state.on_tick()?,
+            ControlMessage::Drain { reply } => state.drains.push(reply),
+        }
+        state.finish_drains();
+        if state.dispatcher.is_some() && !state.schedule_requested {
+            // The mailbox is in order, so one decision covers everything that waits now.
+            state.schedule_requested = myself.cast(ControlMessage::Schedule).is_ok();
+        }
+        Ok(())
+    }
+}
+
+impl ControlState {
+    fn now(&self) -> TimestampMs {
+        TimestampMs::default() + DurationMs::from(self.started.elapsed())
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    fn hint(&self) -> LeaderHint {
+        let status = self.replication.status();
+        let status = status.borrow();
+        let members = status.voters.values().copied();
+        let members = members.chain(status.learners.values().map(|learner| learner.address));
+        LeaderHint { leader: self.leader_address, members: members.collect() }
+    }
+
+    fn on_call(&mut self, request: Request, reply: oneshot::Sender<Response>) {
+        if self.dispatcher.is_none() {
+            let hint = self.hint();
+            respond(reply, Response::NotLeader(hint));
+            return;
+        }
+        if let Request::Join { replica_id, address } = request {
+            let join = JoinRequest { replica: ReplicaId::new(replica_id), address };
+            // A full queue only means that the replica asks again.
+            let _ = self.joins.try_send(join);
+        }
+        let read = ReadId::new(self.number());
+        self.reads.insert(read, Confirmed::Call(request, reply));
+        self.replication.read(read);
+    }
+
+    fn on_committed(&mut self, item: Committed) -> Result<(), ActorProcessingErr> {
+        match item {
+            Committed::Entry { index, proposal, payload, .. } => {
+                self.apply(index, proposal, &payload)?;
+            }
+            Committed::Snapshot { index, payload } => {
+                if !payload.is_empty() {
+                    self.state = decode(&payload)?;
+                }
+                self.applied = index;
+            }
+            Committed::SnapshotWanted { index } => {
+                if index == self.applied {
+                    self.replication.store_snapshot(index, Bytes::from(encode(&self.state)?));
+                }
+            }
+            Committed::ProposalFailed { proposal, failure } => {
+                self.on_proposal_failed(proposal, failure);
+            }
+            Committed::ReadReady { read } => self.on_read_ready(read)?,
+            Committed::ReadFailed { read, failure } => {
+                let ReadFailure::NotLeader { leader_address } = failure;
+                match self.reads.remove(&read) {
+                    Some(Confirmed::Call(_, reply)) => {
+                        let hint = LeaderHint { leader: leader_address, ..self.hint() };
+                        respond(reply, Response::NotLeader(hint));
+                    }
+                    Some(Confirmed::Leases { .. }) => self.lease_read = false,
+                    None => {}
+                }
+            }
+            Committed::Leadership(leadership) => self.on_leadership(leadership),
+        }
+        Ok(())
+    }
+
+    fn on_leadership(&mut self, leadership: Leadership) {
+        self.changes.clear();
+        self.changes_proposed = false;
+        self.lease_read = false;
+        match leadership {
+            Leadership::Leader { term } => {
+                log::info!(
+                    event = "lead_gained", term = term.get(),
+                    configuration = self.state.configuration.version().get(),
+                    open_runs = self.state.jobs.open_runs().len();
+                    "this replica leads and schedules"
+                );
+                let now = self.now();
+                self.leader_address = None;
+                self.dispatcher = Some(Dispatcher::new(self.settings.clone(), term.get(), now));
+            }
+            Leadership::Follower { leader_address } => {
+                self.leader_address = leader_address;
+                if self.dispatcher.take().is_some() {
+                    log::warn!(event = "lead_lost"; "another replica leads or will");
+                }
+                let hint = self.hint();
+                self.agents.end_all(&hint);
+            }
+        }
+    }
+
+    fn apply(
+        &mut self,
+        index: LogIndex,
+        proposal: Option<ProposalId>,
+        payload: &[u8],
+    ) -> Result<(), ActorProcessingErr> {
+        let applied = self.state.apply(decode::<Command>(payload)?);
+        self.applied = index;
+        match proposal.and_then(|proposal| self.proposals.remove(&proposal)) {
+            Some(Proposed::Call(reply)) => respond(reply, answer(applied)),
+            Some(Proposed::Changes) => self.changes_proposed = false,
+            Some(Proposed::Housekeeping) | None => {}
+        }
+        Ok(())
+    }
+
+    fn on_proposal_failed(&mut self, proposal: ProposalId, failure: ProposalFailure) {
+        match self.proposals.remove(&proposal) {
+            Some(Proposed::Call(reply)) => {
+                let response = match failure {
+                    ProposalFailure::NotLeader { leader_address } => {
+                        Response::NotLeader(LeaderHint { leader: leader_address, ..self.hint() })
+                    }
+                    ProposalFailure::Unknown => Response::Unknown,
+                };
+                respond(reply, response);
+            }
+            Some(Proposed::Changes) => self.changes_proposed = false,
+            Some(Proposed::Housekeeping) | None => {}
+        }
+    }
+
+    fn on_read_ready(&mut self, read: ReadId) -> Result<(), ActorProcessingErr> {
+        match self.reads.remove(&read) {
+            Some(Confirmed::Call(request, reply)) => {
+                match plan(&self.state, request, unix_now_ms()) {
+                    Plan::Answer(response) => respond(reply, response),
+                    Plan::Propose(command) => self.propose(&command, Proposed::Call(reply))?,
+                }
+            }
+            Some(Confirmed::Leases { began_at }) => {
+                self.lease_read = false;
+                if let Some(dispatcher) = &mut self.dispatcher {
+                    dispatcher.confirm_lead(began_at);
+                }
+            }
+            None => {}
+        }
+        Ok(())
+    }
+
+    fn propose(&mut self, command: &Command, waits: Proposed) -> Result<(), ActorProcessingErr> {
+        let proposal = ProposalId::new(self.number());
+        let payload = Bytes::from(encode(command)?);
+        self.proposals.insert(proposal, waits);
+        self.replication.propose(proposal, payload);
+        Ok(())
+    }
+
+    fn on_tick(&mut self) -> Result<(), ActorProcessingErr> {
+        let now = self.now();
+        if let Some(dispatcher) = &self.dispatcher
+            && now.since(self.beat_at) >= BEAT_INTERVAL
+        {
+            self.beat_at = now;
+            self.agents.beat(dispatcher.token());
+        }
+        if self.dispatcher.is_some() && now.since(self.forgot_at) >= FORGET_INTERVAL {
+            self.forgot_at = now;
+            let expired = self.state.expired_jobs(unix_now_ms());
+            if !expired.is_empty() {
+                self.propose(&Command::Forget(expired), Proposed::Housekeeping)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Confirms the lead, decides and sends what is due.
+    fn schedule(&mut self) -> Result<(), ActorProcessingErr> {
+        self.schedule_requested = false;
+        let now = self.now();
+        let Some(dispatcher) = &mut self.dispatcher else { return Ok(()) };
+        if !self.changes_proposed {
+            let jobs = &self.state.jobs;
+            let unix_ms = unix_now_ms();
+            let mut changes = std::mem::take(&mut self.changes);
+            if changes.is_empty() {
+                // Decisions build on a table without changes under way.
+                changes = dispatcher.decide(jobs, &self.state.configuration, now, unix_ms);
+            }
+            if !changes.is_empty() {
+                self.changes_proposed = true;
+                let command = Command::Change { changes, now_unix_ms: unix_ms };
+                self.propose(&command, Proposed::Changes)?;
+            }
+        }
+        self.send_orders(now);
+        if !self.lease_read && now.since(self.confirmed_at) >= CONFIRM_INTERVAL {
+            self.lease_read = true;
+            self.confirmed_at = now;
+            let read = ReadId::new(self.number());
+            self.reads.insert(read, Confirmed::Leases { began_at: now });
+            self.replication.read(read);
+        }
+        Ok(())
+    }
+
+    fn send_orders(&mut self, now: TimestampMs) {
+        let Some(dispatcher) = &mut self.dispatcher else { return };
+        for (node, orders) in dispatcher.orders(&self.state.jobs, now) {
+            for start in &orders.starts {
+                log::info!(
+                    event = "run_ordered", run:% = start.run, node = node.as_str(),
+                    lease_until_clock_ms = start.until_clock_ms, token = orders.token;
+                    "a run is ordered to begin"
+                );
+            }
+            for stop in &orders.stops {
+                log::info!(
+                    event = "stop_ordered", run:% = stop, node = node.as_str(),
+                    token = orders.token;
+                    "a run is ordered to stop"
+                );
+            }
+            if !self.agents.send(&node, orders) {
+                dispatcher.disconnect(&node);
+            }
+        }
+    }
+
+    fn finish_drains(&mut self) {
+        if self.drains.is_empty() || self.has_waiting_calls() {
+            return;
+        }
+        for reply in self.drains.drain(..) {
+            // The process may have stopped waiting.
+            let _ = reply.send(());
+        }
+    }
+
+    fn has_waiting_calls(&self) -> bool {
+        let proposed =
+            self.proposals.values().any(|proposed| matches!(proposed, Proposed::Call(_)));
+        proposed || self.reads.values().any(|read| matches!(read, Confirmed::Call(..)))
+    }
+}
+
+fn respond(reply: oneshot::Sender<Response>, response: Response) {
+    // The caller may have given up; its next call gets the same answer.
+    let _ = reply.send(response);
+}
+
+fn unix_now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/yuccatack_queue_control/src/error.rs
@@ -0,0 +1,48 @@
+//! Why the process ended.
+
+use std::net::SocketAddr;
+
+use snafu::Snafu;
+use yuccatack_replication::StartError;
+use yuccatack_storage::StorageError;
+
+/// A failure that ends the process.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ControlError {
+    /// The address is taken or not the machine's.
+    #[snafu(display("cannot listen on {address}: {source}; free the port or correct the setting"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// The data folder cannot be read.
+    #[snafu(display("cannot read the data folder: {source}"))]
+    Folder {
+        /// What is wrong.
+        source: StorageError,
+    },
+    /// The replica cannot start.
+    #[snafu(display("cannot start the replica: {source}"))]
+    Replication {
+        /// What is wrong.
+        source: StartError,
+    },
+    /// The actor cannot start.
+    #[snafu(display("cannot start the control actor: {detail}; start the process again"))]
+    Actor {
+        /// What went wrong.
+        detail: String,
+    },
+    /// The log has stopped.
+    #[snafu(display("the replicated log has stopped; see the error logged before"))]
+    LogStopped,
+    /// The server has stopped.
+    #[snafu(display("the server stopped: {detail}; start the process again"))]
+    Server {
+        /// What went wrong.
+        detail: String,
+    },
+}
--- a/crates/yuccatack_replication/src/handle.rs
+++ b/crates/yuccatack_replication/src/handle.rs
@@ -1,6 +1,6 @@
 //! The interface of the replicated log to the control process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -64,6 +64,8 @@
     pub voters: BTreeMap<ReplicaId, SocketAddr>,
     /// The learners.
     pub learners: BTreeMap<ReplicaId, LearnerStatus>,
+    /// The voters that have been silent for long, as the leader knows it.
+    pub silent_voters: BTreeSet<ReplicaId>,
     /// Why the replica stopped, if it did.
     pub failure: Option<ReplicaFailure>,
 }
@@ -84,6 +86,7 @@
             commit: view.commit,
             voters,
             learners: learners.collect(),
+            silent_voters: view.silent_voters.clone(),
             failure: None,
         }
     }
--- a/crates/yuccatack_replication/src/state/view.rs
+++ b/crates/yuccatack_replication/src/state/view.rs
@@ -1,6 +1,6 @@
 //! What a replica shows of itself.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use super::{Replica, Role};
@@ -46,8 +46,14 @@
     pub handing_over: bool,
     /// What the other members hold, on a leader.
     pub matched: BTreeMap<ReplicaId, LogIndex>,
+    /// The voters that have not answered for [`SILENCE_FACTOR`] election timeouts, on a leader.
+    pub silent_voters: BTreeSet<ReplicaId>,
 }
 
+/// A voter is silent after this many election timeouts without an answer. It must exceed a restart
+/// of the process, after which the voter goes on by itself.
+const SILENCE_FACTOR: u64 = 5;
+
 impl Replica {
     /// Shows the replica's state.
     pub fn view(&self) -> ReplicaView<'_> {
@@ -68,9 +74,21 @@
             membership: self.membership(),
             handing_over: matches!(&self.role, Role::Leader(leader) if leader.handover.is_some()),
             matched,
+            silent_voters: self.silent_voters(),
         }
     }
 
+    fn silent_voters(&self) -> BTreeSet<ReplicaId> {
+        let Role::Leader(leader) = &self.role else { return BTreeSet::new() };
+        let limit_ms = SILENCE_FACTOR * self.settings.election_timeout.get();
+        let is_silent = |replica: &&ReplicaId| {
+            leader.progress.get(replica).is_some_and(|progress| {
+                self.now.since(progress.last_response).get() > limit_ms
+            })
+        };
+        self.membership().voters.keys().filter(is_silent).copied().collect()
+    }
+
     fn role_view(&self) -> RoleView {
         match &self.role {
             Role::Leader(_) => RoleView::Leader,
--- /dev/null
+++ b/crates/yuccatack_runs/src/job.rs
@@ -0,0 +1,159 @@
+//! One accepted job.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::command::{JobSubmission, RunEnd, RunOutcome};
+use crate::identity::RunId;
+use crate::progress::{Occurrence, keep_later};
+use crate::spec::StepSpec;
+
+/// How far a job has come.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub enum JobPhase {
+    /// No task has begun.
+    Queued,
+    /// A task has begun.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task or gang failed too often.
+    Failed,
+    /// A caller cancelled it.
+    Cancelled,
+}
+
+impl JobPhase {
+    /// Whether the job begins no more work.
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// An accepted job and its progress.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// What was accepted.
+    pub submission: JobSubmission,
+    /// Its place in the order of acceptance.
+    pub order: u64,
+    /// How far it has come.
+    pub phase: JobPhase,
+    /// The occurrences of which something has begun.
+    pub occurrences: BTreeMap<u32, Occurrence>,
+    /// When it ended, by the leader's time of day.
+    pub ended_at_unix_ms: Option<u64>,
+}
+
+impl Job {
+    pub(crate) fn new(submission: JobSubmission, order: u64) -> Self {
+        let phase = JobPhase::Queued;
+        Self { submission, order, phase, occurrences: BTreeMap::new(), ended_at_unix_ms: None }
+    }
+
+    /// The description of a step.
+    pub fn step_spec(&self, step: u32) -> Option<&StepSpec> {
+        self.submission.spec.steps.get(step as usize)
+    }
+
+    pub(crate) fn end(&mut self, phase: JobPhase, now_unix_ms: u64) {
+        self.phase = phase;
+        self.ended_at_unix_ms = Some(now_unix_ms);
+    }
+
+    /// Whether a run may begin now.
+    pub(crate) fn may_begin(&self, run: &RunId) -> bool {
+        let task = &run.task;
+        if self.phase.is_final() || task.occurrence >= self.submission.spec.occurrence_count() {
+            return false;
+        }
+        let Some(spec) = self.step_spec(task.step) else { return false };
+        let Some(occurrence) = self.occurrences.get(&task.occurrence) else {
+            return spec.after.is_empty() && run.number == 1 && task.index < spec.task_count;
+        };
+        let step = &occurrence.steps[task.step as usize];
+        let Some(progress) = step.tasks.get(task.index as usize) else { return false };
+        occurrence.is_ready(spec)
+            && !progress.done
+            && progress.open_count == 0
+            && run.number == step.next_run(spec, task.index)
+    }
+
+    pub(crate) fn begin(&mut self, run: &RunId) {
+        let spec = &self.submission.spec;
+        let occurrence =
+            self.occurrences.entry(run.task.occurrence).or_insert_with(|| Occurrence::new(spec));
+        let step = &mut occurrence.steps[run.task.step as usize];
+        let task = &mut step.tasks[run.task.index as usize];
+        task.last_run = run.number;
+        task.open_count += 1;
+        self.phase = JobPhase::Running;
+    }
+
+    /// Numbers a gang's run once all its members have begun.
+    pub(crate) fn close_gang_start(&mut self, run: &RunId) {
+        if let Some(occurrence) = self.occurrences.get_mut(&run.task.occurrence) {
+            occurrence.steps[run.task.step as usize].gang.last_run = run.number;
+        }
+    }
+
+    pub(crate) fn note_end(&mut self, end: RunEnd, now_unix_ms: u64) {
+        let RunEnd { run, outcome, checkpoint } = end;
+        let Some(spec) = self.submission.spec.steps.get(run.task.step as usize) else { return };
+        let (gang, long_running) = (spec.gang, spec.long_running);
+        let Some(occurrence) = self.occurrences.get_mut(&run.task.occurrence) else { return };
+        let step = &mut occurrence.steps[run.task.step as usize];
+        let Some(task) = step.tasks.get_mut(run.task.index as usize) else { return };
+        task.open_count = task.open_count.saturating_sub(1);
+        let held = if gang { &mut step.gang.checkpoint } else { &mut task.checkpoint };
+        keep_later(held, run.number, checkpoint);
+        match outcome {
+            RunOutcome::Done if long_running => {}
+            // One end of a gang stands for all its members.
+            RunOutcome::Done if gang => step.tasks.iter_mut().for_each(|task| task.done = true),
+            RunOutcome::Done => task.done = true,
+            RunOutcome::Failed if long_running => {}
+            RunOutcome::Failed => {
+                task.failed_count += 1;
+                let mut failed_count = task.failed_count;
+                if gang {
+                    if run.number > step.gang.last_failed_run {
+                        step.gang.last_failed_run = run.number;
+                        step.gang.failed_count += 1;
+                    }
+                    failed_count = step.gang.failed_count;
+                }
+                if failed_count >= self.submission.max_attempts && !self.phase.is_final() {
+                    self.end(JobPhase::Failed, now_unix_ms);
+                }
+            }
+            RunOutcome::Stopped
+            | RunOutcome::Lapsed
+            | RunOutcome::Broken
+            | RunOutcome::Alone
+            | RunOutcome::NeverBegan
+            | RunOutcome::WorkerLost => {}
+        }
+        if !self.phase.is_final() {
+            self.update_phase(now_unix_ms);
+        }
+    }
+
+    fn update_phase(&mut self, now_unix_ms: u64) {
+        let occurrence_count = self.submission.spec.occurrence_count();
+        let all_begun = self.occurrences.len() == occurrence_count as usize;
+        if all_begun && self.occurrences.values().all(Occurrence::is_done) {
+            self.end(JobPhase::Completed, now_unix_ms);
+        }
+    }
+
+    /// Whether no task has begun work, as far as the table knows.
+    pub fn is_waiting(&self) -> bool {
+        let idle = |occurrence: &Occurrence| {
+            let mut tasks = occurrence.steps.iter().flat_map(|step| &step.tasks);
+            tasks.all(|task| task.open_count == 0 && !task.done && task.failed_count == 0)
+        };
+        !self.phase.is_final() && self.occurrences.values().all(idle)
+    }
+}
--- /dev/null
+++ b/crates/yuccatack_runs/src/table.rs
@@ -0,0 +1,162 @@
+//! All accepted jobs and the runs that may exist.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use yuccatack_core::{JobName, QueueName, Resources};
+
+use crate::command::{CancelOutcome, JobSubmission, RunEnd, RunStart, SubmitOutcome};
+use crate::identity::{RunId, WorkerLife};
+use crate::job::{Job, JobPhase};
+
+/// A run that was begun and is not known to have ended.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct OpenRun {
+    /// Where it runs.
+    pub life: WorkerLife,
+    /// What it occupies there.
+    pub demand: Resources,
+}
+
+/// The replicated table of jobs.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct JobTable {
+    jobs: BTreeMap<JobName, Job>,
+    #[serde(with = "pairs")]
+    runs: BTreeMap<RunId, OpenRun>,
+    /// The last end of each worker's life that is in the table.
+    #[serde(with = "pairs")]
+    noted_ends: BTreeMap<WorkerLife, u64>,
+    next_order: u64,
+}
+
+impl JobTable {
+    /// Stores a job, unless its name is stored already.
+    pub fn submit(&mut self, submission: JobSubmission) -> SubmitOutcome {
+        if self.jobs.contains_key(&submission.name) {
+            return SubmitOutcome::AlreadyStored;
+        }
+        self.next_order += 1;
+        let name = submission.name.clone();
+        self.jobs.insert(name, Job::new(submission, self.next_order));
+        SubmitOutcome::Accepted
+    }
+
+    /// Lets a job begin no more work. Its open runs stay until they are known to have ended.
+    pub fn cancel(&mut self, name: &JobName, now_unix_ms: u64) -> CancelOutcome {
+        let Some(job) = self.jobs.get_mut(name) else { return CancelOutcome::NotFound };
+        if job.phase.is_final() {
+            return CancelOutcome::AlreadyEnded;
+        }
+        job.end(JobPhase::Cancelled, now_unix_ms);
+        CancelOutcome::Cancelled
+    }
+
+    /// Begins the runs of one group, or none of them if one may not begin any more.
+    pub fn begin(&mut self, group: &[RunStart]) -> bool {
+        let may_begin = |start: &RunStart| {
+            self.jobs.get(&start.run.task.job).is_some_and(|job| job.may_begin(&start.run))
+        };
+        if group.is_empty() || !group.iter().all(may_begin) {
+            return false;
+        }
+        for start in group {
+            let Some(job) = self.jobs.get_mut(&start.run.task.job) else { continue };
+            job.begin(&start.run);
+            let demand = job.step_spec(start.run.task.step).map(|step| step.demand);
+            let open = OpenRun { life: start.life.clone(), demand: demand.unwrap_or_default() };
+            self.runs.insert(start.run.clone(), open);
+        }
+        if let Some(start) = group.first()
+            && let Some(job) = self.jobs.get_mut(&start.run.task.job)
+        {
+            job.close_gang_start(&start.run);
+        }
+        true
+    }
+
+    /// Notes how a run ended; an end of a run that is not open changes nothing.
+    pub fn end(&mut self, end: RunEnd, now_unix_ms: u64) -> bool {
+        if self.runs.remove(&end.run).is_none() {
+            return false;
+        }
+        if let Some(job) = self.jobs.get_mut(&end.run.task.job) {
+            job.note_end(end, now_unix_ms);
+        }
+        true
+    }
+
+    /// Remembers up to which number the ends of a worker's life are in the table.
+    pub fn note_ends(&mut self, life: &WorkerLife, number: u64) {
+        self.noted_ends.retain(|noted, _| noted.node != life.node || noted == life);
+        let noted = self.noted_ends.entry(life.clone()).or_default();
+        *noted = number.max(*noted);
+    }
+
+    /// Drops ended jobs; nobody asks for them any more.
+    pub fn forget(&mut self, names: &[JobName]) {
+        for name in names {
+            let ended = self.jobs.get(name).is_some_and(|job| job.phase.is_final());
+            if ended && !self.runs.keys().any(|run| run.task.job == *name) {
+                self.jobs.remove(name);
+            }
+        }
+    }
+
+    /// A job by name.
+    pub fn job(&self, name: &JobName) -> Option<&Job> {
+        self.jobs.get(name)
+    }
+
+    /// All jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    /// All runs that may exist.
+    pub fn open_runs(&self) -> &BTreeMap<RunId, OpenRun> {
+        &self.runs
+    }
+
+    /// Up to which number the ends of a worker's life are in the table.
+    pub fn noted_end(&self, life: &WorkerLife) -> u64 {
+        self.noted_ends.get(life).copied().unwrap_or(0)
+    }
+
+    /// How many jobs of a queue have not begun any work.
+    pub fn waiting_count(&self, queue: &QueueName) -> usize {
+        let waits = |job: &&Job| job.submission.queue == *queue && job.is_waiting();
+        self.jobs.values().filter(waits).count()
+    }
+}
+
+/// Encodes maps with composite keys as lists of pairs.
+mod pairs {
+    use std::collections::BTreeMap;
+
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    pub(super) fn serialize<Key, Value, Encoder>(
+        map: &BTreeMap<Key, Value>,
+        encoder: Encoder,
+    ) -> Result<Encoder::Ok, Encoder::Error>
+    where
+        Key: Serialize,
+        Value: Serialize,
+        Encoder: Serializer,
+    {
+        encoder.collect_seq(map)
+    }
+
+    pub(super) fn deserialize<'de, Key, Value, Decoder>(
+        decoder: Decoder,
+    ) -> Result<BTreeMap<Key, Value>, Decoder::Error>
+    where
+        Key: Deserialize<'de> + Ord,
+        Value: Deserialize<'de>,
+        Decoder: Deserializer<'de>,
+    {
+        let entries = Vec::<(Key, Value)>::deserialize(decoder)?;
+        Ok(entries.into_iter().collect())
+    }
+}
--- a/crates/yuccatack_storage/src/folder.rs
+++ b/crates/yuccatack_storage/src/folder.rs
@@ -58,6 +58,14 @@
         })
     }
 
+    /// The replica that a folder belongs to; nothing when the folder is empty or does not exist.
+    pub fn owner(path: &Path) -> Result<Option<u64>, StorageError> {
+        let format_path = path.join(FORMAT_FILE);
+        let content = read_if_present(&format_path)?;
+        let format = content.map(|content| Format::decode(&format_path, &content)).transpose()?;
+        Ok(format.map(|format| format.replica_id))
+    }
+
     /// Where the folder is.
     pub fn path(&self) -> &Path {
         &self.path
--- a/crates/yuccatack_telemetry/src/logging/mod.rs
+++ b/crates/yuccatack_telemetry/src/logging/mod.rs
@@ -27,6 +27,8 @@
 pub enum LogDestination {
     /// Standard error of the process.
     StandardError,
+    /// Standard output of the process.
+    StandardOutput,
     /// A file, to which lines are appended.
     File(PathBuf),
 }
--- a/crates/yuccatack_telemetry/src/logging/writer.rs
+++ b/crates/yuccatack_telemetry/src/logging/writer.rs
@@ -65,6 +65,7 @@
 fn open(destination: LogDestination) -> Result<Box<dyn Write + Send>, LoggingError> {
     match destination {
         LogDestination::StandardError => Ok(Box::new(BufWriter::new(io::stderr()))),
+        LogDestination::StandardOutput => Ok(Box::new(BufWriter::new(io::stdout()))),
         LogDestination::File(path) => {
             let file: File = OpenOptions::new()
                 .create(true)
--- /dev/null
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -0,0 +1,391 @@
+//! The task of the agent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+use yuccatack_core::{DurationMs, NodeName};
+use yuccatack_dispatch::{
+    AgentMessage, LeaseGrant, Observation, Orders, StartOrder, StartResult, WorkerState,
+};
+use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
+use yuccatack_queue_client::protocol::{AgentFrame, LeaderFrame};
+use yuccatack_queue_client::{AgentStream, QueueClient};
+use yuccatack_runs::{RunId, WorkerLife};
+
+use crate::orders::{OrderBook, StartAction};
+use crate::port::{
+    Announcement, HoldCall, HoldResult, HoldSeen, StartCall, StopCall, StopResult, WorkerPort,
+};
+
+/// How often the agent looks for a silent leader and for a look at the worker that is due.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A leader shows itself every 500 ms; after three misses the connection counts as dead.
+const LEADER_SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
+
+/// How long the worker waits for an end before it answers. New leases and confirmed stops wait for
+/// the next look, so this stays well below the stop limit.
+const HOLD_WAIT: DurationMs = DurationMs::new(250);
+
+/// The pause after a look that failed.
+const HOLD_RETRY: Duration = Duration::from_millis(200);
+
+/// The pause before the next attempt to reach a leader.
+const ATTACH_RETRY: Duration = Duration::from_millis(100);
+
+/// How many finished calls may wait for the agent.
+const EVENT_QUEUE_LENGTH: usize = 256;
+
+/// Who the agent is.
+#[derive(Clone, Debug)]
+pub struct AgentConfig {
+    /// The node, which stays the same over all lives of its worker.
+    pub node: NodeName,
+}
+
+/// What a call to the worker or the leader ended with.
+enum Event {
+    Attached(Result<AgentStream, Option<SocketAddr>>),
+    Started(WorkerLife, RunId, StartResult),
+    Stopped(WorkerLife, RunId, StopResult),
+    Held { life: WorkerLife, stopped: Vec<RunId>, result: HoldResult },
+}
+
+/// The agent of one worker.
+pub struct Agent<Port> {
+    config: AgentConfig,
+    port: Arc<Port>,
+    client: QueueClient,
+    events: mpsc::Sender<Event>,
+    stream: Option<AgentStream>,
+    heard_at: Instant,
+    attaching: bool,
+    attach_after: Instant,
+    tried: Vec<SocketAddr>,
+    token: Option<u64>,
+    worker: Option<WorkerState>,
+    /// The number of the newest announcement of the present life.
+    sequence: u64,
+    /// Whether the last look at the present life failed.
+    hold_failed: bool,
+    holding: bool,
+    hold_after: Instant,
+    grant: Option<LeaseGrant>,
+    noted_end: u64,
+    orders: OrderBook,
+}
+
+impl<Port> Agent<Port>
+where
+    Port: WorkerPort,
+{
+    /// Runs until the shutdown. What runs on the worker goes on under its lease.
+    pub async fn run(
+        config: AgentConfig,
+        port: Port,
+        client: QueueClient,
+        mut announcements: mpsc::Receiver<Announcement>,
+        mut shutdown: Shutdown,
+    ) {
+        let (events, mut finished) = mpsc::channel(EVENT_QUEUE_LENGTH);
+        let now = Instant::now();
+        let mut agent = Self {
+            config,
+            port: Arc::new(port),
+            client,
+            events,
+            stream: None,
+            heard_at: now,
+            attaching: false,
+            attach_after: now,
+            tried: Vec::new(),
+            token: None,
+            worker: None,
+            sequence: 0,
+            hold_failed: false,
+            holding: false,
+            hold_after: now,
+            grant: None,
+            noted_end: 0,
+            orders: OrderBook::default(),
+        };
+        let mut checks = interval(CHECK_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = shutdown.reached(ShutdownPhase::Draining) => return,
+                Some(event) = finished.recv() => agent.on_event(event),
+                Some(announcement) = announcements.recv() => agent.on_announcement(announcement),
+                frame = receive(&mut agent.stream) => agent.on_frame(frame),
+                _ = checks.tick() => agent.check().await,
+            }
+            agent.hold_if_due();
+        }
+    }
+
+    async fn check(&mut self) {
+        if self.stream.is_some() && self.heard_at.elapsed() > LEADER_SILENCE_LIMIT {
+            log::warn!(event = "leader_lost", reason = "silent"; "the leader is silent; attaching anew");
+            if let Some(stream) = self.stream.take() {
+                stream.give_up().await;
+            }
+        }
+        if self.stream.is_none() && !self.attaching && Instant::now() >= self.attach_after {
+            self.attaching = true;
+            let (client, events) = (self.client.clone(), self.events.clone());
+            let (tried, hello) = (self.tried.clone(), AgentFrame::Hello(self.config.node.clone()));
+            tokio::spawn(async move {
+                let result = client.attach(&tried, &hello).await;
+                // The agent may have ended.
+                let _ = events.send(Event::Attached(result)).await;
+            });
+        }
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Attached(result) => self.on_attached(result),
+            Event::Started(life, run, result) => {
+                if self.is_current(&life) {
+                    self.orders.on_start_result(&run, result);
+                    self.report(AgentMessage::Start(run, result));
+                }
+            }
+            Event::Stopped(life, run, result) => {
+                if self.is_current(&life) {
+                    self.orders.on_stop_result(&run, result == StopResult::Confirmed);
+                }
+            }
+            Event::Held { life, stopped, result } => self.on_held(&life, stopped, result),
+        }
+    }
+
+    fn on_attached(&mut self, result: Result<AgentStream, Option<SocketAddr>>) {
+        self.attaching = false;
+        self.attach_after = Instant::now() + ATTACH_RETRY;
+        match result {
+            Ok(stream) => {
+                self.tried.push(stream.address());
+                self.stream = Some(stream);
+                self.heard_at = Instant::now();
+                if let Some(worker) = self.worker.clone() {
+                    self.report(AgentMessage::State(worker));
+                }
+            }
+            Err(Some(address)) => self.tried.push(address),
+            // All known replicas were tried.
+            Err(None) => self.tried.clear(),
+        }
+    }
+
+    fn on_frame(&mut self, frame: Option<LeaderFrame>) {
+        self.heard_at = Instant::now();
+        match frame {
+            None | Some(LeaderFrame::NotLeader(_)) => {
+                self.stream = None;
+                self.attach_after = Instant::now();
+            }
+            Some(LeaderFrame::Leading { token }) => {
+                if self.token.is_none_or(|held| token > held) {
+                    log::info!(event = "leader_attached", token = token; "a leader takes reports");
+                    self.token = Some(token);
+                }
+                self.tried.clear();
+            }
+            Some(LeaderFrame::Orders(orders)) => self.on_orders(orders),
+        }
+    }
+
+    fn on_orders(&mut self, orders: Orders) {
+        let outdated = self.token.is_some_and(|held| orders.token < held);
+        if outdated || !self.is_current(&orders.life) {
+            log::warn!(
+                event = "orders_dropped", token = orders.token, life:% = orders.life;
+                "the orders are of an earlier leader or for another life of the worker"
+            );
+            return;
+        }
+        self.token = Some(orders.token);
+        if let Some(grant) = orders.grant {
+            self.noted_end = self.noted_end.max(grant.noted_end);
+            self.grant = Some(grant);
+        }
+        for start in orders.starts {
+            self.start(&orders.life, orders.token, start);
+        }
+        for run in orders.stops {
+            self.stop(&orders.life, orders.token, run);
+        }
+    }
+
+    fn start(&mut self, life: &WorkerLife, token: u64, order: StartOrder) {
+        let StartOrder { run, payload, until_clock_ms, checkpoint } = order;
+        match self.orders.on_start_order(&run) {
+            StartAction::Wait => {}
+            StartAction::Report(result) => {
+                self.report(AgentMessage::Start(run, result));
+            }
+            StartAction::Send if self.worker.as_ref().is_none_or(|worker| worker.draining) => {
+                self.orders.on_start_result(&run, StartResult::Refused);
+                self.report(AgentMessage::Start(run, StartResult::Refused));
+            }
+            StartAction::Send => {
+                let (port, events, life) = (self.port.clone(), self.events.clone(), life.clone());
+                let call = StartCall {
+                    life: life.clone(),
+                    token,
+                    run: run.clone(),
+                    payload,
+                    until_clock_ms,
+                    checkpoint,
+                };
+                tokio::spawn(async move {
+                    let result = port.start(call).await;
+                    log::info!(event = "start_carried_out", run:% = run, result:? = result; "a start ended");
+                    let _ = events.send(Event::Started(life, run, result)).await;
+                });
+            }
+        }
+    }
+
+    fn stop(&mut self, life: &WorkerLife, token: u64, run: RunId) {
+        if !self.orders.on_stop_order(&run) {
+            return;
+        }
+        let (port, events, life) = (self.port.clone(), self.events.clone(), life.clone());
+        let call = StopCall { life: life.clone(), token, run: run.clone() };
+        tokio::spawn(async move {
+            let result = port.stop(call).await;
+            log::info!(event = "stop_carried_out", run:% = run, result:? = result; "a stop ended");
+            let _ = events.send(Event::Stopped(life, run, result)).await;
+        });
+    }
+
+    fn on_announcement(&mut self, announcement: Announcement) {
+        match announcement {
+            Announcement::Present { state, sequence } => self.on_present(state, sequence),
+            Announcement::Left(name) => {
+                let left = self.worker.take_if(|worker| worker.life.worker == name);
+                if let Some(worker) = left {
+                    log::info!(event = "worker_departed", life:% = worker.life; "the worker has left");
+                    self.forget_life();
+                    self.report(AgentMessage::Left(worker.life));
+                }
+            }
+        }
+    }
+
+    fn on_present(&mut self, state: WorkerState, sequence: u64) {
+        let newer = match &self.worker {
+            Some(worker) if worker.life == state.life => {
+                if sequence > self.sequence && *worker != state {
+                    self.worker = Some(state.clone());
+                    self.report(AgentMessage::State(state));
+                }
+                self.sequence = self.sequence.max(sequence);
+                return;
+            }
+            // An announcement of an earlier life may arrive late. The time of day can go back, so
+            // a life that does not answer any more gives way as well.
+            Some(worker) => {
+                state.life.started_at_unix_ms > worker.life.started_at_unix_ms || self.hold_failed
+            }
+            None => true,
+        };
+        if newer {
+            log::info!(event = "worker_found", life:% = state.life; "a worker announced itself");
+            self.forget_life();
+            self.sequence = sequence;
+            self.worker = Some(state.clone());
+            self.report(AgentMessage::State(state));
+        }
+    }
+
+    fn forget_life(&mut self) {
+        self.grant = None;
+        self.noted_end = 0;
+        self.orders = OrderBook::default();
+        self.hold_failed = false;
+    }
+
+    fn hold_if_due(&mut self) {
+        let (Some(worker), Some(token)) = (&self.worker, self.token) else { return };
+        if self.holding || Instant::now() < self.hold_after {
+            return;
+        }
+        self.holding = true;
+        let life = worker.life.clone();
+        let call = HoldCall {
+            life: life.clone(),
+            token,
+            until_clock_ms: self.grant.map(|grant| grant.until_clock_ms),
+            noted_end: self.noted_end,
+            wait_ms: HOLD_WAIT,
+        };
+        let stopped = self.orders.stopped();
+        let (port, events) = (self.port.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let result = port.hold(call).await;
+            let _ = events.send(Event::Held { life, stopped, result }).await;
+        });
+    }
+
+    fn on_held(&mut self, life: &WorkerLife, stopped: Vec<RunId>, result: HoldResult) {
+        self.holding = false;
+        if !self.is_current(life) {
+            return;
+        }
+        match result {
+            HoldResult::Seen(seen) if is_life(&seen, life) => {
+                self.hold_failed = false;
+                let ended: Vec<RunId> = seen.ended.iter().map(|end| end.run.clone()).collect();
+                let observation = Observation {
+                    life: life.clone(),
+                    clock_ms: seen.clock_ms,
+                    running: seen.running,
+                    ended: seen.ended,
+                    stopped: stopped.clone(),
+                };
+                if self.report(AgentMessage::Observed(observation)) {
+                    self.orders.on_reported(&stopped, &ended);
+                }
+            }
+            HoldResult::Seen(_) | HoldResult::OtherLife | HoldResult::Failed => {
+                if !self.hold_failed {
+                    log::warn!(event = "worker_silent", life:% = life; "the worker did not answer");
+                }
+                self.hold_failed = true;
+                self.hold_after = Instant::now() + HOLD_RETRY;
+            }
+        }
+    }
+
+    fn is_current(&self, life: &WorkerLife) -> bool {
+        self.worker.as_ref().is_some_and(|worker| worker.life == *life)
+    }
+
+    /// Sends a report; what does not reach the leader is found again after the next attachment.
+    fn report(&mut self, message: AgentMessage) -> bool {
+        let Some(stream) = &self.stream else { return false };
+        let sent = stream.send(&AgentFrame::Report(message));
+        if !sent {
+            log::warn!(event = "leader_lost", reason = "stream full or gone"; "attaching anew");
+            self.stream = None;
+        }
+        sent
+    }
+}
+
+fn is_life(seen: &HoldSeen, life: &WorkerLife) -> bool {
+    seen.started_at_unix_ms.is_none_or(|started| started == life.started_at_unix_ms)
+}
+
+async fn receive(stream: &mut Option<AgentStream>) -> Option<LeaderFrame> {
+    match stream {
+        Some(stream) => stream.receive().await,
+        None => std::future::pending().await,
+    }
+}
--- a/tools/codegen/src/main.rs
+++ b/tools/codegen/src/main.rs
@@ -7,13 +7,14 @@
 use std::process::Command;
 
 /// The crates that own a wire protocol; each has `proto/<name>.proto` and `src/generated/`.
-const PROTOCOLS: [(&str, &str); 6] = [
+const PROTOCOLS: [(&str, &str); 7] = [
     ("yuccatack_records", "records"),
     ("yuccatack_view", "view"),
     ("yuccatack_requests", "agent"),
     ("yuccatack_requests", "claims"),
     ("yuccatack_replication", "replication"),
     ("yuccatack_control", "workers"),
+    ("yuccatack_queue_client", "queue_control"),
 ];
 
 fn main() -> Result<(), Box<dyn Error>> {
