Take the loss of an eviction from the progress of the run; add tests of table and dispatch

Cause: evictions were chosen by the estimated length of a run, so that a run near its end looked as cheap as one that had just begun.

Health regains trust with time: jobs that fail everywhere took the trust of all workers, and no last attempt found a place.

--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -55,7 +55,7 @@
                 free: state.capacity,
                 free_soon: state.capacity,
                 total: state.capacity,
-                trusted: session.health.is_trusted(),
+                trusted: session.health.is_trusted(now),
                 reserved: false,
                 runs: Vec::new(),
             })
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -3,13 +3,16 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use yuccatack_core::{FastHashMap, FastHashSet, NodeName, TimestampMs};
+use yuccatack_core::{
+    DurationMs, FastHashMap, FastHashSet, JobName, NodeName, OrganisationName, TimestampMs,
+};
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{JobTable, RunEnd, RunId, RunOutcome, RunStart, WorkerLife};
 
-use crate::capacity::slots;
+use crate::capacity::{Slot, slots};
 use crate::demand::{Tier, Unit, ready_units, urgent_accelerators};
 use crate::lease::{ClockReading, longest_real_time};
+use crate::loss::Progress;
 use crate::placement::{Room, occupy, place};
 use crate::protocol::{AgentMessage, Observation, Orders, StartResult, WorkerState};
 use crate::reclaim::Reclaim;
@@ -21,6 +24,10 @@
 /// began, and the answers of worker and agent may overtake each other.
 const MISSING_LIMIT: u8 = 2;
 
+/// How long an urgent unit waits for room before others give way to it. Runs end several times a
+/// second, and each one that is stopped instead throws its work away.
+const EVICTION_PATIENCE: DurationMs = DurationMs::new(0);
+
 /// A change of the replicated table that the leader proposes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum TableChange {
@@ -40,14 +47,25 @@
     leading_since: TimestampMs,
     sessions: BTreeMap<NodeName, Session>,
     evicted: FastHashSet<RunId>,
+    /// Since when urgent units have found no room.
+    blocked: FastHashMap<UnitKey, TimestampMs>,
 }
 
+/// Job, occurrence, step and first task of a unit.
+type UnitKey = (JobName, u32, u32, u32);
+
 impl Dispatcher {
     /// Starts with no knowledge of any worker. `token` must be higher than that of every earlier
     /// leader.
     pub fn new(settings: DispatchSettings, token: u64, now: TimestampMs) -> Self {
-        let (sessions, evicted) = (BTreeMap::new(), FastHashSet::default());
-        Self { settings, token, leading_since: now, sessions, evicted }
+        Self {
+            settings,
+            token,
+            leading_since: now,
+            sessions: BTreeMap::new(),
+            evicted: FastHashSet::default(),
+            blocked: FastHashMap::default(),
+        }
     }
 
     /// The token that fences the orders of earlier leaders.
@@ -208,13 +226,19 @@
             return changes;
         }
         let mut slots = slots(&self.sessions, table, now);
+        let mut blocked = FastHashMap::default();
         for unit in &units {
             if let Some(placement) = place(unit, &slots, Room::Now, false) {
                 changes.push(TableChange::Begin(occupy(unit, &placement, &mut slots)));
                 continue;
             }
-            self.make_room(unit, &mut slots, table, configuration, &needs);
+            let key = unit.key();
+            let since = self.blocked.get(&key).copied().unwrap_or(now);
+            blocked.insert(key, since);
+            let patient = now.since(since) < EVICTION_PATIENCE;
+            self.make_room(unit, patient, &mut slots, table, configuration, &needs);
         }
+        self.blocked = blocked;
         changes
     }
 
@@ -222,10 +246,11 @@
     fn make_room(
         &mut self,
         unit: &Unit<'_>,
-        slots: &mut [crate::capacity::Slot],
+        patient: bool,
+        slots: &mut [Slot],
         table: &JobTable,
         configuration: &ConfigurationStore,
-        needs: &FastHashMap<yuccatack_core::OrganisationName, u64>,
+        needs: &FastHashMap<OrganisationName, u64>,
     ) {
         if let Some(placement) = place(unit, slots, Room::Soon, true) {
             for at in placement {
@@ -234,11 +259,13 @@
             return;
         }
         let evicts = matches!(unit.urgency.tier, Tier::Guaranteed | Tier::Priority(0));
-        if !evicts {
+        if !evicts || patient {
             return;
         }
-        let stopping: FastHashSet<RunId> = self.stopping_runs();
-        let reclaim = Reclaim { table, configuration, needs, stopping: &stopping };
+        let stopping = self.stopping_runs();
+        let progress = self.progress();
+        let reclaim =
+            Reclaim { table, configuration, needs, stopping: &stopping, progress: &progress };
         let Some(eviction) = reclaim.find(unit, slots) else { return };
         for victim in eviction.victims {
             log::info!(
@@ -253,6 +280,11 @@
         }
     }
 
+    fn progress(&self) -> Progress {
+        let of_sessions = self.sessions.values().flat_map(|session| session.health.progress());
+        of_sessions.map(|(run, percent)| (run.clone(), percent)).collect()
+    }
+
     fn stopping_runs(&self) -> FastHashSet<RunId> {
         let of_sessions = self.sessions.values().flat_map(|session| &session.orders);
         of_sessions
--- a/crates/yuccatack_dispatch/src/health.rs
+++ b/crates/yuccatack_dispatch/src/health.rs
@@ -15,6 +15,10 @@
 /// The longest time that a worker is set aside.
 const LONGEST_REST: DurationMs = DurationMs::new(16_000);
 
+/// A worker gets last attempts again this long after a failure. Jobs that fail everywhere would
+/// otherwise take the trust of all workers, and with it the room for every last attempt.
+const TRUST_REGAIN: DurationMs = DurationMs::new(4_000);
+
 /// A run whose progress stands still for this long is stuck. Tasks of the deployments last up to
 /// eleven seconds, so that a sound one shows progress several times in that time.
 const STALL_LIMIT: DurationMs = DurationMs::new(3_000);
@@ -25,6 +29,8 @@
     failures_in_a_row: u32,
     rests_in_a_row: u32,
     resting_until: Option<TimestampMs>,
+    /// The last failure since the last task that was done.
+    failed_at: Option<TimestampMs>,
     progress: FastHashMap<RunId, (u8, TimestampMs)>,
 }
 
@@ -34,9 +40,14 @@
         self.resting_until.is_none_or(|until| now >= until)
     }
 
-    /// Whether the worker has no failure on record, so that it may get a task's last attempt.
-    pub fn is_trusted(&self) -> bool {
-        self.failures_in_a_row == 0 && self.rests_in_a_row == 0
+    /// Whether nothing failed lately, so that the worker may get a task's last attempt.
+    pub fn is_trusted(&self, now: TimestampMs) -> bool {
+        self.failed_at.is_none_or(|failed_at| now.since(failed_at) >= TRUST_REGAIN)
+    }
+
+    /// How far each run is, in percent.
+    pub fn progress(&self) -> impl Iterator<Item = (&RunId, u8)> {
+        self.progress.iter().map(|(run, (percent, _))| (run, *percent))
     }
 
     pub fn on_end(&mut self, run: &RunId, outcome: RunOutcome, now: TimestampMs) {
@@ -46,9 +57,11 @@
                 self.failures_in_a_row = 0;
                 self.rests_in_a_row = 0;
                 self.resting_until = None;
+                self.failed_at = None;
             }
             RunOutcome::Failed => {
                 self.failures_in_a_row += 1;
+                self.failed_at = Some(now);
                 if self.failures_in_a_row >= FAILURE_LIMIT {
                     self.rest(now);
                 }
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod dispatcher;
 mod health;
 mod lease;
+mod loss;
 mod placement;
 mod protocol;
 mod reclaim;
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 
 use yuccatack_core::{FastHashMap, Resources};
-use yuccatack_runs::RunStart;
-use yuccatack_runs::{JobTable, RunId, TaskId};
+use yuccatack_runs::{RunId, RunStart, TaskId};
 
 use crate::capacity::{Slot, footprint, subtract};
 use crate::demand::Unit;
@@ -155,18 +154,3 @@
     }
     starts
 }
-
-/// The estimated processor time that stopping a run throws away, in core-milliseconds.
-pub(crate) fn loss_of(run: &RunId, table: &JobTable) -> u64 {
-    /// An accelerator counts as this many cores.
-    const CORES_PER_ACCELERATOR: u64 = 8;
-    let Some(spec) = table.job(&run.task.job).and_then(|job| job.step_spec(run.task.step)) else {
-        return 0;
-    };
-    let cores_milli = spec.demand.cores_milli
-        + 1000 * CORES_PER_ACCELERATOR * u64::from(spec.demand.accelerator_count);
-    // A run that saves its progress loses only what it did since, and the time to resume.
-    let lost_ms = if spec.checkpointing { 500 } else { spec.estimated_run_ms.get() };
-    let members = if spec.gang { u64::from(spec.task_count) } else { 1 };
-    cores_milli * lost_ms / 1000 * members
-}
--- a/crates/yuccatack_dispatch/src/reclaim.rs
+++ b/crates/yuccatack_dispatch/src/reclaim.rs
@@ -6,7 +6,8 @@
 
 use crate::capacity::{Slot, add, footprint, subtract};
 use crate::demand::{Tier, Unit, within_guarantee};
-use crate::placement::{Placement, candidate_sets, loss_of, step_allowance};
+use crate::loss::{Progress, loss_of};
+use crate::placement::{Placement, candidate_sets, step_allowance};
 
 /// What a decision about victims needs to know.
 pub(crate) struct Reclaim<'a> {
@@ -15,6 +16,8 @@
     pub needs: &'a FastHashMap<OrganisationName, u64>,
     /// Runs that are being stopped already.
     pub stopping: &'a FastHashSet<RunId>,
+    /// How far the runs are.
+    pub progress: &'a Progress,
 }
 
 /// Where a unit fits once the victims have stopped.
@@ -44,7 +47,7 @@
         for _ in &unit.tasks {
             let options = set.iter().filter(|at| allowed[at] > 0).filter_map(|at| {
                 let chosen = self.victims_on(unit, &slots[*at], free[at], need, &victims)?;
-                Some((chosen.iter().map(|run| loss_of(run, self.table)).sum::<u64>(), *at, chosen))
+                Some((chosen.iter().map(|run| loss_of(run, self.table, self.progress)).sum::<u64>(), *at, chosen))
             });
             let (cost, at, chosen) = options.min_by_key(|(cost, at, _)| (*cost, *at))?;
             total_cost += cost;
@@ -82,7 +85,7 @@
             .filter(|run| !taken.contains(run) && !self.stopping.contains(run))
             .filter(|run| self.may_evict(unit, run))
             .collect();
-        candidates.sort_by_key(|run| (loss_of(run, self.table), (*run).clone()));
+        candidates.sort_by_key(|run| (loss_of(run, self.table, self.progress), (*run).clone()));
         for run in candidates {
             free = add(free, self.footprint_of(run).unwrap_or_default());
             chosen.push(run.clone());
@@ -102,7 +105,7 @@
         match unit.urgency.tier {
             Tier::Guaranteed => !guaranteed,
             Tier::Priority(priority) => priority == 0 && submission.priority > 0,
-            Tier::Overdue(_) => false,
+            Tier::Late(_) | Tier::Overdue(_) => false,
         }
     }
 }
--- /dev/null
+++ b/crates/yuccatack_dispatch/tests/reclaim_order.rs
@@ -0,0 +1,87 @@
+//! Guards against guaranteed work that waits behind other work, and against evictions that nobody
+//! needs.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use support::{World, run, starts, step, stops};
+use yuccatack_runs::{RunId, RunOutcome, StepSpec};
+
+/// How long a unit may wait for room before others give way, with the time of one decision.
+const PATIENCE_MS: u64 = 700;
+
+/// Decides until something is stopped, at most for the patience.
+fn stopped_in_time(world: &mut World, running: &[(RunId, u8)]) -> Vec<RunId> {
+    world.decide();
+    world.advance(PATIENCE_MS);
+    let index = 0;
+    world.observe(index, running, &[], &[]);
+    stops(&world.decide())
+}
+
+#[test]
+fn guaranteed_evicts() {
+    let mut world = World::new(1);
+    world.organisation("owner", 8);
+    world.submit("low", 2, step(1, 8));
+    world.decide();
+    world.begun(&run("low", 0, 1));
+    world.submit_for("urgent", Some("owner"), 0, step(1, 8));
+    let running = [(run("low", 0, 1), 10)];
+    assert_eq!(stopped_in_time(&mut world, &running), [run("low", 0, 1)]);
+    world.advance(400);
+    world.observe(0, &[], &[(run("low", 0, 1), RunOutcome::Stopped)], &[]);
+    // The room goes to the unit that it was made for.
+    world.submit("other", 0, step(1, 8));
+    assert_eq!(starts(&world.decide()), [run("urgent", 0, 1)]);
+}
+
+#[test]
+fn guaranteed_not_evicted() {
+    let mut world = World::new(1);
+    world.organisation("owner", 8);
+    world.submit_for("first", Some("owner"), 0, step(1, 8));
+    world.decide();
+    world.begun(&run("first", 0, 1));
+    world.submit("second", 0, step(1, 8));
+    let running = [(run("first", 0, 1), 10)];
+    assert!(stopped_in_time(&mut world, &running).is_empty(), "guaranteed work gave way");
+}
+
+#[test]
+fn beyond_guarantee_gives_way() {
+    let mut world = World::new(1);
+    world.organisation("owner", 4);
+    world.submit("greedy", 0, step(1, 8));
+    world.decide();
+    world.begun(&run("greedy", 0, 1));
+    world.submit_for("urgent", Some("owner"), 0, step(1, 4));
+    let running = [(run("greedy", 0, 1), 10)];
+    assert_eq!(stopped_in_time(&mut world, &running), [run("greedy", 0, 1)]);
+}
+
+#[test]
+fn cheapest_evicted() {
+    let mut world = World::new(1);
+    let long = StepSpec { estimated_run_ms: yuccatack_core::DurationMs::new(9_000), ..step(1, 4) };
+    world.submit("costly", 2, long.clone());
+    world.submit("saved", 2, StepSpec { checkpointing: true, ..long });
+    world.decide();
+    world.begun(&run("costly", 0, 1));
+    world.begun(&run("saved", 0, 1));
+    world.submit("urgent", 0, step(1, 4));
+    let running = [(run("costly", 0, 1), 50), (run("saved", 0, 1), 50)];
+    assert_eq!(stopped_in_time(&mut world, &running), [run("saved", 0, 1)]);
+}
+
+#[test]
+fn equal_priority_waits() {
+    let mut world = World::new(1);
+    world.submit("first", 1, step(1, 8));
+    world.decide();
+    world.begun(&run("first", 0, 1));
+    world.submit("second", 1, step(1, 8));
+    let running = [(run("first", 0, 1), 10)];
+    assert!(stopped_in_time(&mut world, &running).is_empty());
+}
--- /dev/null
+++ b/crates/yuccatack_dispatch/tests/support/mod.rs
@@ -0,0 +1,246 @@
+//! A small pool of workers, a table of jobs and a leader between them.
+
+#![allow(clippy::unwrap_used, dead_code, missing_docs)]
+
+use std::sync::Arc;
+
+use yuccatack_core::{
+    DataCentreName, DurationMs, JobName, NodeName, OrganisationName, QueueName, Resources,
+    ServiceName, TimestampMs, WorkerName,
+};
+use yuccatack_dispatch::{
+    AgentMessage, DispatchSettings, Dispatcher, EndedRun, Observation, Orders, RunningRun,
+    StartResult, TableChange, WorkerState,
+};
+use yuccatack_queues::{Configuration, ConfigurationStore, ConfigurationVersion, Organisation};
+use yuccatack_runs::{
+    JobSpec, JobSubmission, JobTable, RunEnd, RunId, RunOutcome, StepSpec, TaskId, WorkerLife,
+};
+
+pub const LONGEST_LEASE: DurationMs = DurationMs::new(10_000);
+pub const TOKEN: u64 = 7;
+
+/// A leader with its table, driven by hand.
+pub struct World {
+    pub dispatcher: Dispatcher,
+    pub table: JobTable,
+    pub configuration: ConfigurationStore,
+    pub now: TimestampMs,
+    /// Clocks of workers run beside the leader's, offset by this.
+    pub clock_offset_ms: u64,
+    pub end_number: u64,
+}
+
+pub fn settings() -> DispatchSettings {
+    DispatchSettings::new(LONGEST_LEASE, DurationMs::new(400), 3)
+}
+
+pub fn node(index: usize) -> NodeName {
+    NodeName::new(&format!("node-{index}")).unwrap()
+}
+
+pub fn life(index: usize, started_at_unix_ms: u64) -> WorkerLife {
+    let worker = WorkerName::new(&format!("worker-{index}")).unwrap();
+    WorkerLife { node: node(index), worker, started_at_unix_ms }
+}
+
+pub fn state(index: usize, started_at_unix_ms: u64) -> WorkerState {
+    let rack: Arc<str> = Arc::from(format!("rack-{}", index / 2));
+    WorkerState {
+        life: life(index, started_at_unix_ms),
+        service: ServiceName::new("pool").unwrap(),
+        data_centre: DataCentreName::new("here").unwrap(),
+        capacity: Resources {
+            cores_milli: 32_000,
+            memory_bytes: 1 << 37,
+            accelerator_count: 8,
+        },
+        labels: vec![Arc::from("kind"), rack.clone()],
+        rack: Some(rack),
+        draining: false,
+        remaining_ms: None,
+    }
+}
+
+pub fn step(task_count: u32, accelerator_count: u32) -> StepSpec {
+    StepSpec {
+        task_count,
+        demand: Resources { cores_milli: 1_000, memory_bytes: 1 << 30, accelerator_count },
+        estimated_run_ms: DurationMs::new(2_000),
+        ..StepSpec::default()
+    }
+}
+
+pub fn run(job: &str, index: u32, number: u32) -> RunId {
+    let job = JobName::new(job).unwrap();
+    RunId { task: TaskId { job, occurrence: 0, step: 0, index }, number }
+}
+
+impl World {
+    /// `count` workers, two to a rack, all announced and observed.
+    pub fn new(count: usize) -> Self {
+        let now = TimestampMs::new(100_000);
+        let mut world = Self {
+            dispatcher: Dispatcher::new(settings(), TOKEN, now),
+            table: JobTable::default(),
+            configuration: ConfigurationStore::default(),
+            now,
+            clock_offset_ms: 5_000_000,
+            end_number: 0,
+        };
+        for index in 0..count {
+            world.dispatcher.connect(&node(index));
+            world.tell(index, AgentMessage::State(state(index, 1)));
+        }
+        world.observe_all(count);
+        world
+    }
+
+    pub fn organisation(&mut self, name: &str, guaranteed_accelerator_count: u32) {
+        let organisation = Organisation {
+            name: OrganisationName::new(name).unwrap(),
+            keys: Vec::new(),
+            guaranteed_accelerator_count,
+        };
+        self.configuration.accept(Arc::new(Configuration {
+            version: ConfigurationVersion::new(self.configuration.version().get() + 1),
+            queues: Vec::new(),
+            services: Vec::new(),
+            organisations: vec![organisation],
+            document: Arc::from(""),
+        }));
+    }
+
+    pub fn submit(&mut self, name: &str, priority: u32, step: StepSpec) {
+        self.submit_for(name, None, priority, step);
+    }
+
+    pub fn submit_for(
+        &mut self,
+        name: &str,
+        organisation: Option<&str>,
+        priority: u32,
+        step: StepSpec,
+    ) {
+        self.table.submit(JobSubmission {
+            name: JobName::new(name).unwrap(),
+            queue: QueueName::new("queue").unwrap(),
+            service: ServiceName::new("pool").unwrap(),
+            organisation: organisation.map(|name| OrganisationName::new(name).unwrap()),
+            priority,
+            max_attempts: 2,
+            stretch: 3.0,
+            allowance_ms: DurationMs::new(1_000),
+            accepted_at_unix_ms: self.now.get(),
+            spec: JobSpec { payload: Arc::from("payload"), steps: vec![step], schedule: None },
+        });
+    }
+
+    pub fn advance(&mut self, milliseconds: u64) {
+        self.now = self.now + DurationMs::new(milliseconds);
+    }
+
+    pub fn clock_ms(&self) -> u64 {
+        self.now.get() + self.clock_offset_ms
+    }
+
+    pub fn apply(&mut self, changes: Vec<TableChange>) {
+        for change in changes {
+            match change {
+                TableChange::Begin(group) => {
+                    self.table.begin(&group);
+                }
+                TableChange::End(end) => {
+                    self.table.end(end, self.now.get());
+                }
+                TableChange::NoteEnds(life, number) => self.table.note_ends(&life, number),
+            }
+        }
+    }
+
+    pub fn tell(&mut self, index: usize, message: AgentMessage) {
+        let changes = self.dispatcher.on_message(&node(index), message, &self.table, self.now);
+        self.apply(changes);
+    }
+
+    /// The worker is observed with these rows, and the lead is confirmed afterwards.
+    pub fn observe(
+        &mut self,
+        index: usize,
+        running: &[(RunId, u8)],
+        ended: &[(RunId, RunOutcome)],
+        stopped: &[RunId],
+    ) {
+        let row = |(run, percent): &(RunId, u8)| RunningRun {
+            run: run.clone(),
+            checkpoint: None,
+            percent: *percent,
+            load: None,
+        };
+        let ended = ended.iter().map(|(run, outcome)| {
+            self.end_number += 1;
+            let number = self.end_number;
+            EndedRun { number, run: run.clone(), outcome: *outcome, checkpoint: None }
+        });
+        let observation = Observation {
+            life: life(index, 1),
+            ended: ended.collect(),
+            clock_ms: self.clock_ms(),
+            running: running.iter().map(row).collect(),
+            stopped: stopped.to_vec(),
+        };
+        self.tell(index, AgentMessage::Observed(observation));
+        self.dispatcher.confirm_lead(self.now);
+    }
+
+    pub fn observe_all(&mut self, count: usize) {
+        for index in 0..count {
+            self.observe(index, &[], &[], &[]);
+        }
+    }
+
+    /// Decides, applies what was decided and returns the orders.
+    pub fn decide(&mut self) -> Vec<(NodeName, Orders)> {
+        let (now, unix_ms) = (self.now, self.now.get());
+        let changes = self.dispatcher.decide(&self.table, &self.configuration, now, unix_ms);
+        self.apply(changes);
+        self.dispatcher.orders(&self.table, now)
+    }
+
+    /// Reports that a run has begun on the worker where the table has it.
+    pub fn begun(&mut self, run: &RunId) {
+        self.start_result(run, StartResult::Begun);
+    }
+
+    pub fn start_result(&mut self, run: &RunId, result: StartResult) {
+        let index = self.place(run);
+        self.tell(index, AgentMessage::Start(run.clone(), result));
+    }
+
+    /// The worker that a run is on.
+    pub fn place(&self, run: &RunId) -> usize {
+        let node = &self.table.open_runs()[run].life.node;
+        node.as_str().trim_start_matches("node-").parse().unwrap()
+    }
+
+    pub fn end(&mut self, run: &RunId, outcome: RunOutcome) {
+        let end = RunEnd { run: run.clone(), outcome, checkpoint: None };
+        self.table.end(end, self.now.get());
+    }
+}
+
+/// All runs that the orders start.
+pub fn starts(orders: &[(NodeName, Orders)]) -> Vec<RunId> {
+    let mut runs: Vec<RunId> =
+        orders.iter().flat_map(|(_, orders)| &orders.starts).map(|s| s.run.clone()).collect();
+    runs.sort();
+    runs
+}
+
+/// All runs that the orders stop.
+pub fn stops(orders: &[(NodeName, Orders)]) -> Vec<RunId> {
+    let mut runs: Vec<RunId> =
+        orders.iter().flat_map(|(_, orders)| orders.stops.clone()).collect();
+    runs.sort();
+    runs
+}
