Bound what an eviction may cost, and notice dead leaders sooner

Cause: a gang near its end gave way to a small urgent job. A leader that was paused took its pause for a stall of every run; the test pause_of_leader_ignored fails without the count of looks.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -160,7 +160,7 @@
         session.reading = Some(ClockReading { clock_ms: observation.clock_ms, received_at: now });
         let mut changes = note_ends(session, &observation, table, now);
         changes.extend(follow_runs(session, &observation, table));
-        let stalled = session.health.on_running(&observation.running, now);
+        let stalled = session.health.on_running(&observation.running, observation.clock_ms);
         for run in stalled {
             let long_running = table
                 .job(&run.task.job)
--- a/crates/yuccatack_dispatch/src/health.rs
+++ b/crates/yuccatack_dispatch/src/health.rs
@@ -23,6 +23,18 @@
 /// eleven seconds, so that a sound one shows progress several times in that time.
 const STALL_LIMIT: DurationMs = DurationMs::new(3_000);
 
+/// How many looks must show the same progress. A leader that was paused would otherwise take its own
+/// pause for the run's.
+const STALL_LOOK_COUNT: u32 = 6;
+
+/// The progress of a run and since when it is the same.
+#[derive(Debug)]
+struct Seen {
+    percent: u8,
+    since_clock_ms: u64,
+    look_count: u32,
+}
+
 /// What a worker's runs have shown.
 #[derive(Debug, Default)]
 pub(crate) struct Health {
@@ -31,7 +43,7 @@
     resting_until: Option<TimestampMs>,
     /// The last failure since the last task that was done.
     failed_at: Option<TimestampMs>,
-    progress: FastHashMap<RunId, (u8, TimestampMs)>,
+    progress: FastHashMap<RunId, Seen>,
 }
 
 impl Health {
@@ -47,7 +59,7 @@
 
     /// How far each run is, in percent.
     pub fn progress(&self) -> impl Iterator<Item = (&RunId, u8)> {
-        self.progress.iter().map(|(run, (percent, _))| (run, *percent))
+        self.progress.iter().map(|(run, seen)| (run, seen.percent))
     }
 
     pub fn on_end(&mut self, run: &RunId, outcome: RunOutcome, now: TimestampMs) {
@@ -81,14 +93,17 @@
     }
 
     /// Notes how far the runs are, and returns those that stand still.
-    pub fn on_running(&mut self, running: &[RunningRun], now: TimestampMs) -> Vec<RunId> {
+    pub fn on_running(&mut self, running: &[RunningRun], clock_ms: u64) -> Vec<RunId> {
         let mut stalled = Vec::new();
         for row in running {
-            let seen = self.progress.entry(row.run.clone()).or_insert((row.percent, now));
-            if seen.0 != row.percent {
-                *seen = (row.percent, now);
+            let fresh = Seen { percent: row.percent, since_clock_ms: clock_ms, look_count: 0 };
+            let seen = self.progress.entry(row.run.clone()).or_insert(fresh);
+            if seen.percent != row.percent {
+                *seen = Seen { percent: row.percent, since_clock_ms: clock_ms, look_count: 0 };
             }
-            if now.since(seen.1) >= STALL_LIMIT {
+            seen.look_count += 1;
+            let still_ms = clock_ms.saturating_sub(seen.since_clock_ms);
+            if still_ms >= STALL_LIMIT.get() && seen.look_count >= STALL_LOOK_COUNT {
                 stalled.push(row.run.clone());
             }
         }
--- a/crates/yuccatack_dispatch/src/reclaim.rs
+++ b/crates/yuccatack_dispatch/src/reclaim.rs
@@ -6,9 +6,13 @@
 
 use crate::capacity::{Slot, add, footprint, subtract};
 use crate::demand::{Tier, Unit, within_guarantee};
-use crate::loss::{Progress, loss_of};
+use crate::loss::{Progress, loss_of, work_of};
 use crate::placement::{Placement, candidate_sets, step_allowance};
 
+/// A unit without a guarantee evicts runs that lose at most this many times its own work. More would
+/// cost others more than the unit is worth.
+const EVICTION_LOSS_FACTOR: u64 = 2;
+
 /// What a decision about victims needs to know.
 pub(crate) struct Reclaim<'a> {
     pub table: &'a JobTable,
@@ -28,11 +32,16 @@
 }
 
 impl Reclaim<'_> {
-    /// Finds the cheapest victims that make room for the unit.
+    /// Finds the cheapest victims that make room for the unit, if they do not lose much more
+    /// work than the unit does.
     pub fn find(&self, unit: &Unit<'_>, slots: &[Slot]) -> Option<Eviction> {
         let sets = candidate_sets(unit, slots);
         let evictions = sets.iter().filter_map(|set| self.find_in(unit, slots, set));
-        evictions.min_by_key(|(cost, _)| *cost).map(|(_, eviction)| eviction)
+        let (cost, eviction) = evictions.min_by_key(|(cost, _)| *cost)?;
+        // What belongs to an organisation at all times is not weighed against what others lose.
+        let guaranteed = unit.urgency.tier == Tier::Guaranteed;
+        let work = work_of(unit.spec).saturating_mul(unit.tasks.len() as u64);
+        (guaranteed || cost <= EVICTION_LOSS_FACTOR * work).then_some(eviction)
     }
 
     fn find_in(&self, unit: &Unit<'_>, slots: &[Slot], set: &[usize]) -> Option<(u64, Eviction)> {
--- a/crates/yuccatack_dispatch/tests/worker_health.rs
+++ b/crates/yuccatack_dispatch/tests/worker_health.rs
@@ -50,3 +50,16 @@
     }
     assert_eq!(stops(&world.decide()), [run("a", 0, 1)]);
 }
+
+#[test]
+fn pause_of_leader_ignored() {
+    let mut world = World::new(1);
+    world.submit("a", 1, step(1, 8));
+    world.decide();
+    world.begun(&run("a", 0, 1));
+    world.observe(0, &[(run("a", 0, 1), 40)], &[], &[]);
+    // The process was paused; what waited meanwhile arrives at once.
+    world.advance(5_000);
+    world.observe(0, &[(run("a", 0, 1), 40)], &[], &[]);
+    assert!(stops(&world.decide()).is_empty(), "a sound run was stopped after a pause");
+}
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -29,7 +29,7 @@
 const DECISION_INTERVAL: DurationMs = DurationMs::new(50);
 
 /// How often agents are shown that the leader is alive. They give a stream up after three misses.
-const BEAT_INTERVAL: DurationMs = DurationMs::new(500);
+const BEAT_INTERVAL: DurationMs = DurationMs::new(250);
 
 /// How often ended jobs are dropped.
 const FORGET_INTERVAL: DurationMs = DurationMs::new(30_000);
--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -21,10 +21,11 @@
 };
 
 /// How often the agent looks for a silent leader and for a look at the worker that is due.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A leader shows itself every 500 ms; after three misses the connection counts as dead.
-const LEADER_SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
+/// A leader shows itself every 250 ms; after three misses the connection counts as dead. The next
+/// leader is elected in about that time.
+const LEADER_SILENCE_LIMIT: Duration = Duration::from_millis(900);
 
 /// How long the worker waits for an end before it answers. New leases and confirmed stops wait for
 /// the next look, so this stays well below the stop limit.
