--- a/crates/yuccatack_cli/tests/help_text.rs
+++ b/crates/yuccatack_cli/tests/help_text.rs
@@ -9,9 +9,10 @@
 use support::run;
 use yuccatack_cli::ExitStatus;
 
-const COMMANDS: [&[&str]; 11] = [
+const COMMANDS: [&[&str]; 12] = [
     &[],
     &["run"],
+    &["host"],
     &["check"],
     &["apply"],
     &["get"],
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -41,6 +41,8 @@
     leading_since: TimestampMs,
     sessions: BTreeMap<NodeName, Session>,
     evicted: FastHashSet<RunId>,
+    /// How many evictions were decided since they were last counted.
+    eviction_count: u64,
 }
 
 impl Dispatcher {
@@ -53,6 +55,7 @@
             leading_since: now,
             sessions: BTreeMap::new(),
             evicted: FastHashSet::default(),
+            eviction_count: 0,
         }
     }
 
@@ -78,6 +81,11 @@
         self.sessions.values().filter(|session| session.connected).count()
     }
 
+    /// How many evictions were decided since the last call.
+    pub fn take_eviction_count(&mut self) -> u64 {
+        std::mem::take(&mut self.eviction_count)
+    }
+
     /// The lead was confirmed by a round that began at `began_at`; leases may build on everything
     /// that was received before. A later leader was elected after that moment, so it can bound
     /// every lease that this one granted.
@@ -171,6 +179,7 @@
                     event = "run_stalled", run:% = run, node = node.as_str();
                     "the run makes no progress; it is stopped and the worker set aside"
                 );
+                self.eviction_count += 1;
                 session.health.rest(now);
             }
         }
@@ -261,6 +270,7 @@
                 for_job = unit.job.submission.name.as_str();
                 "the run gives way to a more urgent job"
             );
+            self.eviction_count += 1;
             self.evicted.insert(victim);
         }
         for at in eviction.placement {
--- a/crates/yuccatack_dispatch/src/reclaim.rs
+++ b/crates/yuccatack_dispatch/src/reclaim.rs
@@ -56,7 +56,11 @@
         for _ in &unit.tasks {
             let options = set.iter().filter(|at| allowed[at] > 0).filter_map(|at| {
                 let chosen = self.victims_on(unit, &slots[*at], free[at], need, &victims)?;
-                Some((chosen.iter().map(|run| loss_of(run, self.table, self.progress)).sum::<u64>(), *at, chosen))
+                Some((
+                    chosen.iter().map(|run| loss_of(run, self.table, self.progress)).sum::<u64>(),
+                    *at,
+                    chosen,
+                ))
             });
             let (cost, at, chosen) = options.min_by_key(|(cost, at, _)| (*cost, *at))?;
             total_cost += cost;
--- a/crates/yuccatack_dispatch/src/reconcile.rs
+++ b/crates/yuccatack_dispatch/src/reconcile.rs
@@ -37,11 +37,7 @@
         all
     }
 
-    fn orders_of(
-        &self,
-        session: &mut Session,
-        broken: &FastHashSet<GangRun>,
-    ) -> Option<Orders> {
+    fn orders_of(&self, session: &mut Session, broken: &FastHashSet<GangRun>) -> Option<Orders> {
         let state = session.state.as_ref()?;
         let (life, draining) = (state.life.clone(), state.draining);
         let grant = self.grant(session);
--- a/crates/yuccatack_dispatch/tests/support/mod.rs
+++ b/crates/yuccatack_dispatch/tests/support/mod.rs
@@ -50,11 +50,7 @@
         life: life(index, started_at_unix_ms),
         service: ServiceName::new("pool").unwrap(),
         data_centre: DataCentreName::new("here").unwrap(),
-        capacity: Resources {
-            cores_milli: 32_000,
-            memory_bytes: 1 << 37,
-            accelerator_count: 8,
-        },
+        capacity: Resources { cores_milli: 32_000, memory_bytes: 1 << 37, accelerator_count: 8 },
         labels: vec![Arc::from("kind"), rack.clone()],
         rack: Some(rack),
         draining: false,
@@ -239,8 +235,7 @@
 
 /// All runs that the orders stop.
 pub fn stops(orders: &[(NodeName, Orders)]) -> Vec<RunId> {
-    let mut runs: Vec<RunId> =
-        orders.iter().flat_map(|(_, orders)| orders.stops.clone()).collect();
+    let mut runs: Vec<RunId> = orders.iter().flat_map(|(_, orders)| orders.stops.clone()).collect();
     runs.sort();
     runs
 }
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -13,11 +13,13 @@
     Committed, Leadership, LogIndex, ProposalFailure, ProposalId, ReadFailure, ReadId, ReplicaId,
     ReplicationHandle,
 };
+use yuccatack_telemetry::Metrics;
 
 use crate::agents::Agents;
 use crate::calls::{Plan, answer, plan};
 use crate::command::{Command, decode, encode};
 use crate::message::{ControlMessage, JoinRequest};
+use crate::observe::{log_applied, log_command};
 use crate::state::QueueState;
 
 /// The shortest time from one confirmation of the lead for leases to the next; leases last several
@@ -54,12 +56,14 @@
     pub replication: ReplicationHandle,
     pub settings: DispatchSettings,
     pub joins: mpsc::Sender<JoinRequest>,
+    pub metrics: Metrics,
 }
 
 pub(crate) struct ControlState {
     replication: ReplicationHandle,
     settings: DispatchSettings,
     joins: mpsc::Sender<JoinRequest>,
+    metrics: Metrics,
     started: Instant,
     state: QueueState,
     applied: LogIndex,
@@ -92,11 +96,12 @@
         _myself: ActorRef<ControlMessage>,
         arguments: ControlArguments,
     ) -> Result<ControlState, ActorProcessingErr> {
-        let ControlArguments { replication, settings, joins } = arguments;
+        let ControlArguments { replication, settings, joins, metrics } = arguments;
         Ok(ControlState {
             replication,
             settings,
             joins,
+            metrics,
             started: Instant::now(),
             state: QueueState::default(),
             applied: LogIndex::default(),
@@ -128,18 +133,20 @@
         match message {
             ControlMessage::Committed(item) => state.on_committed(item)?,
             ControlMessage::Call { request, reply } => state.on_call(request, reply),
-            ControlMessage::AgentConnected { stream, node, frames } => match &mut state.dispatcher {
-                Some(dispatcher) => {
-                    log::info!(event = "agent_attached", node = node.as_str(); "an agent attached");
-                    dispatcher.connect(&node);
-                    state.agents.connect(node, stream, frames, dispatcher.token());
-                }
-                None => {
-                    let hint = state.hint();
-                    // The agent may be gone already.
-                    let _ = frames.try_send(LeaderFrame::NotLeader(hint));
+            ControlMessage::AgentConnected { stream, node, frames } => {
+                match &mut state.dispatcher {
+                    Some(dispatcher) => {
+                        log::info!(event = "agent_attached", node = node.as_str(); "an agent attached");
+                        dispatcher.connect(&node);
+                        state.agents.connect(node, stream, frames, dispatcher.token());
+                    }
+                    None => {
+                        let hint = state.hint();
+                        // The agent may be gone already.
+                        let _ = frames.try_send(LeaderFrame::NotLeader(hint));
+                    }
                 }
-            },
+            }
             ControlMessage::AgentReport { stream, node, message } => {
                 let now = state.now();
                 if state.agents.is_current(&node, stream)
@@ -161,7 +168,7 @@
                     }
                 }
             }
-            ControlMessage::Schedule => return state.schedule().map_err(Into::into),
+            ControlMessage::Schedule => return state.schedule(),
             ControlMessage::Tick => state.on_tick()?,
             ControlMessage::Drain { reply } => state.drains.push(reply),
         }
@@ -284,7 +291,18 @@
         proposal: Option<ProposalId>,
         payload: &[u8],
     ) -> Result<(), ActorProcessingErr> {
-        let applied = self.state.apply(decode::<Command>(payload)?);
+        let command = decode::<Command>(payload)?;
+        // Followers apply the same; one copy of each line is enough.
+        let leads = self.dispatcher.is_some();
+        let record = leads.then(|| command.clone());
+        if let Some(record) = &record {
+            log_command(record, &self.state, index, &self.metrics);
+        }
+        let applied = self.state.apply(command);
+        if let Some(record) = &record {
+            log_applied(record, applied, &self.state, index);
+            self.metrics.queues.set_open_runs(self.state.jobs.open_runs().len());
+        }
         self.applied = index;
         self.decision_due = true;
         match proposal.and_then(|proposal| self.proposals.remove(&proposal)) {
@@ -345,6 +363,7 @@
             && now.since(self.beat_at) >= BEAT_INTERVAL
         {
             self.beat_at = now;
+            self.metrics.queues.set_agents(dispatcher.connected_count());
             self.agents.beat(dispatcher.token());
         }
         if self.dispatcher.is_some() && now.since(self.forgot_at) >= FORGET_INTERVAL {
@@ -371,6 +390,7 @@
             if changes.is_empty() {
                 // Decisions build on a table without changes under way.
                 changes = dispatcher.decide(jobs, &self.state.configuration, now, unix_ms);
+                self.metrics.queues.count_evictions(dispatcher.take_eviction_count());
             }
             if !changes.is_empty() {
                 self.changes_proposed = true;
--- a/crates/yuccatack_queue_control/src/calls.rs
+++ b/crates/yuccatack_queue_control/src/calls.rs
@@ -76,12 +76,7 @@
     Ok((access, name))
 }
 
-fn plan_submit(
-    state: &QueueState,
-    target: &CallTarget,
-    spec: JobSpec,
-    now_unix_ms: u64,
-) -> Plan {
+fn plan_submit(state: &QueueState, target: &CallTarget, spec: JobSpec, now_unix_ms: u64) -> Plan {
     let (access, name) = match job_of(state, target) {
         Ok(found) => found,
         Err(refusal) => return Plan::Answer(refusal),
--- a/crates/yuccatack_queue_control/src/identity.rs
+++ b/crates/yuccatack_queue_control/src/identity.rs
@@ -50,8 +50,9 @@
     let number = match address {
         IpAddr::V4(address) => u64::from(u32::from(address)),
         // The low half of an address tells the machines of a network apart.
-        IpAddr::V6(address) => u64::try_from(u128::from(address) & u128::from(u64::MAX >> 1))
-            .unwrap_or(u64::MAX >> 1),
+        IpAddr::V6(address) => {
+            u64::try_from(u128::from(address) & u128::from(u64::MAX >> 1)).unwrap_or(u64::MAX >> 1)
+        }
     };
     ReplicaId::new(number)
 }
--- a/crates/yuccatack_queue_control/src/lib.rs
+++ b/crates/yuccatack_queue_control/src/lib.rs
@@ -9,6 +9,7 @@
 mod join;
 mod membership;
 mod message;
+mod observe;
 mod process;
 mod service;
 mod state;
--- a/crates/yuccatack_queue_control/src/membership.rs
+++ b/crates/yuccatack_queue_control/src/membership.rs
@@ -119,7 +119,9 @@
         };
         let Some(change) = change else { continue };
         match replication.change_membership(change).await {
-            Ok(()) => log::info!(event = "membership_changed", change:? = change; "members changed"),
+            Ok(()) => {
+                log::info!(event = "membership_changed", change:? = change; "members changed")
+            }
             Err(error) => log::warn!(
                 event = "membership_not_changed", change:? = change;
                 "the members stay as they are: {error}"
--- a/crates/yuccatack_queue_control/src/message.rs
+++ b/crates/yuccatack_queue_control/src/message.rs
@@ -15,15 +15,31 @@
 #[derive(Debug)]
 pub(crate) enum ControlMessage {
     Committed(Committed),
-    Call { request: Request, reply: oneshot::Sender<Response> },
-    AgentConnected { stream: StreamId, node: NodeName, frames: mpsc::Sender<LeaderFrame> },
-    AgentReport { stream: StreamId, node: NodeName, message: AgentMessage },
-    AgentGone { stream: StreamId, node: NodeName },
+    Call {
+        request: Request,
+        reply: oneshot::Sender<Response>,
+    },
+    AgentConnected {
+        stream: StreamId,
+        node: NodeName,
+        frames: mpsc::Sender<LeaderFrame>,
+    },
+    AgentReport {
+        stream: StreamId,
+        node: NodeName,
+        message: AgentMessage,
+    },
+    AgentGone {
+        stream: StreamId,
+        node: NodeName,
+    },
     /// Decides on everything that was in the mailbox before it.
     Schedule,
     Tick,
     /// Answers when no call waits any more, after which the process may end.
-    Drain { reply: oneshot::Sender<()> },
+    Drain {
+        reply: oneshot::Sender<()>,
+    },
 }
 
 /// A replica that asks to become a member.
--- /dev/null
+++ b/crates/yuccatack_queue_control/src/observe.rs
@@ -0,0 +1,87 @@
+//! What the leader logs and counts of each committed command.
+
+use yuccatack_dispatch::TableChange;
+use yuccatack_replication::LogIndex;
+use yuccatack_runs::{JobPhase, RunEnd, RunOutcome};
+use yuccatack_telemetry::Metrics;
+use yuccatack_telemetry::metrics::RunEndKind;
+
+use crate::command::Command;
+use crate::state::{Applied, QueueState};
+
+/// Logs what a command is about to decide; `state` is the one before it.
+pub(crate) fn log_command(
+    command: &Command,
+    state: &QueueState,
+    index: LogIndex,
+    metrics: &Metrics,
+) {
+    match command {
+        Command::Submit(submission) => log::info!(
+            event = "job_stored", job = submission.name.as_str(),
+            queue = submission.queue.as_str(), index = index.get(),
+            configuration = state.configuration.version().get();
+            "a job is stored"
+        ),
+        Command::Change { changes, .. } => {
+            for change in changes {
+                if let TableChange::End(end) = change
+                    && state.jobs.open_runs().contains_key(&end.run)
+                {
+                    log_end(end, index, metrics);
+                }
+            }
+        }
+        Command::Cancel { .. } | Command::Configure(_) | Command::Forget(_) => {}
+    }
+}
+
+fn log_end(end: &RunEnd, index: LogIndex, metrics: &Metrics) {
+    log::info!(
+        event = "run_ended", run:% = end.run, outcome:? = end.outcome, index = index.get();
+        "a run is over"
+    );
+    metrics.queues.count_run_end(match end.outcome {
+        RunOutcome::Done => RunEndKind::Done,
+        RunOutcome::Failed => RunEndKind::Failed,
+        RunOutcome::Stopped => RunEndKind::Stopped,
+        RunOutcome::Lapsed => RunEndKind::Lapsed,
+        RunOutcome::Broken | RunOutcome::Alone => RunEndKind::Broken,
+        RunOutcome::NeverBegan => RunEndKind::NeverBegan,
+        RunOutcome::WorkerLost => RunEndKind::WorkerLost,
+    });
+}
+
+/// Logs what a command has decided; `state` is the one after it.
+pub(crate) fn log_applied(
+    command: &Command,
+    applied: Applied,
+    state: &QueueState,
+    index: LogIndex,
+) {
+    match (command, applied) {
+        (Command::Cancel { name, .. }, Applied::Cancelled(outcome)) => log::info!(
+            event = "job_cancelled", job = name.as_str(), outcome:? = outcome, index = index.get();
+            "a cancellation was decided"
+        ),
+        (Command::Configure(configuration), Applied::Configured(acceptance)) => log::info!(
+            event = "configuration_in_force", version = configuration.version.get(),
+            outcome:? = acceptance, index = index.get();
+            "a configuration was decided"
+        ),
+        (Command::Change { changes, .. }, _) => {
+            for change in changes {
+                let TableChange::End(end) = change else { continue };
+                let Some(job) = state.jobs.job(&end.run.task.job) else { continue };
+                if matches!(job.phase, JobPhase::Completed | JobPhase::Failed) {
+                    log::info!(
+                        event = "job_ended", job = end.run.task.job.as_str(),
+                        phase:? = job.phase, index = index.get();
+                        "a job has ended"
+                    );
+                }
+            }
+        }
+        _ => {}
+    }
+}
--- a/crates/yuccatack_queue_control/src/process.rs
+++ b/crates/yuccatack_queue_control/src/process.rs
@@ -15,6 +15,7 @@
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_queue_client::QueueClient;
 use yuccatack_replication::{Committed, ReplicationConfig, ReplicationService};
+use yuccatack_telemetry::Metrics;
 
 use crate::actor::{ControlActor, ControlArguments};
 use crate::error::{ActorSnafu, ControlError, ListenSnafu, ReplicationSnafu};
@@ -65,6 +66,7 @@
 pub async fn run(
     config: ControlConfig,
     client: QueueClient,
+    metrics: Metrics,
     mut shutdown: Shutdown,
 ) -> Result<(), ControlError> {
     let address = config.address;
@@ -81,6 +83,7 @@
         replication: replication.clone(),
         settings: config.dispatch.clone(),
         joins,
+        metrics,
     };
     let (actor, actor_task) = Actor::spawn(None, ControlActor, arguments)
         .await
--- /dev/null
+++ b/crates/yuccatack_queue_control/tests/member_changes.rs
@@ -0,0 +1,80 @@
+//! Guards against a group that shrinks because of silence, or keeps a wiped replica's vote.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use yuccatack_queue_control::{MembershipView, next_change, replica_identity};
+use yuccatack_replication::{MembershipChange, ReplicaId};
+use yuccatack_storage::DataFolder;
+
+fn id(number: u64) -> ReplicaId {
+    ReplicaId::new(number)
+}
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7000))
+}
+
+fn members(numbers: &[u8]) -> BTreeMap<ReplicaId, SocketAddr> {
+    numbers.iter().map(|number| (id(u64::from(*number)), address(*number))).collect()
+}
+
+fn view(voters: &[u8], learners: &[u8], silent: &[u64]) -> MembershipView {
+    MembershipView {
+        voters: members(voters),
+        learners: members(learners),
+        silent_voters: silent.iter().map(|number| id(*number)).collect::<BTreeSet<_>>(),
+        joins: BTreeMap::new(),
+        wanted_voter_count: 5,
+    }
+}
+
+#[test]
+fn grows_to_wanted() {
+    let promote = MembershipChange::Promote { replica: id(4), replaces: None };
+    assert_eq!(next_change(&view(&[1, 2, 3], &[4], &[])), Some(promote));
+    assert_eq!(next_change(&view(&[1, 2, 3, 4, 5], &[6], &[])), None);
+}
+
+#[test]
+fn silence_alone_removes_nobody() {
+    assert_eq!(next_change(&view(&[1, 2, 3, 4, 5], &[], &[1, 2])), None);
+    let replace = MembershipChange::Promote { replica: id(6), replaces: Some(id(2)) };
+    assert_eq!(next_change(&view(&[1, 2, 3, 4, 5], &[6], &[2])), Some(replace));
+}
+
+#[test]
+fn wiped_voter_replaced() {
+    let mut wiped = view(&[1, 2, 3, 4, 5], &[], &[]);
+    wiped.joins.insert(id(99), address(3));
+    let add = MembershipChange::AddLearner { replica: id(99), address: address(3) };
+    assert_eq!(next_change(&wiped), Some(add));
+    wiped.learners.insert(id(99), address(3));
+    let replace = MembershipChange::Promote { replica: id(99), replaces: Some(id(3)) };
+    assert_eq!(next_change(&wiped), Some(replace));
+}
+
+#[test]
+fn wiped_learner_removed() {
+    let mut wiped = view(&[1, 2, 3, 4, 5], &[6], &[]);
+    wiped.joins.insert(id(99), address(6));
+    assert_eq!(next_change(&wiped), Some(MembershipChange::RemoveLearner { replica: id(6) }));
+}
+
+#[test]
+fn wiped_folder_new_number() {
+    let folder = tempfile::tempdir().unwrap();
+    let seeds = [address(1), address(2), address(3)];
+    let founder = replica_identity(folder.path(), address(1), &seeds, true).unwrap();
+    assert_eq!(founder.founders.len(), 3);
+    let later = replica_identity(folder.path(), address(1), &seeds, false).unwrap();
+    assert_ne!(later.replica, founder.replica, "a wiped folder would vote again");
+    assert!(later.founders.is_empty(), "a second group would be founded");
+    DataFolder::open(folder.path(), founder.replica.get()).unwrap();
+    let kept = replica_identity(folder.path(), address(1), &seeds, false).unwrap();
+    assert_eq!(kept.replica, founder.replica);
+    let outside = replica_identity(folder.path(), address(9), &seeds, true).unwrap();
+    assert!(outside.founders.is_empty(), "a machine that is no seed founded a group");
+}
--- /dev/null
+++ b/crates/yuccatack_queue_control/tests/support/mod.rs
@@ -0,0 +1,226 @@
+//! Control replicas and agents with stand-in workers in one process, on loopback ports.
+
+#![allow(clippy::unwrap_used, dead_code, missing_docs)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tempfile::TempDir;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+use yuccatack_core::{
+    DataCentreName, DurationMs, NodeName, OrganisationName, QueueName, Resources, ServiceName,
+    WorkerName,
+};
+use yuccatack_dispatch::{DispatchSettings, WorkerState};
+use yuccatack_lifecycle::{ShutdownPhase, ShutdownTrigger, shutdown_channel};
+use yuccatack_queue_client::QueueClient;
+use yuccatack_queue_client::protocol::{CallTarget, Request, Response};
+use yuccatack_queue_control::{ControlConfig, run};
+use yuccatack_queues::{
+    AccessKey, Configuration, ConfigurationVersion, Organisation, Queue, Service,
+};
+use yuccatack_runs::{JobPhase, JobSpec, StepSpec, WorkerLife};
+use yuccatack_stand_ins::{QueueWorkerHandle, QueueWorkerStandIn};
+use yuccatack_telemetry::Metrics;
+use yuccatack_worker_agent::{Agent, AgentConfig, Announcement};
+
+/// How long one step of a test may take, with an election on a busy machine.
+pub const STEP_LIMIT: Duration = Duration::from_secs(20);
+
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+
+pub struct Replica {
+    pub folder: TempDir,
+    pub address: SocketAddr,
+    shutdown: ShutdownTrigger,
+    task: JoinHandle<()>,
+}
+
+pub struct Deployment {
+    pub replicas: Vec<Replica>,
+    pub client: QueueClient,
+    seeds: Vec<SocketAddr>,
+    /// Keep the agents' announcements and shutdowns open.
+    agents: Vec<(mpsc::Sender<Announcement>, ShutdownTrigger)>,
+}
+
+/// A port that nothing else uses; the listener is dropped just before the replica binds it.
+pub fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Founders are numbered by their address, so each has its own loopback address.
+fn founder_address(index: usize) -> SocketAddr {
+    let host = format!("127.0.{}.{}:0", std::process::id() % 200 + 1, index + 1);
+    std::net::TcpListener::bind(host).unwrap().local_addr().unwrap()
+}
+
+fn start_replica(
+    folder: TempDir,
+    address: SocketAddr,
+    seeds: &[SocketAddr],
+    first: bool,
+) -> Replica {
+    let (_, seeds) = watch::channel(seeds.to_vec());
+    let (shutdown, shut) = shutdown_channel();
+    let config = ControlConfig {
+        address,
+        data_folder: folder.path().join("replica"),
+        seeds: seeds.clone(),
+        first_start: first,
+        tolerated_loss_count: 1,
+        dispatch: DispatchSettings::new(DurationMs::new(3_000), DurationMs::new(200), 3),
+    };
+    let client = QueueClient::new(seeds);
+    let task = tokio::spawn(async move {
+        run(config, client, Metrics::new(), shut).await.unwrap();
+    });
+    Replica { folder, address, shutdown, task }
+}
+
+impl Deployment {
+    /// Three replicas that found a group.
+    pub async fn start() -> Self {
+        let seeds: Vec<SocketAddr> = (0..3).map(founder_address).collect();
+        let replicas = seeds
+            .iter()
+            .map(|address| start_replica(tempfile::tempdir().unwrap(), *address, &seeds, true));
+        let replicas = replicas.collect();
+        let (_, receiver) = watch::channel(seeds.clone());
+        let client = QueueClient::new(receiver);
+        let deployment = Self { replicas, client, seeds, agents: Vec::new() };
+        deployment.answered(&Request::Ping, |response| *response == Response::Pong).await;
+        deployment
+    }
+
+    /// Starts an agent whose worker needs `run_time` for each task.
+    pub async fn add_worker(&mut self, name: &str, run_time: Duration) -> QueueWorkerHandle {
+        let node = NodeName::new(name).unwrap();
+        let (worker, handle) = QueueWorkerStandIn::spawn(run_time);
+        let (announcements, waiting) = mpsc::channel(8);
+        let (trigger, shutdown) = shutdown_channel();
+        let config = AgentConfig { node: node.clone() };
+        tokio::spawn(Agent::run(config, worker, self.client.clone(), waiting, shutdown));
+        let state = WorkerState {
+            life: WorkerLife {
+                node,
+                worker: WorkerName::new(name).unwrap(),
+                started_at_unix_ms: 1,
+            },
+            service: ServiceName::new("pool").unwrap(),
+            data_centre: DataCentreName::new("here").unwrap(),
+            capacity: Resources { cores_milli: 8_000, memory_bytes: 1 << 36, accelerator_count: 8 },
+            labels: Vec::new(),
+            rack: None,
+            draining: false,
+            remaining_ms: None,
+        };
+        announcements.send(Announcement::Present { state, sequence: 1 }).await.unwrap();
+        self.agents.push((announcements, trigger));
+        handle
+    }
+
+    /// Puts the configuration with the test's queue in force.
+    pub async fn configure(&self, version: u64, key: &str) {
+        let request = Request::Configure(Arc::new(configuration(version, key)));
+        self.answered(&request, |response| matches!(response, Response::Configured(_))).await;
+    }
+
+    /// Repeats a request until its answer is `wanted`.
+    pub async fn answered<Wanted>(&self, request: &Request, wanted: Wanted) -> Response
+    where
+        Wanted: Fn(&Response) -> bool,
+    {
+        let deadline = Instant::now() + STEP_LIMIT;
+        let mut last = None;
+        while Instant::now() < deadline {
+            let answer = self.client.call(request, CALL_LIMIT).await;
+            if let Ok(response) = &answer
+                && wanted(response)
+            {
+                return response.clone();
+            }
+            last = Some(answer);
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("{request:?} was answered by {last:?}");
+    }
+
+    pub async fn submit(&self, job: &str, spec: JobSpec) {
+        let request = Request::Submit(target(job), Box::new(spec));
+        self.answered(&request, |response| *response == Response::Accepted).await;
+    }
+
+    pub async fn reaches(&self, job: &str, phase: JobPhase) {
+        let wanted = Response::Job(phase);
+        self.answered(&Request::Read(target(job)), |response| *response == wanted).await;
+    }
+
+    /// Ends a replica without a drain, as a kill does, and returns its folder and address.
+    pub async fn kill(&mut self, index: usize) -> (TempDir, SocketAddr) {
+        let replica = self.replicas.remove(index);
+        replica.task.abort();
+        // The task was aborted; its result tells nothing.
+        let _ = replica.task.await;
+        (replica.folder, replica.address)
+    }
+
+    pub fn restart(&mut self, folder: TempDir, address: SocketAddr) {
+        let replica = start_replica(folder, address, &self.seeds, false);
+        self.replicas.push(replica);
+    }
+
+    pub async fn stop_all(&mut self) -> Vec<(TempDir, SocketAddr)> {
+        let mut stopped = Vec::new();
+        for replica in self.replicas.drain(..) {
+            replica.shutdown.advance(ShutdownPhase::Draining);
+            replica.task.await.unwrap();
+            stopped.push((replica.folder, replica.address));
+        }
+        stopped
+    }
+}
+
+pub fn target(job: &str) -> CallTarget {
+    CallTarget {
+        host: Arc::from("host.example"),
+        path: Arc::from(format!("/queue/{job}")),
+        key: Some(AccessKey::new("key")),
+    }
+}
+
+pub fn job(task_count: u32) -> JobSpec {
+    let demand = Resources { cores_milli: 1_000, memory_bytes: 1, accelerator_count: 1 };
+    let step = StepSpec { task_count, demand, ..StepSpec::default() };
+    JobSpec { payload: Arc::from("payload"), steps: vec![step], schedule: None }
+}
+
+pub fn configuration(version: u64, key: &str) -> Configuration {
+    let service = ServiceName::new("pool").unwrap();
+    Configuration {
+        version: ConfigurationVersion::new(version),
+        queues: vec![Queue {
+            name: QueueName::new("queue").unwrap(),
+            host: Arc::from("host.example"),
+            path_prefix: Arc::from("/queue/"),
+            service: service.clone(),
+            priority: 1,
+            max_attempts: 2,
+            stretch: 3.0,
+            allowance_ms: DurationMs::new(1_000),
+            call_timeout_ms: DurationMs::new(3_000),
+            public: false,
+        }],
+        services: vec![Service { name: service, admission_control: true }],
+        organisations: vec![Organisation {
+            name: OrganisationName::new("tenant").unwrap(),
+            keys: vec![AccessKey::new(key)],
+            guaranteed_accelerator_count: 0,
+        }],
+        document: Arc::from(format!("document {version}")),
+    }
+}
--- a/crates/yuccatack_replication/src/state/view.rs
+++ b/crates/yuccatack_replication/src/state/view.rs
@@ -82,9 +82,10 @@
         let Role::Leader(leader) = &self.role else { return BTreeSet::new() };
         let limit_ms = SILENCE_FACTOR * self.settings.election_timeout.get();
         let is_silent = |replica: &&ReplicaId| {
-            leader.progress.get(replica).is_some_and(|progress| {
-                self.now.since(progress.last_response).get() > limit_ms
-            })
+            leader
+                .progress
+                .get(replica)
+                .is_some_and(|progress| self.now.since(progress.last_response).get() > limit_ms)
         };
         self.membership().voters.keys().filter(is_silent).copied().collect()
     }
--- a/crates/yuccatack_telemetry/src/logging/writer.rs
+++ b/crates/yuccatack_telemetry/src/logging/writer.rs
@@ -22,6 +22,24 @@
 /// The window of that limit.
 const WINDOW: DurationMs = DurationMs::from_seconds(10);
 
+/// The same limit for events that tell of one decision about one job or run, so that the decisions
+/// of an ordinary burst stay complete.
+const DECISION_LINE_LIMIT_COUNT: u64 = 400;
+
+/// Events that tell of one decision.
+const DECISION_EVENTS: [&str; 10] = [
+    "call_answered",
+    "job_cancelled",
+    "job_ended",
+    "job_stored",
+    "run_ended",
+    "run_evicted",
+    "run_ordered",
+    "start_carried_out",
+    "stop_carried_out",
+    "stop_ordered",
+];
+
 /// Events that are never left out: the list of what a stopped process leaves must be complete.
 const UNCAPPED_EVENTS: [&str; 2] = ["attempt_left", "requests_left"];
 
@@ -45,6 +63,7 @@
     context: LineContext,
     output: Box<dyn Write + Send>,
     limiter: RepeatLimiter,
+    decision_limiter: RepeatLimiter,
     started: Instant,
 }
 
@@ -56,7 +75,9 @@
 ) -> Result<(), LoggingError> {
     let output = open(destination)?;
     let limiter = RepeatLimiter::new(LINE_LIMIT_COUNT, WINDOW);
-    let writer = Writer { context, output, limiter, started: Instant::now() };
+    let decision_limiter = RepeatLimiter::new(DECISION_LINE_LIMIT_COUNT, WINDOW);
+    let started = Instant::now();
+    let writer = Writer { context, output, limiter, decision_limiter, started };
     let builder = thread::Builder::new().name("log_writer".to_owned());
     builder.spawn(move || writer.run(&messages)).context(SpawnSnafu)?;
     Ok(())
@@ -119,7 +140,13 @@
         if UNCAPPED_EVENTS.contains(&&*line.event) {
             return self.write(&line.text);
         }
-        match self.limiter.offer(&line.event, line.level, self.now()) {
+        let now = self.now();
+        let limiter = if DECISION_EVENTS.contains(&&*line.event) {
+            &mut self.decision_limiter
+        } else {
+            &mut self.limiter
+        };
+        match limiter.offer(&line.event, line.level, now) {
             Decision::Write => self.write(&line.text),
             Decision::Suppress => {}
         }
@@ -133,12 +160,15 @@
     }
 
     fn summarise_ended(&mut self) {
-        let summaries = self.limiter.expire(self.now());
+        let now = self.now();
+        let mut summaries = self.limiter.expire(now);
+        summaries.extend(self.decision_limiter.expire(now));
         self.write_summaries(&summaries);
     }
 
     fn finish(&mut self) {
-        let summaries = self.limiter.finish();
+        let mut summaries = self.limiter.finish();
+        summaries.extend(self.decision_limiter.finish());
         self.write_summaries(&summaries);
         self.flush();
     }
@@ -164,7 +194,8 @@
     }
 
     fn time_to_summary(&self) -> Option<Duration> {
-        let due = self.limiter.next_summary_at()?;
+        let limiters = [&self.limiter, &self.decision_limiter];
+        let due = limiters.into_iter().filter_map(RepeatLimiter::next_summary_at).min()?;
         Some(due.since(self.now()).into())
     }
 }
--- a/crates/yuccatack_telemetry/src/metrics/labels.rs
+++ b/crates/yuccatack_telemetry/src/metrics/labels.rs
@@ -65,6 +65,36 @@
 }
 
 closed_label! {
+    /// How a consumer's call ended.
+    CallOutcome {
+        /// It was answered as asked.
+        Served => "served",
+        /// It was refused for a reason that the caller can mend.
+        Refused => "refused",
+        /// Nothing was done, and the caller is told when to come back.
+        Later => "later",
+        /// It may have been done; the caller asks again.
+        Unknown => "unknown",
+    }
+
+    /// How a run of a task ended.
+    RunEndKind {
+        /// The task is done.
+        Done => "done",
+        /// It failed.
+        Failed => "failed",
+        /// It was told to stop.
+        Stopped => "stopped",
+        /// Its lease expired on the worker.
+        Lapsed => "lapsed",
+        /// Its gang broke, or did not come together.
+        Broken => "broken",
+        /// It never began.
+        NeverBegan => "never_began",
+        /// Its worker was lost.
+        WorkerLost => "worker_lost",
+    }
+
     /// How a request ended.
     RequestOutcome {
         /// The caller got the answer.
--- a/crates/yuccatack_telemetry/src/metrics/mod.rs
+++ b/crates/yuccatack_telemetry/src/metrics/mod.rs
@@ -9,6 +9,7 @@
 mod jobs;
 mod labels;
 mod objectives;
+mod queues;
 mod replication;
 mod requests;
 mod view;
@@ -24,8 +25,9 @@
 pub use catalogue::{CATALOGUE, MetricDescription, MetricType, MetricUnit};
 pub use jobs::JobMetrics;
 pub(crate) use labels::class_name;
-pub use labels::{JobOutcome, JobPhase, RequestOutcome, WorkerHealth};
+pub use labels::{CallOutcome, JobOutcome, JobPhase, RequestOutcome, RunEndKind, WorkerHealth};
 pub use objectives::ObjectiveMetrics;
+pub use queues::QueueMetrics;
 pub use replication::ReplicationMetrics;
 pub use requests::{InFlightRequest, RequestLabels, RequestMetrics};
 pub use view::ViewMetrics;
@@ -48,6 +50,8 @@
     pub replication: ReplicationMetrics,
     /// The read view, at entries and agents; its spread, at the control leader.
     pub view: ViewMetrics,
+    /// Queues: calls at entries, jobs and runs at the control leader, orders at agents.
+    pub queues: QueueMetrics,
     /// Good and all events of each objective, for the burn report.
     pub objectives: ObjectiveMetrics,
     registry: Arc<Registry>,
@@ -68,8 +72,9 @@
         let capacity = CapacityMetrics::register(&mut registry);
         let replication = ReplicationMetrics::register(&mut registry);
         let view = ViewMetrics::register(&mut registry);
+        let queues = QueueMetrics::register(&mut registry);
         let registry = Arc::new(registry);
-        Self { requests, agent, jobs, capacity, replication, view, objectives, registry }
+        Self { requests, agent, jobs, capacity, replication, view, queues, objectives, registry }
     }
 
     /// All values in the OpenMetrics text format.
--- a/crates/yuccatack_telemetry/tests/event_names.rs
+++ b/crates/yuccatack_telemetry/tests/event_names.rs
@@ -52,6 +52,7 @@
         .collect();
     let mut files = Vec::new();
     source_files(&root().join("crates"), &mut files);
+    source_files(&root().join("platform"), &mut files);
     assert!(files.len() > 50, "only {} source files found", files.len());
     let mut missing = Vec::new();
     for file in files {
--- a/crates/yuccatack_telemetry/tests/metric_names.rs
+++ b/crates/yuccatack_telemetry/tests/metric_names.rs
@@ -12,7 +12,8 @@
 use yuccatack_core::prelude::*;
 use yuccatack_telemetry::Metrics;
 use yuccatack_telemetry::metrics::{
-    CATALOGUE, JobOutcome, JobPhase, MetricDescription, MetricType, RequestOutcome, WorkerHealth,
+    CATALOGUE, CallOutcome, JobOutcome, JobPhase, MetricDescription, MetricType, RequestOutcome,
+    RunEndKind, WorkerHealth,
 };
 
 /// Metrics of which each has a value.
@@ -42,6 +43,12 @@
     metrics.view.set_age(Duration::from_millis(1));
     metrics.view.set_revision(Revision::new(1));
     metrics.view.set_nodes_not_in_force(1);
+    metrics.queues.observe_call(CallOutcome::Served, Duration::from_millis(1));
+    metrics.queues.count_run_end(RunEndKind::Done);
+    metrics.queues.set_open_runs(1);
+    metrics.queues.count_evictions(1);
+    metrics.queues.set_agents(1);
+    metrics.queues.count_order();
     metrics
 }
 
