Keep the control process alive while its disk is full

The replica is opened again every second; a failed sync still ends the process. Ruled out: going on with the open files, whose end is unknown after a failed write.

--- a/crates/yuccatack_queue_control/src/error.rs
+++ b/crates/yuccatack_queue_control/src/error.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use snafu::Snafu;
-use yuccatack_replication::StartError;
+use yuccatack_replication::{ReplicaFailure, StartError};
 use yuccatack_storage::StorageError;
 
 /// A failure that ends the process.
@@ -39,6 +39,12 @@
     /// The log has stopped.
     #[snafu(display("the replicated log has stopped; see the error logged before"))]
     LogStopped,
+    /// The disk is full.
+    #[snafu(display("{detail}"))]
+    DiskFull {
+        /// The storage's message with its remedy.
+        detail: String,
+    },
     /// The server has stopped.
     #[snafu(display("the server stopped: {detail}; start the process again"))]
     Server {
@@ -46,3 +52,24 @@
         detail: String,
     },
 }
+
+impl ControlError {
+    /// Why the log stopped by itself.
+    pub fn from_failure(failure: Option<ReplicaFailure>) -> Self {
+        match failure {
+            Some(ReplicaFailure::DiskFull { detail }) => Self::DiskFull { detail },
+            _ => Self::LogStopped,
+        }
+    }
+
+    /// Whether the same process can go on once there is space again.
+    pub fn is_disk_full(&self) -> bool {
+        let cause = match self {
+            Self::DiskFull { .. } => return true,
+            Self::Folder { source } => source,
+            Self::Replication { source: StartError::Storage { source } } => source,
+            _ => return false,
+        };
+        matches!(cause, StorageError::DiskFull { .. })
+    }
+}
--- a/crates/yuccatack_queue_control/src/process.rs
+++ b/crates/yuccatack_queue_control/src/process.rs
@@ -8,7 +8,7 @@
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 use yuccatack_dispatch::DispatchSettings;
@@ -62,12 +62,39 @@
     pub dispatch: DispatchSettings,
 }
 
+/// How long a replica with a full disk waits before it opens its folder again.
+const DISK_FULL_RETRY: Duration = Duration::from_secs(1);
+
 /// Runs a replica until the shutdown, which hands the lead over and answers waiting calls.
+///
+/// A full disk stops the replica but not the process, which goes on as soon as there is space.
 pub async fn run(
     config: ControlConfig,
     client: QueueClient,
     metrics: Metrics,
     mut shutdown: Shutdown,
+) -> Result<(), ControlError> {
+    loop {
+        let replica =
+            run_replica(config.clone(), client.clone(), metrics.clone(), shutdown.clone());
+        match replica.await {
+            Err(error) if error.is_disk_full() => {
+                log::error!(event = "disk_full"; "the replica waits for space: {error}");
+            }
+            ended => return ended,
+        }
+        tokio::select! {
+            () = shutdown.reached(ShutdownPhase::Draining) => return Ok(()),
+            () = sleep(DISK_FULL_RETRY) => {}
+        }
+    }
+}
+
+async fn run_replica(
+    config: ControlConfig,
+    client: QueueClient,
+    metrics: Metrics,
+    mut shutdown: Shutdown,
 ) -> Result<(), ControlError> {
     let address = config.address;
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
@@ -106,7 +133,9 @@
             drain(&actor, &replication).await;
             Ok(())
         }
-        _ = &mut feed => Err(ControlError::LogStopped),
+        _ = &mut feed => {
+            Err(ControlError::from_failure(replication.status().borrow().failure.clone()))
+        }
         ended = &mut server => Err(server_failure(ended)),
     };
     for task in background {
--- a/crates/yuccatack_replication/src/actor/mod.rs
+++ b/crates/yuccatack_replication/src/actor/mod.rs
@@ -36,7 +36,7 @@
     Flush,
     Tick,
     Synced(u64),
-    StorageFailed(String),
+    StorageFailed(ReplicaFailure),
     TransferLeadership(oneshot::Sender<()>),
     ChangeMembership(MembershipChange, oneshot::Sender<Result<(), ChangeError>>),
     Stop(oneshot::Sender<()>),
@@ -84,9 +84,7 @@
     ) -> Result<(), ActorProcessingErr> {
         match message {
             ActorMessage::Flush => state.flush(&myself),
-            ActorMessage::StorageFailed(detail) => {
-                state.fail(&myself, ReplicaFailure::Storage { detail });
-            }
+            ActorMessage::StorageFailed(failure) => state.fail(&myself, failure),
             ActorMessage::Stop(reply) => {
                 state.shut_down().await;
                 // The caller may have stopped waiting.
--- a/crates/yuccatack_replication/src/actor/start.rs
+++ b/crates/yuccatack_replication/src/actor/start.rs
@@ -112,7 +112,7 @@
 fn report(actor: &ActorRef<ActorMessage>, result: Result<u64, PersistError>) {
     let message = match result {
         Ok(sequence) => ActorMessage::Synced(sequence),
-        Err(error) => ActorMessage::StorageFailed(error.to_string()),
+        Err(error) => ActorMessage::StorageFailed(error.into()),
     };
     // The actor may have stopped; then nobody waits for the report.
     let _ = actor.cast(message);
--- a/crates/yuccatack_replication/src/actor/storage_task.rs
+++ b/crates/yuccatack_replication/src/actor/storage_task.rs
@@ -4,6 +4,7 @@
 use tokio::sync::mpsc;
 use yuccatack_storage::{LogBase, Snapshot, StorageError, Store, StoredEntry};
 
+use crate::error::ReplicaFailure;
 use crate::identifiers::{ClusterId, LogIndex, ReplicaId, Term};
 use crate::persistence::{HardState, PersistBatch, PersistOperation, Recovered, StateSnapshot};
 use crate::replicated_log::{LogEntry, LogPosition};
@@ -20,6 +21,20 @@
     Encoding { source: WireError },
 }
 
+impl From<PersistError> for ReplicaFailure {
+    fn from(error: PersistError) -> Self {
+        let detail = error.to_string();
+        match error {
+            PersistError::Storage { source: StorageError::DiskFull { .. } } => {
+                Self::DiskFull { detail }
+            }
+            PersistError::Storage { .. } | PersistError::Encoding { .. } => {
+                Self::Storage { detail }
+            }
+        }
+    }
+}
+
 /// Writes batches until the sender is gone; whatever waits shares one sync.
 ///
 /// Reports the number of the last batch of each write, and stops at the first failure.
--- a/crates/yuccatack_replication/src/error.rs
+++ b/crates/yuccatack_replication/src/error.rs
@@ -59,6 +59,12 @@
         /// The other replica.
         replica: ReplicaId,
     },
+    /// The disk has no space left; what was written before is intact.
+    #[snafu(display("{detail}"))]
+    DiskFull {
+        /// The storage's message with its remedy.
+        detail: String,
+    },
     /// The data folder failed.
     #[snafu(display("{detail}"))]
     Storage {
