--- a/crates/yuccatack_control/src/message.rs
+++ b/crates/yuccatack_control/src/message.rs
@@ -108,3 +108,9 @@
     /// The JSON body.
     pub body_json: Bytes,
 }
+
+impl From<Committed> for ControlMessage {
+    fn from(item: Committed) -> Self {
+        Self::Committed(item)
+    }
+}
--- a/crates/yuccatack_control/src/process.rs
+++ b/crates/yuccatack_control/src/process.rs
@@ -7,14 +7,14 @@
 use ractor::{Actor, ActorRef};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 use yuccatack_core::prelude::*;
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_records::generated::records::operators_server::OperatorsServer;
-use yuccatack_replication::{Committed, ReplicaId, ReplicationConfig, ReplicationService};
+use yuccatack_replication::{ReplicaId, ReplicationConfig, ReplicationService, forward_committed};
 use yuccatack_requests::claims::ClaimLimits;
 use yuccatack_requests::generated::claims::claims_server::ClaimsServer;
 use yuccatack_settings::ControlSettings;
@@ -66,7 +66,7 @@
     let (actor, actor_task) =
         Actor::spawn(None, ControlActor, arguments).await.context(ActorSnafu)?;
 
-    let mut feed = tokio::spawn(feed(committed, actor.clone()));
+    let mut feed = tokio::spawn(forward_committed(committed, actor.clone()));
     let reconciler = tokio::spawn(reconcile(wanted, replication.clone()));
     let ticker = tokio::spawn(tick(actor.clone()));
     let workers = tokio::spawn(serve_workers(
@@ -126,15 +126,6 @@
     }
 }
 
-/// Passes what the log delivers to the actor, until either of them stops.
-async fn feed(mut committed: mpsc::Receiver<Committed>, actor: ActorRef<ControlMessage>) {
-    while let Some(item) = committed.recv().await {
-        if actor.cast(ControlMessage::Committed(item)).is_err() {
-            return;
-        }
-    }
-}
-
 async fn tick(actor: ActorRef<ControlMessage>) {
     let mut interval = tokio::time::interval(TICK_INTERVAL);
     // After a pause of the process one tick is enough; a burst would only repeat the same decision.
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -11,13 +11,13 @@
 use yuccatack_queue_client::protocol::{LeaderFrame, LeaderHint, Request, Response};
 use yuccatack_replication::{
     Committed, Leadership, LogIndex, ProposalFailure, ProposalId, ReadFailure, ReadId, ReplicaId,
-    ReplicationHandle,
+    ReplicationHandle, decode, encode,
 };
 use yuccatack_telemetry::Metrics;
 
 use crate::agents::Agents;
 use crate::calls::{Plan, answer, plan};
-use crate::command::{Command, decode, encode};
+use crate::command::Command;
 use crate::message::{ControlMessage, JoinRequest};
 use crate::observe::{log_applied, log_command};
 use crate::state::QueueState;
--- a/crates/yuccatack_queue_control/src/message.rs
+++ b/crates/yuccatack_queue_control/src/message.rs
@@ -48,3 +48,9 @@
     pub replica: ReplicaId,
     pub address: SocketAddr,
 }
+
+impl From<Committed> for ControlMessage {
+    fn from(item: Committed) -> Self {
+        Self::Committed(item)
+    }
+}
--- a/crates/yuccatack_queue_control/src/process.rs
+++ b/crates/yuccatack_queue_control/src/process.rs
@@ -14,7 +14,7 @@
 use yuccatack_dispatch::DispatchSettings;
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_queue_client::QueueClient;
-use yuccatack_replication::{Committed, ReplicationConfig, ReplicationService};
+use yuccatack_replication::{ReplicationConfig, ReplicationService, forward_committed};
 use yuccatack_telemetry::Metrics;
 
 use crate::actor::{ControlActor, ControlArguments};
@@ -121,7 +121,7 @@
         tokio::spawn(keep_membership(replication.clone(), join_requests, wanted_voter_count)),
         tokio::spawn(keep_joined(replication.clone(), client, replica, address, is_founder)),
     ];
-    let mut feed = tokio::spawn(feed(committed, actor.clone()));
+    let mut feed = tokio::spawn(forward_committed(committed, actor.clone()));
     let mut server = tokio::spawn(serve(listener, actor.clone(), replication_service));
     log::info!(
         event = "queue_control_started", address:% = address, replica = replica.get(),
@@ -161,15 +161,6 @@
     }
 }
 
-/// Passes what the log delivers to the actor, until either of them stops.
-async fn feed(mut committed: mpsc::Receiver<Committed>, actor: ActorRef<ControlMessage>) {
-    while let Some(item) = committed.recv().await {
-        if actor.cast(ControlMessage::Committed(item)).is_err() {
-            return;
-        }
-    }
-}
-
 async fn tick(actor: ActorRef<ControlMessage>) {
     let mut ticks = interval(TICK_INTERVAL);
     // After a pause of the process one tick is enough; a burst would repeat the same decision.
--- a/crates/yuccatack_replication/src/committed.rs
+++ b/crates/yuccatack_replication/src/committed.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use ractor::ActorRef;
+use tokio::sync::mpsc;
 
 use crate::identifiers::{LogIndex, ProposalId, ReadId, Term};
 
@@ -91,3 +93,17 @@
         leader_address: Option<SocketAddr>,
     },
 }
+
+/// Passes what the log delivers to the actor that uses it, until either of them stops.
+pub async fn forward_committed<Wrapped>(
+    mut committed: mpsc::Receiver<Committed>,
+    actor: ActorRef<Wrapped>,
+) where
+    Wrapped: From<Committed> + ractor::Message,
+{
+    while let Some(item) = committed.recv().await {
+        if actor.cast(Wrapped::from(item)).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/yuccatack_replication/src/lib.rs
+++ b/crates/yuccatack_replication/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod actor;
 mod committed;
+mod encoding;
 mod error;
 mod handle;
 mod identifiers;
@@ -16,7 +17,8 @@
 mod transport;
 mod wire;
 
-pub use committed::{Committed, Leadership, ProposalFailure, ReadFailure};
+pub use committed::{Committed, Leadership, ProposalFailure, ReadFailure, forward_committed};
+pub use encoding::{EncodingError, decode, encode};
 pub use error::{ChangeError, ReplicaFailure, StartError};
 pub use handle::{
     LearnerStatus, ReplicationConfig, ReplicationHandle, ReplicationStatus, RoleName, start,
