Bound the work of one decision, and promise room only once

A burst of urgent gangs searches all runs for each member; the search of 20 gangs takes longer than an election timeout at the leader's share of a core. One decision now makes four searches, and the leader does other work for three times as long as a decision took.

The test burst_takes_turns also found that several units could wait for the same room.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -7,7 +7,7 @@
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{JobTable, RunEnd, RunId, RunOutcome, RunStart, WorkerLife};
 
-use crate::capacity::{Slot, slots};
+use crate::capacity::{Slot, add, footprint, slots, subtract};
 use crate::demand::{Tier, Unit, ready_units, urgent_accelerators};
 use crate::lease::{ClockReading, longest_real_time};
 use crate::loss::Progress;
@@ -22,6 +22,10 @@
 /// began, and the answers of worker and agent may overtake each other.
 const MISSING_LIMIT: u8 = 2;
 
+/// For how many units one decision looks for runs to evict. A search looks at every run for every
+/// member of a gang, so that a burst of urgent gangs would keep the leader from its heartbeats.
+const EVICTION_SEARCH_LIMIT: usize = 4;
+
 /// A change of the replicated table that the leader proposes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum TableChange {
@@ -223,6 +227,7 @@
             return changes;
         }
         let mut slots = slots(&self.sessions, table, now);
+        let mut searches_left = EVICTION_SEARCH_LIMIT;
         // Equal tasks of a step fit as little as the first one that did not.
         let mut blocked = FastHashSet::default();
         for unit in &units {
@@ -235,13 +240,17 @@
                 continue;
             }
             blocked.insert(step);
-            self.make_room(unit, &mut slots, table, configuration, &needs);
+            if reserve_soon(unit, &mut slots) || !may_evict_others(unit) || searches_left == 0 {
+                continue;
+            }
+            searches_left -= 1;
+            self.evict_for(unit, &mut slots, table, configuration, &needs);
         }
         changes
     }
 
-    /// Keeps room for a unit that does not fit now, and evicts less urgent runs where it may.
-    fn make_room(
+    /// Evicts less urgent runs for a unit that does not fit, and keeps their room for it.
+    fn evict_for(
         &mut self,
         unit: &Unit<'_>,
         slots: &mut [Slot],
@@ -249,16 +258,6 @@
         configuration: &ConfigurationStore,
         needs: &FastHashMap<OrganisationName, u64>,
     ) {
-        if let Some(placement) = place(unit, slots, Room::Soon, true) {
-            for at in placement {
-                slots[at].reserved = true;
-            }
-            return;
-        }
-        let evicts = matches!(unit.urgency.tier, Tier::Guaranteed | Tier::Priority(0));
-        if !evicts {
-            return;
-        }
         let stopping = self.stopping_runs();
         let progress = self.progress();
         let reclaim =
@@ -273,8 +272,10 @@
             self.eviction_count += 1;
             self.evicted.insert(victim);
         }
-        for at in eviction.placement {
+        let need = footprint(unit.spec);
+        for (at, freed) in eviction.placement.into_iter().zip(eviction.freed) {
             slots[at].reserved = true;
+            slots[at].free_soon = subtract(add(slots[at].free_soon, freed), need);
         }
     }
 
@@ -323,6 +324,21 @@
     }
 }
 
+/// Keeps the room that is about to be free for a unit that fits there.
+fn reserve_soon(unit: &Unit<'_>, slots: &mut [Slot]) -> bool {
+    let Some(placement) = place(unit, slots, Room::Soon, true) else { return false };
+    let need = footprint(unit.spec);
+    for at in placement {
+        slots[at].reserved = true;
+        slots[at].free_soon = subtract(slots[at].free_soon, need);
+    }
+    true
+}
+
+fn may_evict_others(unit: &Unit<'_>) -> bool {
+    matches!(unit.urgency.tier, Tier::Guaranteed | Tier::Priority(0))
+}
+
 fn lost_runs<Lost>(table: &JobTable, lost: Lost) -> Vec<TableChange>
 where
     Lost: Fn(&WorkerLife) -> bool,
--- a/crates/yuccatack_dispatch/src/reclaim.rs
+++ b/crates/yuccatack_dispatch/src/reclaim.rs
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub(crate) struct Eviction {
     pub placement: Placement,
+    /// What the victims of each task's place leave free there.
+    pub freed: Vec<Resources>,
     pub victims: Vec<RunId>,
 }
 
@@ -52,6 +54,7 @@
             set.iter().map(|at| (*at, step_allowance(unit, &slots[*at]))).collect();
         let mut victims = FastHashSet::default();
         let mut placement = Vec::with_capacity(unit.tasks.len());
+        let mut all_freed = Vec::with_capacity(unit.tasks.len());
         let mut total_cost = 0;
         for _ in &unit.tasks {
             let options = set.iter().filter(|at| allowed[at] > 0).filter_map(|at| {
@@ -64,15 +67,17 @@
             });
             let (cost, at, chosen) = options.min_by_key(|(cost, at, _)| (*cost, *at))?;
             total_cost += cost;
-            let freed = chosen.iter().filter_map(|run| self.footprint_of(run)).fold(free[&at], add);
-            free.insert(at, subtract(freed, need));
+            let footprints = chosen.iter().filter_map(|run| self.footprint_of(run));
+            let freed = footprints.fold(Resources::default(), add);
+            free.insert(at, subtract(add(free[&at], freed), need));
+            all_freed.push(freed);
             allowed.entry(at).and_modify(|left| *left -= 1);
             victims.extend(chosen);
             placement.push(at);
         }
         let mut victims: Vec<RunId> = victims.into_iter().collect();
         victims.sort_unstable();
-        Some((total_cost, Eviction { placement, victims }))
+        Some((total_cost, Eviction { placement, freed: all_freed, victims }))
     }
 
     fn footprint_of(&self, run: &RunId) -> Option<Resources> {
--- a/crates/yuccatack_dispatch/tests/reclaim_order.rs
+++ b/crates/yuccatack_dispatch/tests/reclaim_order.rs
@@ -73,3 +73,29 @@
     world.observe(0, &[(run("first", 0, 1), 10)], &[], &[]);
     assert!(stops(&world.decide()).is_empty());
 }
+
+#[test]
+fn burst_takes_turns() {
+    // Each urgent unit needs a search over all runs; one decision must not make all of them.
+    let worker_count = 8;
+    let mut world = World::new(worker_count);
+    for worker in 0..worker_count {
+        world.submit(&format!("low{worker}"), 2, step(1, 8));
+    }
+    let low = starts(&world.decide());
+    assert_eq!(low.len(), worker_count);
+    for run in &low {
+        world.begun(run);
+    }
+    for unit in 0..worker_count {
+        world.submit(&format!("urgent{unit}"), 0, step(1, 8));
+    }
+    let first = stops(&world.decide()).len();
+    assert!((1..worker_count).contains(&first), "{first} evictions in one decision");
+    let second = stops(&world.decide()).len();
+    assert_eq!(
+        first + second,
+        worker_count,
+        "room that one unit waits for was promised to another"
+    );
+}
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -30,6 +30,10 @@
 /// scheduled jobs become due without any message.
 const DECISION_INTERVAL: DurationMs = DurationMs::new(50);
 
+/// After a decision the leader does other work for this many times as long as the decision took, so
+/// that decisions on a loaded deployment cannot keep it from its heartbeats and calls.
+const DECISION_PAUSE_FACTOR: u64 = 3;
+
 /// How often agents are shown that the leader is alive. They give a stream up after three misses.
 const BEAT_INTERVAL: DurationMs = DurationMs::new(250);
 
@@ -79,6 +83,8 @@
     /// Whether anything changed since the last decision.
     decision_due: bool,
     decided_at: TimestampMs,
+    /// Until when other work comes first.
+    paused_until: TimestampMs,
     lease_read: bool,
     confirmed_at: TimestampMs,
     forgot_at: TimestampMs,
@@ -116,6 +122,7 @@
             schedule_requested: false,
             decision_due: false,
             decided_at: TimestampMs::default(),
+            paused_until: TimestampMs::default(),
             lease_read: false,
             confirmed_at: TimestampMs::default(),
             forgot_at: TimestampMs::default(),
@@ -201,6 +208,9 @@
 
     fn schedule_is_due(&self) -> bool {
         let now = self.now();
+        if now < self.paused_until {
+            return false;
+        }
         let decision = self.decision_due || now.since(self.decided_at) >= DECISION_INTERVAL;
         let confirmation = !self.lease_read && now.since(self.confirmed_at) >= CONFIRM_INTERVAL;
         self.dispatcher.is_some() && (decision || confirmation)
@@ -406,6 +416,8 @@
             self.reads.insert(read, Confirmed::Leases { began_at: now });
             self.replication.read(read);
         }
+        let took_ms = self.now().since(now).get();
+        self.paused_until = self.now() + DurationMs::new(DECISION_PAUSE_FACTOR * took_ms);
         Ok(())
     }
 
