Back off while there is no leader

Cause: an agent that was told that a replica does not lead asked the next one at once, up to twenty times a second, and calls went round every 60 ms.

--- a/crates/yuccatack_queue_client/src/client.rs
+++ b/crates/yuccatack_queue_client/src/client.rs
@@ -8,6 +8,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Code, Status, Streaming};
 
+use crate::backoff::Backoff;
 use crate::directory::{Directory, Finding};
 use crate::error::CallError;
 use crate::generated::queue_control::Envelope;
@@ -18,8 +19,10 @@
 /// milliseconds on sound machines; a slow disk stretches that to some hundreds.
 const ATTEMPT_LIMIT: Duration = Duration::from_millis(800);
 
-/// How long to wait after all replicas were tried; an election takes several times as long.
-const ROUND_DELAY: Duration = Duration::from_millis(60);
+/// How long to wait after all replicas were tried, at first and at most. An election takes several
+/// times the first delay.
+const FIRST_ROUND_DELAY: Duration = Duration::from_millis(60);
+const LONGEST_ROUND_DELAY: Duration = Duration::from_millis(400);
 
 /// How many frames may wait in an agent's stream.
 const STREAM_QUEUE_LENGTH: usize = 64;
@@ -67,10 +70,11 @@
         })?;
         let mut tried = Vec::new();
         let mut maybe_done = false;
+        let mut backoff = Backoff::new(FIRST_ROUND_DELAY, LONGEST_ROUND_DELAY);
         while Instant::now() < deadline {
             let Some(candidate) = self.directory.next(&tried).await else {
                 tried.clear();
-                sleep(ROUND_DELAY.min(deadline - Instant::now())).await;
+                sleep(backoff.delay().min(deadline - Instant::now())).await;
                 continue;
             };
             let attempt_deadline = deadline.min(Instant::now() + ATTEMPT_LIMIT);
--- a/crates/yuccatack_queue_client/src/lib.rs
+++ b/crates/yuccatack_queue_client/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`QueueClient`] finds the leader, follows its hints and says for each failed call whether it may
 //! have had an effect. [`protocol`] holds the messages, which agents exchange with the leader too.
 
+mod backoff;
 mod client;
 mod directory;
 mod error;
@@ -11,6 +12,7 @@
 mod readiness;
 mod wire;
 
+pub use backoff::Backoff;
 pub use client::{AgentStream, QueueClient};
 pub use error::CallError;
 pub use limits::{OPERATOR_CALL_LIMIT, RETRY_AFTER, caller_limit};
--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -12,7 +12,7 @@
 };
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_queue_client::protocol::{AgentFrame, LeaderFrame};
-use yuccatack_queue_client::{AgentStream, QueueClient};
+use yuccatack_queue_client::{AgentStream, Backoff, QueueClient};
 use yuccatack_runs::{RunId, WorkerLife};
 
 use crate::orders::{OrderBook, StartAction};
@@ -34,8 +34,10 @@
 /// The pause after a look that failed.
 const HOLD_RETRY: Duration = Duration::from_millis(200);
 
-/// The pause before the next attempt to reach a leader.
-const ATTACH_RETRY: Duration = Duration::from_millis(100);
+/// The pause between attempts to reach a leader, at first and at most. The longest one bounds how
+/// late an agent finds a new leader; leases outlast it several times.
+const FIRST_ATTACH_DELAY: Duration = Duration::from_millis(60);
+const LONGEST_ATTACH_DELAY: Duration = Duration::from_millis(1_000);
 
 /// How many finished calls may wait for the agent.
 const EVENT_QUEUE_LENGTH: usize = 256;
@@ -65,6 +67,7 @@
     heard_at: Instant,
     attaching: bool,
     attach_after: Instant,
+    backoff: Backoff,
     tried: Vec<SocketAddr>,
     token: Option<u64>,
     worker: Option<WorkerState>,
@@ -102,6 +105,7 @@
             heard_at: now,
             attaching: false,
             attach_after: now,
+            backoff: Backoff::new(FIRST_ATTACH_DELAY, LONGEST_ATTACH_DELAY),
             tried: Vec::new(),
             token: None,
             worker: None,
@@ -166,7 +170,7 @@
 
     fn on_attached(&mut self, result: Result<AgentStream, Option<SocketAddr>>) {
         self.attaching = false;
-        self.attach_after = Instant::now() + ATTACH_RETRY;
+        self.attach_after = Instant::now() + self.backoff.delay();
         match result {
             Ok(stream) => {
                 self.tried.push(stream.address());
@@ -185,16 +189,14 @@
     fn on_frame(&mut self, frame: Option<LeaderFrame>) {
         self.heard_at = Instant::now();
         match frame {
-            None | Some(LeaderFrame::NotLeader(_)) => {
-                self.stream = None;
-                self.attach_after = Instant::now();
-            }
+            None | Some(LeaderFrame::NotLeader(_)) => self.stream = None,
             Some(LeaderFrame::Leading { token }) => {
                 if self.token.is_none_or(|held| token > held) {
                     log::info!(event = "leader_attached", token = token; "a leader takes reports");
                     self.token = Some(token);
                 }
                 self.tried.clear();
+                self.backoff.reset();
             }
             Some(LeaderFrame::Orders(orders)) => self.on_orders(orders),
         }
