--- a/crates/yuccatack_queue_client/src/client.rs
+++ b/crates/yuccatack_queue_client/src/client.rs
@@ -22,7 +22,7 @@
 /// How long to wait after all replicas were tried, at first and at most. An election takes several
 /// times the first delay.
 const FIRST_ROUND_DELAY: Duration = Duration::from_millis(60);
-const LONGEST_ROUND_DELAY: Duration = Duration::from_millis(400);
+const LONGEST_ROUND_DELAY: Duration = Duration::from_millis(250);
 
 /// How many frames may wait in an agent's stream.
 const STREAM_QUEUE_LENGTH: usize = 64;
--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -34,10 +34,10 @@
 /// The pause after a look that failed.
 const HOLD_RETRY: Duration = Duration::from_millis(200);
 
-/// The pause between attempts to reach a leader, at first and at most. The longest one bounds how
-/// late an agent finds a new leader; leases outlast it several times.
+/// The pause after all replicas were tried, at first and at most. The longest one bounds how late an
+/// agent finds a new leader; leases outlast it several times.
 const FIRST_ATTACH_DELAY: Duration = Duration::from_millis(60);
-const LONGEST_ATTACH_DELAY: Duration = Duration::from_millis(1_000);
+const LONGEST_ATTACH_DELAY: Duration = Duration::from_millis(500);
 
 /// How many finished calls may wait for the agent.
 const EVENT_QUEUE_LENGTH: usize = 256;
@@ -170,7 +170,6 @@
 
     fn on_attached(&mut self, result: Result<AgentStream, Option<SocketAddr>>) {
         self.attaching = false;
-        self.attach_after = Instant::now() + self.backoff.delay();
         match result {
             Ok(stream) => {
                 self.tried.push(stream.address());
@@ -182,7 +181,10 @@
             }
             Err(Some(address)) => self.tried.push(address),
             // All known replicas were tried.
-            Err(None) => self.tried.clear(),
+            Err(None) => {
+                self.tried.clear();
+                self.attach_after = Instant::now() + self.backoff.delay();
+            }
         }
     }
 
