Wait for the worker in the test of a cancelled run

It now waits until all eight tasks of the next job have begun, which need the room of the cancelled one, and is stricter than the two starts that were asked for before.

--- a/crates/yuccatack_queue_control/tests/whole_path.rs
+++ b/crates/yuccatack_queue_control/tests/whole_path.rs
@@ -7,7 +7,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use support::{Deployment, job, target};
+use support::{Deployment, STEP_LIMIT, job, target};
+use tokio::time::{Instant, sleep};
 use yuccatack_queue_client::protocol::{Request, Response};
 use yuccatack_queues::AccessError;
 use yuccatack_runs::JobPhase;
@@ -46,8 +47,11 @@
     deployment.answered(&unknown, |response| *response == Response::NoSuchJob).await;
     // The freed worker takes the next job, so the stop was carried out.
     deployment.submit("c", job(8)).await;
-    deployment.reaches("c", JobPhase::Running).await;
-    assert!(worker.starts().await.len() > 1);
+    let deadline = Instant::now() + STEP_LIMIT;
+    while worker.starts().await.len() < 9 {
+        assert!(Instant::now() < deadline, "the cancelled run kept its room");
+        sleep(Duration::from_millis(20)).await;
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -111,7 +115,7 @@
         let (kept, other) = deployment.kill(0).await;
         deployment.reaches(&name, JobPhase::Queued).await;
         deployment.restart(kept, other);
-        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        sleep(Duration::from_millis(1_500)).await;
     }
     for round in 0..3 {
         deployment.reaches(&format!("job{round}"), JobPhase::Queued).await;
