--- a/crates/yuccatack_replication/src/state/view.rs
+++ b/crates/yuccatack_replication/src/state/view.rs
@@ -46,7 +46,7 @@
     pub handing_over: bool,
     /// What the other members hold, on a leader.
     pub matched: BTreeMap<ReplicaId, LogIndex>,
-    /// The voters that have not answered for [`SILENCE_FACTOR`] election timeouts, on a leader.
+    /// The voters that have not answered for several election timeouts, on a leader.
     pub silent_voters: BTreeSet<ReplicaId>,
 }
 
