Pause between looks at a worker that lists ends

Cause: a worker answers a look at once while it lists ends that are not noted.

Change: the leader tells what it has noted as soon as it is stored, and the agent pauses for 150 ms, or until then, after a look that lists ends.

--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -19,7 +19,7 @@
 pub use dispatcher::{Dispatcher, TableChange};
 pub use lease::ClockReading;
 pub use protocol::{
-    AgentMessage, EndedRun, LeaseGrant, Observation, Orders, RunningRun, StartOrder, StartResult,
+    AgentMessage, EndedRun, Observation, Orders, RunningRun, StartOrder, StartResult,
     WorkerState,
 };
 pub use settings::DispatchSettings;
--- a/crates/yuccatack_dispatch/src/protocol.rs
+++ b/crates/yuccatack_dispatch/src/protocol.rs
@@ -102,23 +102,17 @@
     pub token: u64,
     /// The life that the orders are for; any other must not get them.
     pub life: WorkerLife,
-    /// A renewed lease.
-    pub grant: Option<LeaseGrant>,
+    /// Ends up to this number are stored and may be forgotten.
+    pub noted_end: u64,
+    /// A renewed lease: when everything on the worker stops unless it is renewed again, by the
+    /// worker's clock.
+    pub lease_until_clock_ms: Option<u64>,
     /// Runs to begin.
     pub starts: Vec<StartOrder>,
     /// Runs to stop, and to bar if they have not begun.
     pub stops: Vec<RunId>,
 }
 
-/// The right of a worker to go on.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct LeaseGrant {
-    /// When everything on the worker stops unless the lease is renewed, by the worker's clock.
-    pub until_clock_ms: u64,
-    /// Ends up to this number are stored and may be forgotten.
-    pub noted_end: u64,
-}
-
 /// A run to begin.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StartOrder {
--- a/crates/yuccatack_dispatch/src/reconcile.rs
+++ b/crates/yuccatack_dispatch/src/reconcile.rs
@@ -6,7 +6,7 @@
 use yuccatack_core::{DurationMs, FastHashMap, FastHashSet, JobName, NodeName, TimestampMs};
 use yuccatack_runs::{JobTable, RunId};
 
-use crate::protocol::{LeaseGrant, Orders, StartOrder};
+use crate::protocol::{Orders, StartOrder};
 use crate::session::{OrderState, Session};
 use crate::settings::{DispatchSettings, START_RESULT_LIMIT, STOP_RESEND_SLACK};
 
@@ -40,7 +40,9 @@
     fn orders_of(&self, session: &mut Session, broken: &FastHashSet<GangRun>) -> Option<Orders> {
         let state = session.state.as_ref()?;
         let (life, draining) = (state.life.clone(), state.draining);
-        let grant = self.grant(session);
+        let lease_until_clock_ms = self.grant(session);
+        let noted_end = self.table.noted_end(&life);
+        let news_of_ends = noted_end > session.told_noted_end;
         let mut starts = Vec::new();
         let mut stops = Vec::new();
         for run in self.table.runs_of(&life) {
@@ -70,17 +72,19 @@
                 }
             }
         }
-        if grant.is_none() && starts.is_empty() && stops.is_empty() {
+        let renewed = lease_until_clock_ms.is_some();
+        if !renewed && !news_of_ends && starts.is_empty() && stops.is_empty() {
             return None;
         }
-        Some(Orders { token: self.token, life, grant, starts, stops })
+        session.told_noted_end = noted_end;
+        Some(Orders { token: self.token, life, noted_end, lease_until_clock_ms, starts, stops })
     }
 
     fn stop_resend_interval(&self) -> DurationMs {
         self.settings.stop_ms + STOP_RESEND_SLACK
     }
 
-    fn grant(&self, session: &mut Session) -> Option<LeaseGrant> {
+    fn grant(&self, session: &mut Session) -> Option<u64> {
         let base = session.base?;
         if session.granted_from == Some(base) {
             return None;
@@ -88,8 +92,7 @@
         session.granted_from = Some(base);
         let until_clock_ms = base.clock_ms + self.settings.lease_ms.get();
         session.lease_until_clock_ms = session.lease_until_clock_ms.max(until_clock_ms);
-        let noted_end = session.life().map_or(0, |life| self.table.noted_end(life));
-        Some(LeaseGrant { until_clock_ms, noted_end })
+        Some(until_clock_ms)
     }
 
     fn start_order(&self, session: &mut Session, run: &RunId) -> Option<StartOrder> {
--- a/crates/yuccatack_dispatch/src/session.rs
+++ b/crates/yuccatack_dispatch/src/session.rs
@@ -38,6 +38,8 @@
     pub granted_from: Option<ClockReading>,
     /// The last end that was proposed to the table.
     pub proposed_end: u64,
+    /// The last noted end that the agent was told of.
+    pub told_noted_end: u64,
     /// The orders about the worker's runs.
     pub orders: FastHashMap<RunId, OrderState>,
     /// What its runs have shown.
@@ -67,6 +69,7 @@
     /// After the agent's stream was opened anew, orders on their way may have been lost.
     pub fn reconnect(&mut self) {
         self.connected = true;
+        self.told_noted_end = 0;
         for order in self.orders.values_mut() {
             match order {
                 OrderState::Starting { .. } => *order = OrderState::Unknown { missing_count: 0 },
--- a/crates/yuccatack_dispatch/tests/lease_bounds.rs
+++ b/crates/yuccatack_dispatch/tests/lease_bounds.rs
@@ -25,8 +25,8 @@
 fn grant_needs_confirmed_lead() {
     let mut world = World::new(1);
     let orders = world.decide();
-    let grant = orders[0].1.grant.unwrap();
-    assert_eq!(grant.until_clock_ms, world.clock_ms() + LEASE_MS);
+    let granted_until_clock_ms = orders[0].1.lease_until_clock_ms.unwrap();
+    assert_eq!(granted_until_clock_ms, world.clock_ms() + LEASE_MS);
     assert!(world.decide().is_empty(), "a reading was used twice");
     // The lead is confirmed by a round that began before the reading arrived.
     let began_at = world.now;
@@ -35,7 +35,7 @@
     world.dispatcher.confirm_lead(began_at);
     assert!(world.decide().is_empty(), "a lease was granted from an unconfirmed reading");
     world.dispatcher.confirm_lead(world.now);
-    assert_eq!(world.decide()[0].1.grant.unwrap().until_clock_ms, world.clock_ms() + LEASE_MS);
+    assert_eq!(world.decide()[0].1.lease_until_clock_ms.unwrap(), world.clock_ms() + LEASE_MS);
 }
 
 #[test]
--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use yuccatack_core::{DurationMs, NodeName};
 use yuccatack_dispatch::{
-    AgentMessage, LeaseGrant, Observation, Orders, StartOrder, StartResult, WorkerState,
+    AgentMessage, Observation, Orders, StartOrder, StartResult, WorkerState,
 };
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_queue_client::protocol::{AgentFrame, LeaderFrame};
@@ -31,6 +31,10 @@
 /// the next look, so this stays well below the stop limit.
 const HOLD_WAIT: DurationMs = DurationMs::new(250);
 
+/// The pause after a look that listed ends which the leader has not stored yet. The worker answers
+/// the next look at once while it lists any, so that looks without a pause would keep both busy.
+const LISTED_ENDS_PAUSE: Duration = Duration::from_millis(150);
+
 /// The pause after a look that failed.
 const HOLD_RETRY: Duration = Duration::from_millis(200);
 
@@ -77,8 +81,12 @@
     hold_failed: bool,
     holding: bool,
     hold_after: Instant,
-    grant: Option<LeaseGrant>,
+    /// The renewed lease, by the worker's clock.
+    lease_until_clock_ms: Option<u64>,
+    /// Ends up to this number are stored by the leader.
     noted_end: u64,
+    /// The last end that the worker listed.
+    listed_end: u64,
     orders: OrderBook,
 }
 
@@ -113,8 +121,9 @@
             hold_failed: false,
             holding: false,
             hold_after: now,
-            grant: None,
+            lease_until_clock_ms: None,
             noted_end: 0,
+            listed_end: 0,
             orders: OrderBook::default(),
         };
         let mut checks = interval(CHECK_INTERVAL);
@@ -214,9 +223,9 @@
             return;
         }
         self.token = Some(orders.token);
-        if let Some(grant) = orders.grant {
-            self.noted_end = self.noted_end.max(grant.noted_end);
-            self.grant = Some(grant);
+        self.note_ends(orders.noted_end);
+        if orders.lease_until_clock_ms.is_some() {
+            self.lease_until_clock_ms = orders.lease_until_clock_ms;
         }
         for start in orders.starts {
             self.start(&orders.life, orders.token, start);
@@ -226,6 +235,17 @@
         }
     }
 
+    /// Takes note that ends are stored; the worker can forget them at the next look.
+    fn note_ends(&mut self, noted_end: u64) {
+        if noted_end <= self.noted_end {
+            return;
+        }
+        self.noted_end = noted_end;
+        if noted_end >= self.listed_end && !self.hold_failed {
+            self.hold_after = Instant::now();
+        }
+    }
+
     fn start(&mut self, life: &WorkerLife, token: u64, order: StartOrder) {
         let StartOrder { run, payload, until_clock_ms, checkpoint } = order;
         match self.orders.on_start_order(&run) {
@@ -310,8 +330,9 @@
     }
 
     fn forget_life(&mut self) {
-        self.grant = None;
+        self.lease_until_clock_ms = None;
         self.noted_end = 0;
+        self.listed_end = 0;
         self.orders = OrderBook::default();
         self.hold_failed = false;
     }
@@ -326,7 +347,7 @@
         let call = HoldCall {
             life: life.clone(),
             token,
-            until_clock_ms: self.grant.map(|grant| grant.until_clock_ms),
+            until_clock_ms: self.lease_until_clock_ms,
             noted_end: self.noted_end,
             wait_ms: HOLD_WAIT,
         };
@@ -346,6 +367,10 @@
         match result {
             HoldResult::Seen(seen) if is_life(&seen, life) => {
                 self.hold_failed = false;
+                self.listed_end = seen.ended.iter().map(|end| end.number).max().unwrap_or(0);
+                if self.listed_end > self.noted_end {
+                    self.hold_after = Instant::now() + LISTED_ENDS_PAUSE;
+                }
                 let ended: Vec<RunId> = seen.ended.iter().map(|end| end.run.clone()).collect();
                 let observation = Observation {
                     life: life.clone(),
--- /dev/null
+++ b/crates/yuccatack_worker_agent/tests/hold_pace.rs
@@ -0,0 +1,164 @@
+//! Guards against an agent that looks at its worker without a pause while the worker lists ends that
+//! the leader has not stored yet.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_stream::{Stream, StreamExt};
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status, Streaming};
+use yuccatack_core::{DataCentreName, JobName, NodeName, Resources, ServiceName, WorkerName};
+use yuccatack_dispatch::{EndedRun, Orders, StartResult, WorkerState};
+use yuccatack_lifecycle::{ShutdownTrigger, shutdown_channel};
+use yuccatack_queue_client::QueueClient;
+use yuccatack_queue_client::generated::queue_control::Envelope;
+use yuccatack_queue_client::generated::queue_control::queue_control_server::{
+    QueueControl, QueueControlServer,
+};
+use yuccatack_queue_client::protocol::LeaderFrame;
+use yuccatack_runs::{RunId, RunOutcome, TaskId, WorkerLife};
+use yuccatack_worker_agent::{
+    Agent, AgentConfig, Announcement, HoldCall, HoldResult, HoldSeen, StartCall, StopCall,
+    StopResult, WorkerPort,
+};
+
+const TOKEN: u64 = 3;
+
+/// How many frames may wait for the agent.
+const FRAME_QUEUE_LENGTH: usize = 16;
+
+/// A leader that takes reports and sends what the test gives it.
+struct Leader {
+    frames: mpsc::Sender<mpsc::Sender<LeaderFrame>>,
+}
+
+#[tonic::async_trait]
+impl QueueControl for Leader {
+    async fn call(&self, _request: Request<Envelope>) -> Result<Response<Envelope>, Status> {
+        Err(Status::unavailable("only agents are served"))
+    }
+
+    type AttachStream = Pin<Box<dyn Stream<Item = Result<Envelope, Status>> + Send>>;
+
+    async fn attach(
+        &self,
+        request: Request<Streaming<Envelope>>,
+    ) -> Result<Response<Self::AttachStream>, Status> {
+        let mut reports = request.into_inner();
+        tokio::spawn(async move { while let Ok(Some(_)) = reports.message().await {} });
+        let (sender, frames) = mpsc::channel(FRAME_QUEUE_LENGTH);
+        sender.send(LeaderFrame::Leading { token: TOKEN }).await.unwrap();
+        self.frames.send(sender).await.unwrap();
+        let frames = ReceiverStream::new(frames).map(|frame| Ok(Envelope::try_from(&frame).unwrap()));
+        Ok(Response::new(Box::pin(frames)))
+    }
+}
+
+/// A worker with one ended run, which it lists until the end is noted.
+struct EndedWorker {
+    looks: mpsc::UnboundedSender<u64>,
+}
+
+impl WorkerPort for EndedWorker {
+    async fn start(&self, _call: StartCall) -> StartResult {
+        StartResult::Unknown
+    }
+
+    async fn stop(&self, _call: StopCall) -> StopResult {
+        StopResult::Unknown
+    }
+
+    async fn hold(&self, call: HoldCall) -> HoldResult {
+        self.looks.send(call.noted_end).unwrap();
+        let task = TaskId { job: JobName::new("job").unwrap(), occurrence: 0, step: 0, index: 0 };
+        let run = RunId { task, number: 1 };
+        let end = EndedRun { number: 1, run, outcome: RunOutcome::Done, checkpoint: None };
+        if call.noted_end == 0 {
+            return HoldResult::Seen(HoldSeen { ended: vec![end], ..HoldSeen::default() });
+        }
+        sleep(Duration::from(call.wait_ms)).await;
+        HoldResult::Seen(HoldSeen::default())
+    }
+}
+
+fn worker() -> WorkerState {
+    let node = NodeName::new("node").unwrap();
+    let name = WorkerName::new("worker").unwrap();
+    WorkerState {
+        life: WorkerLife { node, worker: name, started_at_unix_ms: 1 },
+        service: ServiceName::new("pool").unwrap(),
+        data_centre: DataCentreName::new("here").unwrap(),
+        capacity: Resources::default(),
+        labels: Vec::new(),
+        rack: None,
+        draining: false,
+        remaining_ms: None,
+    }
+}
+
+/// The leader's side of the stream, the looks at the worker, and what keeps the agent running.
+type Running = (
+    mpsc::Sender<LeaderFrame>,
+    mpsc::UnboundedReceiver<u64>,
+    (ShutdownTrigger, mpsc::Sender<Announcement>),
+);
+
+async fn attached_agent() -> Running {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (_, seeds) = watch::channel(vec![listener.local_addr().unwrap()]);
+    let (frames, mut streams) = mpsc::channel(1);
+    let server = Server::builder().add_service(QueueControlServer::new(Leader { frames }));
+    tokio::spawn(server.serve_with_incoming(TcpIncoming::from(listener)));
+    let (looks, seen) = mpsc::unbounded_channel();
+    let (announcements, waiting) = mpsc::channel(1);
+    let (trigger, shutdown) = shutdown_channel();
+    let config = AgentConfig { node: NodeName::new("node").unwrap() };
+    let port = EndedWorker { looks };
+    tokio::spawn(Agent::run(config, port, QueueClient::new(seeds), waiting, shutdown));
+    announcements.send(Announcement::Present { state: worker(), sequence: 1 }).await.unwrap();
+    let stream = streams.recv().await.unwrap();
+    (stream, seen, (trigger, announcements))
+}
+
+fn counted(seen: &mut mpsc::UnboundedReceiver<u64>) -> usize {
+    let mut count = 0;
+    while seen.try_recv().is_ok() {
+        count += 1;
+    }
+    count
+}
+
+#[tokio::test]
+async fn pause_between_looks() {
+    let (_stream, mut seen, _running) = attached_agent().await;
+    assert_eq!(seen.recv().await, Some(0));
+    sleep(Duration::from_secs(2)).await;
+    let count = counted(&mut seen);
+    assert!((4..=16).contains(&count), "{count} looks in 2 s at a worker that lists an end");
+}
+
+#[tokio::test]
+async fn noted_end_told() {
+    let (stream, mut seen, _running) = attached_agent().await;
+    assert_eq!(seen.recv().await, Some(0));
+    let orders = Orders {
+        token: TOKEN,
+        life: worker().life,
+        noted_end: 1,
+        lease_until_clock_ms: None,
+        starts: Vec::new(),
+        stops: Vec::new(),
+    };
+    stream.send(LeaderFrame::Orders(orders)).await.unwrap();
+    // The worker is told at the next look, without a renewed lease.
+    sleep(Duration::from_millis(500)).await;
+    let told = std::iter::from_fn(|| seen.try_recv().ok()).any(|noted_end| noted_end == 1);
+    assert!(told, "the worker was not told that its end is stored");
+}
