Do not take a gang member that waits for slower ones for stalled

Cause: the members of a gang end together, so that a member on a fast worker stands still at the end of its work. Found by logs that now name the steps of a stored job; evictions, leaders and leases were ruled out there (one eviction, one leader, no lapse). A member is stalled only if no other has come less far.

Tests fast_member_waits (fails without the check), stalled_member_found. job_ended is logged once.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -174,22 +174,41 @@
         changes.extend(follow_runs(session, &observation, table));
         let stalled = session.health.on_running(&observation.running, observation.clock_ms);
         for run in stalled {
-            let long_running = table
-                .job(&run.task.job)
-                .and_then(|job| job.step_spec(run.task.step))
-                .is_none_or(|spec| spec.long_running);
-            if !long_running && self.evicted.insert(run.clone()) {
-                log::warn!(
-                    event = "run_stalled", run:% = run, node = node.as_str();
-                    "the run makes no progress; it is stopped and the worker set aside"
-                );
-                self.eviction_count += 1;
-                session.health.rest(now);
-            }
+            self.on_stalled_run(node, run, table, now);
         }
         changes
     }
 
+    fn on_stalled_run(&mut self, node: &NodeName, run: RunId, table: &JobTable, now: TimestampMs) {
+        let spec = table.job(&run.task.job).and_then(|job| job.step_spec(run.task.step));
+        let Some(spec) = spec.filter(|spec| !spec.long_running) else { return };
+        if self.evicted.contains(&run) || (spec.gang && self.waits_for_members(&run, table)) {
+            return;
+        }
+        log::warn!(
+            event = "run_stalled", run:% = run, node = node.as_str();
+            "the run makes no progress; it is stopped and the worker set aside"
+        );
+        self.eviction_count += 1;
+        self.evicted.insert(run);
+        if let Some(session) = self.sessions.get_mut(node) {
+            session.health.rest(now);
+        }
+    }
+
+    /// Whether another member of the gang has come less far. The members end together, so that one
+    /// on a fast worker stands still at the end of its work until the slowest one arrives there.
+    fn waits_for_members(&self, run: &RunId, table: &JobTable) -> bool {
+        let percent = |member: &RunId| {
+            let node = &table.open_runs().get(member)?.life.node;
+            self.sessions.get(node)?.health.percent(member)
+        };
+        let Some(own_percent) = percent(run) else { return false };
+        table
+            .gang_members(run)
+            .any(|member| percent(member).is_some_and(|percent| percent < own_percent))
+    }
+
     fn on_start_result(&mut self, node: &NodeName, run: RunId, result: StartResult) {
         let Some(session) = self.sessions.get_mut(node) else { return };
         let Some(order) = session.orders.get_mut(&run) else { return };
--- a/crates/yuccatack_dispatch/src/health.rs
+++ b/crates/yuccatack_dispatch/src/health.rs
@@ -57,6 +57,11 @@
         self.failed_at.is_none_or(|failed_at| now.since(failed_at) >= TRUST_REGAIN)
     }
 
+    /// How far a run is, in percent.
+    pub fn percent(&self, run: &RunId) -> Option<u8> {
+        self.progress.get(run).map(|seen| seen.percent)
+    }
+
     /// How far each run is, in percent.
     pub fn progress(&self) -> impl Iterator<Item = (&RunId, u8)> {
         self.progress.iter().map(|(run, seen)| (run, seen.percent))
--- a/crates/yuccatack_dispatch/tests/worker_health.rs
+++ b/crates/yuccatack_dispatch/tests/worker_health.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use support::{World, run, starts, step, stops};
-use yuccatack_runs::RunOutcome;
+use yuccatack_runs::{RunOutcome, StepSpec};
 
 #[test]
 fn failing_worker_rests() {
@@ -63,3 +63,35 @@
     world.observe(0, &[(run("a", 0, 1), 40)], &[], &[]);
     assert!(stops(&world.decide()).is_empty(), "a sound run was stopped after a pause");
 }
+
+/// A gang of two on two workers of different speed, both begun.
+fn gang_of_two() -> (World, [usize; 2]) {
+    let mut world = World::new(2);
+    world.submit("a", 1, StepSpec { gang: true, ..step(2, 8) });
+    world.decide();
+    let places = [0, 1].map(|index| world.place(&run("a", index, 1)));
+    (0..2).for_each(|index| world.begun(&run("a", index, 1)));
+    (world, places)
+}
+
+#[test]
+fn fast_member_waits() {
+    let (mut world, [fast, slow]) = gang_of_two();
+    for look in 0..16 {
+        world.advance(300);
+        world.observe(fast, &[(run("a", 0, 1), 100)], &[], &[]);
+        world.observe(slow, &[(run("a", 1, 1), 80 + look)], &[], &[]);
+        assert!(stops(&world.decide()).is_empty(), "a gang was stopped while a member worked");
+    }
+}
+
+#[test]
+fn stalled_member_found() {
+    let (mut world, [done, stuck]) = gang_of_two();
+    for _ in 0..12 {
+        world.advance(300);
+        world.observe(done, &[(run("a", 0, 1), 100)], &[], &[]);
+        world.observe(stuck, &[(run("a", 1, 1), 60)], &[], &[]);
+    }
+    assert_eq!(stops(&world.decide()), [run("a", 0, 1), run("a", 1, 1)]);
+}
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -304,13 +304,13 @@
         let command = decode::<Command>(payload)?;
         // Followers apply the same; one copy of each line is enough.
         let leads = self.dispatcher.is_some();
-        let record = leads.then(|| command.clone());
-        if let Some(record) = &record {
-            log_command(record, &self.state, index, &self.metrics);
-        }
+        let record = leads.then(|| {
+            let unfinished = log_command(&command, &self.state, index, &self.metrics);
+            (command.clone(), unfinished)
+        });
         let applied = self.state.apply(command);
-        if let Some(record) = &record {
-            log_applied(record, applied, &self.state, index);
+        if let Some((record, unfinished)) = &record {
+            log_applied(record, applied, unfinished, &self.state, index);
             self.metrics.queues.set_open_runs(self.state.jobs.open_runs().len());
         }
         self.applied = index;
--- a/crates/yuccatack_queue_control/src/observe.rs
+++ b/crates/yuccatack_queue_control/src/observe.rs
@@ -1,5 +1,8 @@
 //! What the leader logs and counts of each committed command.
 
+use std::collections::BTreeSet;
+
+use yuccatack_core::JobName;
 use yuccatack_dispatch::TableChange;
 use yuccatack_replication::LogIndex;
 use yuccatack_runs::{JobPhase, RunEnd, RunOutcome};
@@ -9,31 +12,38 @@
 use crate::command::Command;
 use crate::state::{Applied, QueueState};
 
-/// Logs what a command is about to decide; `state` is the one before it.
+/// Logs what a command is about to decide; `state` is the one before it. Returns the unfinished jobs
+/// that the command may end.
 pub(crate) fn log_command(
     command: &Command,
     state: &QueueState,
     index: LogIndex,
     metrics: &Metrics,
-) {
+) -> BTreeSet<JobName> {
+    let mut unfinished = BTreeSet::new();
     match command {
         Command::Submit(submission) => log::info!(
             event = "job_stored", job = submission.name.as_str(),
-            queue = submission.queue.as_str(), index = index.get(),
+            queue = submission.queue.as_str(), priority = submission.priority,
+            steps:% = submission.spec, index = index.get(),
             configuration = state.configuration.version().get();
             "a job is stored"
         ),
         Command::Change { changes, .. } => {
             for change in changes {
-                if let TableChange::End(end) = change
-                    && state.jobs.open_runs().contains_key(&end.run)
-                {
+                let TableChange::End(end) = change else { continue };
+                if state.jobs.open_runs().contains_key(&end.run) {
                     log_end(end, index, metrics);
                 }
+                let job = &end.run.task.job;
+                if state.jobs.job(job).is_some_and(|job| !job.phase.is_final()) {
+                    unfinished.insert(job.clone());
+                }
             }
         }
         Command::Cancel { .. } | Command::Configure(_) | Command::Forget(_) => {}
     }
+    unfinished
 }
 
 fn log_end(end: &RunEnd, index: LogIndex, metrics: &Metrics) {
@@ -52,10 +62,12 @@
     });
 }
 
-/// Logs what a command has decided; `state` is the one after it.
+/// Logs what a command has decided; `state` is the one after it, and `unfinished` are the jobs that
+/// had not ended before.
 pub(crate) fn log_applied(
     command: &Command,
     applied: Applied,
+    unfinished: &BTreeSet<JobName>,
     state: &QueueState,
     index: LogIndex,
 ) {
@@ -69,14 +81,13 @@
             outcome:? = acceptance, index = index.get();
             "a configuration was decided"
         ),
-        (Command::Change { changes, .. }, _) => {
-            for change in changes {
-                let TableChange::End(end) = change else { continue };
-                let Some(job) = state.jobs.job(&end.run.task.job) else { continue };
+        (Command::Change { .. }, _) => {
+            for name in unfinished {
+                let Some(job) = state.jobs.job(name) else { continue };
                 if matches!(job.phase, JobPhase::Completed | JobPhase::Failed) {
                     log::info!(
-                        event = "job_ended", job = end.run.task.job.as_str(),
-                        phase:? = job.phase, index = index.get();
+                        event = "job_ended", job = name.as_str(), phase:? = job.phase,
+                        index = index.get();
                         "a job has ended"
                     );
                 }
--- a/crates/yuccatack_runs/src/spec.rs
+++ b/crates/yuccatack_runs/src/spec.rs
@@ -1,5 +1,6 @@
 //! What a caller submits.
 
+use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -68,6 +69,45 @@
     pub unavailable_limit: Option<u32>,
 }
 
+impl fmt::Display for JobSpec {
+    /// A short form for logs: the steps, separated by commas.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (number, step) in self.steps.iter().enumerate() {
+            if number > 0 {
+                formatter.write_str(", ")?;
+            }
+            step.fmt(formatter)?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for StepSpec {
+    /// A short form for logs: tasks, what one needs, its estimated length, and what it demands.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} x {} accelerators {} cores_milli {} ms",
+            self.task_count,
+            self.demand.accelerator_count,
+            self.demand.cores_milli,
+            self.estimated_run_ms.get(),
+        )?;
+        let marks = [
+            (self.gang, " gang"),
+            (self.rack_local, " rack_local"),
+            (self.checkpointing, " checkpointing"),
+            (self.required_label.is_some(), " label"),
+            (self.data_rack.is_some(), " data_rack"),
+            (self.tasks_per_worker.is_some(), " spread"),
+            (self.speculative, " speculative"),
+            (self.long_running, " long_running"),
+            (self.fills, " fills"),
+        ];
+        marks.iter().filter(|(set, _)| *set).try_for_each(|(_, mark)| formatter.write_str(mark))
+    }
+}
+
 /// Why a job is refused.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum JobSpecProblem {
--- a/crates/yuccatack_runs/src/table.rs
+++ b/crates/yuccatack_runs/src/table.rs
@@ -6,7 +6,7 @@
 use yuccatack_core::{JobName, QueueName, Resources};
 
 use crate::command::{CancelOutcome, JobSubmission, RunEnd, RunStart, SubmitOutcome};
-use crate::identity::{RunId, WorkerLife};
+use crate::identity::{RunId, TaskId, WorkerLife};
 use crate::job::{Job, JobPhase};
 
 /// A run that was begun and is not known to have ended.
@@ -150,6 +150,16 @@
         &self.runs
     }
 
+    /// The runs that may exist of the same run of a gang, `run` among them.
+    pub fn gang_members(&self, run: &RunId) -> impl Iterator<Item = &RunId> {
+        let member = |index| RunId { task: TaskId { index, ..run.task.clone() }, ..run.clone() };
+        let number = run.number;
+        self.runs
+            .range(member(0)..=member(u32::MAX))
+            .map(|(member, _)| member)
+            .filter(move |member| member.number == number)
+    }
+
     /// The runs that may exist on one life of a worker.
     pub fn runs_of(&self, life: &WorkerLife) -> impl Iterator<Item = &RunId> {
         self.runs_by_life.get(life).into_iter().flatten()
