Send a request with effects only to a replica that has just confirmed its lead

Cause: entries sent submissions to a leader that was dark or cut off, waited 800 ms and could then only answer 504, although nothing had arrived; reads were answered 504 too, although they have no effect. Callers were also held for 1.8 s, over half of their 3 s, before a refusal.

Change: unless the leader confirmed its lead in the last 150 ms, a ping comes first; a read without an answer is not done, with the time to come back; callers are refused after 1.3 s.

--- a/crates/yuccatack_queue_client/src/client.rs
+++ b/crates/yuccatack_queue_client/src/client.rs
@@ -9,7 +9,7 @@
 use tonic::{Code, Status, Streaming};
 
 use crate::backoff::Backoff;
-use crate::directory::{Directory, Finding};
+use crate::directory::{Candidate, Directory, Finding};
 use crate::error::CallError;
 use crate::generated::queue_control::Envelope;
 use crate::generated::queue_control::queue_control_client::QueueControlClient;
@@ -19,6 +19,9 @@
 /// milliseconds on sound machines; a slow disk stretches that to some hundreds.
 const ATTEMPT_LIMIT: Duration = Duration::from_millis(800);
 
+/// How long a replica may take to confirm its lead, which needs a round trip to a quorum and no disk.
+const CONFIRMATION_LIMIT: Duration = Duration::from_millis(400);
+
 /// How long to wait after all replicas were tried, at first and at most. An election takes several
 /// times the first delay.
 const FIRST_ROUND_DELAY: Duration = Duration::from_millis(60);
@@ -77,20 +80,42 @@
                 sleep(backoff.delay().min(deadline - Instant::now())).await;
                 continue;
             };
-            let attempt_deadline = deadline.min(Instant::now() + ATTEMPT_LIMIT);
-            let mut replica = replica(candidate.channel);
             let address = candidate.address;
-            let answer = timeout_at(attempt_deadline, replica.call(envelope.clone())).await;
-            match self.judge(address, answer).await {
+            match self.attempt(request, &envelope, candidate, deadline).await {
                 Ok(response) => return Ok(response),
                 Err(Attempt::NotDone) => {}
-                Err(Attempt::Unknown) => maybe_done = true,
+                Err(Attempt::Unknown) => maybe_done |= request.has_effects(),
             }
             tried.push(address);
         }
         Err(if maybe_done { CallError::Unknown } else { CallError::NotDone })
     }
 
+    /// Calls one replica. It gets a request with effects only shortly after it has confirmed its
+    /// lead, since one that is cut off or down would leave the caller without knowing the outcome.
+    async fn attempt(
+        &self,
+        request: &Request,
+        envelope: &Envelope,
+        candidate: Candidate,
+        deadline: Instant,
+    ) -> Result<Response, Attempt> {
+        let Candidate { address, channel, confirmed } = candidate;
+        let mut replica = replica(channel);
+        if request.has_effects() && !confirmed {
+            let ping = Envelope::try_from(&Request::Ping).map_err(|error| {
+                log::error!(event = "call_not_encoded"; "{error}");
+                Attempt::NotDone
+            })?;
+            let limit = deadline.min(Instant::now() + CONFIRMATION_LIMIT);
+            let answer = timeout_at(limit, replica.call(ping)).await;
+            self.judge(address, answer).await.map_err(|_| Attempt::NotDone)?;
+        }
+        let limit = deadline.min(Instant::now() + ATTEMPT_LIMIT);
+        let answer = timeout_at(limit, replica.call(envelope.clone())).await;
+        self.judge(address, answer).await
+    }
+
     async fn judge(
         &self,
         address: SocketAddr,
@@ -119,7 +144,7 @@
             }
             Ok(Response::Unknown) => Err(Attempt::Unknown),
             Ok(response) => {
-                self.directory.found(address, Finding::Leads).await;
+                self.directory.found(address, Finding::Confirmed).await;
                 Ok(response)
             }
             Err(error) => {
--- a/crates/yuccatack_queue_client/src/directory.rs
+++ b/crates/yuccatack_queue_client/src/directory.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 use tonic::transport::{Channel, Endpoint};
 use yuccatack_core::FastHashMap;
 
@@ -12,6 +13,10 @@
 /// How long opening a connection may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
+/// For how long a confirmed lead stands for the next call. Within it a leader may fail and leave a
+/// call without a known outcome; a confirmation costs one round trip.
+const CONFIRMED_TIME: Duration = Duration::from_millis(150);
+
 /// How many questions may wait for the task.
 const QUEUE_LENGTH: usize = 64;
 
@@ -23,13 +28,17 @@
 pub(crate) struct Candidate {
     pub address: SocketAddr,
     pub channel: Channel,
+    /// Whether it has confirmed its lead a moment ago.
+    pub confirmed: bool,
 }
 
 /// What became of a call to a replica.
 #[derive(Clone, Debug)]
 pub(crate) enum Finding {
-    /// It leads.
+    /// It leads, as far as it knows.
     Leads,
+    /// It leads, and has confirmed that with a quorum.
+    Confirmed,
     /// It does not lead, and says who may.
     Follows(LeaderHint),
     /// It did not answer in time.
@@ -51,14 +60,21 @@
     seeds: watch::Receiver<Vec<SocketAddr>>,
     known: Vec<SocketAddr>,
     leader: Option<SocketAddr>,
+    /// When the leader last confirmed its lead.
+    confirmed_at: Option<Instant>,
     channels: FastHashMap<SocketAddr, Channel>,
 }
 
 impl Directory {
     pub fn spawn(seeds: watch::Receiver<Vec<SocketAddr>>) -> Self {
         let (messages, waiting) = mpsc::channel(QUEUE_LENGTH);
-        let state =
-            State { seeds, known: Vec::new(), leader: None, channels: FastHashMap::default() };
+        let state = State {
+            seeds,
+            known: Vec::new(),
+            leader: None,
+            confirmed_at: None,
+            channels: FastHashMap::default(),
+        };
         tokio::spawn(run(state, waiting));
         Self { messages }
     }
@@ -103,19 +119,29 @@
         let address = self.leader.as_ref().filter(untried).copied();
         let address = address.or_else(|| others.first().copied())?;
         let channel = self.channels.entry(address).or_insert_with(|| open(address));
-        Some(Candidate { address, channel: channel.clone() })
+        let fresh = self.confirmed_at.is_some_and(|at| at.elapsed() <= CONFIRMED_TIME);
+        let confirmed = fresh && self.leader == Some(address);
+        Some(Candidate { address, channel: channel.clone(), confirmed })
+    }
+
+    fn set_leader(&mut self, address: SocketAddr) {
+        if self.leader != Some(address) {
+            log::info!(event = "leader_found", address:% = address; "the leader answers");
+            self.leader = Some(address);
+            self.confirmed_at = None;
+        }
     }
 
     fn found(&mut self, address: SocketAddr, finding: Finding) {
         match finding {
-            Finding::Leads => {
-                if self.leader != Some(address) {
-                    log::info!(event = "leader_found", address:% = address; "the leader answers");
-                }
-                self.leader = Some(address);
+            Finding::Leads => self.set_leader(address),
+            Finding::Confirmed => {
+                self.set_leader(address);
+                self.confirmed_at = Some(Instant::now());
             }
             Finding::Follows(hint) => {
                 self.leader = hint.leader.filter(|leader| *leader != address);
+                self.confirmed_at = None;
                 for member in hint.members.into_iter().take(KNOWN_LIMIT_COUNT) {
                     if !self.known.contains(&member) {
                         self.known.push(member);
--- a/crates/yuccatack_queue_client/src/limits.rs
+++ b/crates/yuccatack_queue_client/src/limits.rs
@@ -6,7 +6,7 @@
 
 /// How long a caller's request is tried. An election takes about a second; a caller that is refused
 /// then comes back after [`RETRY_AFTER`], which serves it sooner than a longer wait here.
-const CALLER_LIMIT: Duration = Duration::from_millis(1_800);
+const CALLER_LIMIT: Duration = Duration::from_millis(1_300);
 
 /// What is left of a caller's time for the answer on its way back.
 const RETURN_MARGIN: Duration = Duration::from_millis(100);
--- a/crates/yuccatack_queue_client/src/protocol.rs
+++ b/crates/yuccatack_queue_client/src/protocol.rs
@@ -44,6 +44,16 @@
     Ping,
 }
 
+impl Request {
+    /// Whether the request changes anything, so that one without an answer may have taken effect.
+    pub const fn has_effects(&self) -> bool {
+        match self {
+            Self::Submit(..) | Self::Cancel(_) | Self::Configure(_) | Self::Join { .. } => true,
+            Self::Read(_) | Self::ReadConfiguration | Self::Ping => false,
+        }
+    }
+}
+
 /// What the leader answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Response {
