Reclaim room for the tasks of one urgent job together, and spare urgent runs

An urgent run that had just begun was the cheapest victim of another urgent job, and its own job then late.

Change: the bound of searches counts tasks (32 a decision); an urgent run counts six times its work on top of what it loses. Tests tasks_reclaimed_together and urgent_run_spared fail without it; burst_takes_turns holds the bound of one decision at 40 units, as it now counts tasks.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -22,9 +22,10 @@
 /// began, and the answers of worker and agent may overtake each other.
 const MISSING_LIMIT: u8 = 2;
 
-/// For how many units one decision looks for runs to evict. A search looks at every run for every
-/// member of a gang, so that a burst of urgent gangs would keep the leader from its heartbeats.
-const EVICTION_SEARCH_LIMIT: usize = 4;
+/// For how many tasks one decision looks for runs to evict, beyond the first unit. A search looks at
+/// every run for every task, so that a burst of urgent jobs would keep the leader from its
+/// heartbeats.
+const EVICTION_SEARCH_LIMIT: usize = 32;
 
 /// A change of the replicated table that the leader proposes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -258,17 +259,22 @@
                 changes.push(TableChange::Begin(occupy(unit, &placement, &mut slots)));
                 continue;
             }
-            blocked.insert(step);
-            if reserve_soon(unit, &mut slots) || !may_evict_others(unit) || searches_left == 0 {
+            if reserve_soon(unit, &mut slots) {
                 continue;
             }
-            searches_left -= 1;
-            self.evict_for(unit, &mut slots, table, configuration, &needs);
+            if may_evict_others(unit) && searches_left > 0 {
+                searches_left = searches_left.saturating_sub(unit.tasks.len());
+                if self.evict_for(unit, &mut slots, table, configuration, &needs) {
+                    continue;
+                }
+            }
+            blocked.insert(step);
         }
         changes
     }
 
-    /// Evicts less urgent runs for a unit that does not fit, and keeps their room for it.
+    /// Evicts less urgent runs for a unit that does not fit, and keeps their room for it. Returns
+    /// whether there is such room.
     fn evict_for(
         &mut self,
         unit: &Unit<'_>,
@@ -276,12 +282,12 @@
         table: &JobTable,
         configuration: &ConfigurationStore,
         needs: &FastHashMap<OrganisationName, u64>,
-    ) {
+    ) -> bool {
         let stopping = self.stopping_runs();
         let progress = self.progress();
         let reclaim =
             Reclaim { table, configuration, needs, stopping: &stopping, progress: &progress };
-        let Some(eviction) = reclaim.find(unit, slots) else { return };
+        let Some(eviction) = reclaim.find(unit, slots) else { return false };
         for victim in eviction.victims {
             log::info!(
                 event = "run_evicted", run:% = victim,
@@ -296,6 +302,7 @@
             slots[at].reserved = true;
             slots[at].free_soon = subtract(add(slots[at].free_soon, freed), need);
         }
+        true
     }
 
     fn progress(&self) -> Progress {
--- a/crates/yuccatack_dispatch/src/loss.rs
+++ b/crates/yuccatack_dispatch/src/loss.rs
@@ -13,19 +13,25 @@
 /// What every stop costs: the end must be confirmed and the task placed again.
 const RESTART_LOSS_MS: u64 = 200;
 
+/// A run of an urgent job counts as this many times its whole work on top of what it loses, since
+/// its job is late if it begins again. Urgent jobs earn several times as much for their work as
+/// others, and a late one earns a fifth.
+const URGENT_LOSS_FACTOR: u64 = 6;
+
 /// How far the runs are, in percent.
 pub(crate) type Progress = FastHashMap<RunId, u8>;
 
 /// The estimated loss in core-milliseconds; that of a gang's member is that of the whole gang.
 pub(crate) fn loss_of(run: &RunId, table: &JobTable, progress: &Progress) -> u64 {
-    let Some(spec) = table.job(&run.task.job).and_then(|job| job.step_spec(run.task.step)) else {
-        return 0;
-    };
+    let Some(job) = table.job(&run.task.job) else { return 0 };
+    let Some(spec) = job.step_spec(run.task.step) else { return 0 };
     let percent = u64::from(progress.get(run).copied().unwrap_or(0));
     let worked_ms = spec.estimated_run_ms.get() * percent / 100;
     let lost_ms = if spec.checkpointing { worked_ms.min(RESUME_LOSS_MS) } else { worked_ms };
     let members = if spec.gang { u64::from(spec.task_count) } else { 1 };
-    priced_cores_milli(spec) * (lost_ms + RESTART_LOSS_MS) / 1000 * members
+    let urgent = job.submission.priority == 0;
+    let lateness = if urgent { URGENT_LOSS_FACTOR * work_of(spec) } else { 0 };
+    (priced_cores_milli(spec) * (lost_ms + RESTART_LOSS_MS) / 1000 + lateness) * members
 }
 
 /// The estimated work of one task in core-milliseconds.
