Keep headroom free for urgent work

Change: the emptiest workers are kept free of other work up to 0.4 of what urgent work used on average in the last 8 s.

--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -25,6 +25,8 @@
     pub trusted: bool,
     /// Kept free for a unit that is more urgent than those placed later.
     pub reserved: bool,
+    /// Kept free for urgent units that may come.
+    pub kept: bool,
     /// The runs that occupy it.
     pub runs: Vec<RunId>,
 }
@@ -57,6 +59,7 @@
                 total: state.capacity,
                 trusted: session.health.is_trusted(now),
                 reserved: false,
+                kept: false,
                 runs: Vec::new(),
             })
         })
--- a/crates/yuccatack_dispatch/src/demand.rs
+++ b/crates/yuccatack_dispatch/src/demand.rs
@@ -20,6 +20,13 @@
     pub last_attempt: bool,
 }
 
+impl Unit<'_> {
+    /// Whether the unit's objective leaves little time beyond its work.
+    pub fn is_urgent(&self) -> bool {
+        self.job.submission.priority == 0
+    }
+}
+
 /// How soon a unit comes; the smallest first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Urgency {
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -9,6 +9,7 @@
 
 use crate::capacity::{Slot, add, footprint, slots, subtract};
 use crate::demand::{Tier, Unit, ready_units, urgent_accelerators};
+use crate::headroom::Headroom;
 use crate::lease::{ClockReading, longest_real_time};
 use crate::loss::Progress;
 use crate::placement::{Room, occupy, place};
@@ -46,6 +47,7 @@
     leading_since: TimestampMs,
     sessions: BTreeMap<NodeName, Session>,
     evicted: FastHashSet<RunId>,
+    headroom: Headroom,
     /// How many evictions were decided since they were last counted.
     eviction_count: u64,
 }
@@ -60,6 +62,7 @@
             leading_since: now,
             sessions: BTreeMap::new(),
             evicted: FastHashSet::default(),
+            headroom: Headroom::default(),
             eviction_count: 0,
         }
     }
@@ -241,6 +244,7 @@
     ) -> Vec<TableChange> {
         self.evicted.retain(|run| table.open_runs().contains_key(run));
         let mut changes = self.expired_runs(table, now);
+        self.headroom.note(table, now);
         let needs = urgent_accelerators(table);
         let units = ready_units(table, configuration, &needs, unix_ms);
         if units.is_empty() {
@@ -250,7 +254,12 @@
         let mut searches_left = EVICTION_SEARCH_LIMIT;
         // Equal tasks of a step fit as little as the first one that did not.
         let mut blocked = FastHashSet::default();
+        let mut headroom_kept = false;
         for unit in &units {
+            if !unit.is_urgent() && !headroom_kept {
+                headroom_kept = true;
+                self.headroom.keep(&mut slots);
+            }
             let step = (unit.job.order, unit.occurrence, unit.step);
             if blocked.contains(&step) {
                 continue;
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod demand;
 mod dispatcher;
+mod headroom;
 mod health;
 mod lease;
 mod loss;
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -110,7 +110,8 @@
     let need = footprint(unit.spec);
     let mut free: FastHashMap<usize, (Resources, u32)> = FastHashMap::default();
     for at in set {
-        if with_reserved || !slots[*at].reserved {
+        let kept = room != Room::Whole && slots[*at].kept && !unit.is_urgent();
+        if !kept && (with_reserved || !slots[*at].reserved) {
             free.insert(*at, (room.of(&slots[*at]), step_allowance(unit, &slots[*at])));
         }
     }
