--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -3,26 +3,21 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use yuccatack_core::{FastHashMap, FastHashSet, NodeName, OrganisationName, TimestampMs};
+use yuccatack_core::{FastHashSet, NodeName, TimestampMs};
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{JobTable, RunEnd, RunId, RunOutcome, RunStart, WorkerLife};
 
-use crate::capacity::{Slot, add, footprint, slots, subtract};
-use crate::demand::{Tier, Unit, ready_units, urgent_accelerators};
+use crate::capacity::slots;
+use crate::demand::{ready_units, urgent_accelerators};
+use crate::eviction::{may_evict_others, reserve_soon};
 use crate::headroom::Headroom;
-use crate::lease::{ClockReading, longest_real_time};
-use crate::loss::Progress;
+use crate::lease::longest_real_time;
 use crate::placement::{Room, occupy, place};
-use crate::protocol::{AgentMessage, Observation, Orders, StartResult, WorkerState};
-use crate::reclaim::Reclaim;
+use crate::protocol::{AgentMessage, Orders, StartResult, WorkerState};
 use crate::reconcile::Reconciliation;
 use crate::session::{OrderState, Session};
 use crate::settings::DispatchSettings;
 
-/// In how many observations in a row a run must be missing. One may have been made before the run
-/// began, and the answers of worker and agent may overtake each other.
-const MISSING_LIMIT: u8 = 2;
-
 /// For how many tasks one decision looks for runs to evict, beyond the first unit. A search looks at
 /// every run for every task, so that a burst of urgent jobs would keep the leader from its
 /// heartbeats.
@@ -45,11 +40,11 @@
     settings: DispatchSettings,
     token: u64,
     leading_since: TimestampMs,
-    sessions: BTreeMap<NodeName, Session>,
-    evicted: FastHashSet<RunId>,
+    pub(crate) sessions: BTreeMap<NodeName, Session>,
+    pub(crate) evicted: FastHashSet<RunId>,
     headroom: Headroom,
     /// How many evictions were decided since they were last counted.
-    eviction_count: u64,
+    pub(crate) eviction_count: u64,
 }
 
 impl Dispatcher {
@@ -158,61 +153,6 @@
         lost_runs(table, |held| held.node == life.node && *held != life)
     }
 
-    fn on_observation(
-        &mut self,
-        node: &NodeName,
-        observation: Observation,
-        table: &JobTable,
-        now: TimestampMs,
-    ) -> Vec<TableChange> {
-        let Some(session) = self.sessions.get_mut(node) else { return Vec::new() };
-        if session.life() != Some(&observation.life) {
-            return Vec::new();
-        }
-        if session.reading.is_some_and(|reading| reading.clock_ms > observation.clock_ms) {
-            // The answers of two calls overtook each other.
-            return Vec::new();
-        }
-        session.reading = Some(ClockReading { clock_ms: observation.clock_ms, received_at: now });
-        let mut changes = note_ends(session, &observation, table, now);
-        changes.extend(follow_runs(session, &observation, table));
-        let stalled = session.health.on_running(&observation.running, observation.clock_ms);
-        for run in stalled {
-            self.on_stalled_run(node, run, table, now);
-        }
-        changes
-    }
-
-    fn on_stalled_run(&mut self, node: &NodeName, run: RunId, table: &JobTable, now: TimestampMs) {
-        let spec = table.job(&run.task.job).and_then(|job| job.step_spec(run.task.step));
-        let Some(spec) = spec.filter(|spec| !spec.long_running) else { return };
-        if self.evicted.contains(&run) || (spec.gang && self.waits_for_members(&run, table)) {
-            return;
-        }
-        log::warn!(
-            event = "run_stalled", run:% = run, node = node.as_str();
-            "the run makes no progress; it is stopped and the worker set aside"
-        );
-        self.eviction_count += 1;
-        self.evicted.insert(run);
-        if let Some(session) = self.sessions.get_mut(node) {
-            session.health.rest(now);
-        }
-    }
-
-    /// Whether another member of the gang has come less far. The members end together, so that one
-    /// on a fast worker stands still at the end of its work until the slowest one arrives there.
-    fn waits_for_members(&self, run: &RunId, table: &JobTable) -> bool {
-        let percent = |member: &RunId| {
-            let node = &table.open_runs().get(member)?.life.node;
-            self.sessions.get(node)?.health.percent(member)
-        };
-        let Some(own_percent) = percent(run) else { return false };
-        table
-            .gang_members(run)
-            .any(|member| percent(member).is_some_and(|percent| percent < own_percent))
-    }
-
     fn on_start_result(&mut self, node: &NodeName, run: RunId, result: StartResult) {
         let Some(session) = self.sessions.get_mut(node) else { return };
         let Some(order) = session.orders.get_mut(&run) else { return };
@@ -282,52 +222,6 @@
         changes
     }
 
-    /// Evicts less urgent runs for a unit that does not fit, and keeps their room for it. Returns
-    /// whether there is such room.
-    fn evict_for(
-        &mut self,
-        unit: &Unit<'_>,
-        slots: &mut [Slot],
-        table: &JobTable,
-        configuration: &ConfigurationStore,
-        needs: &FastHashMap<OrganisationName, u64>,
-    ) -> bool {
-        let stopping = self.stopping_runs();
-        let progress = self.progress();
-        let reclaim =
-            Reclaim { table, configuration, needs, stopping: &stopping, progress: &progress };
-        let Some(eviction) = reclaim.find(unit, slots) else { return false };
-        for victim in eviction.victims {
-            log::info!(
-                event = "run_evicted", run:% = victim,
-                for_job = unit.job.submission.name.as_str();
-                "the run gives way to a more urgent job"
-            );
-            self.eviction_count += 1;
-            self.evicted.insert(victim);
-        }
-        let need = footprint(unit.spec);
-        for (at, freed) in eviction.placement.into_iter().zip(eviction.freed) {
-            slots[at].reserved = true;
-            slots[at].free_soon = subtract(add(slots[at].free_soon, freed), need);
-        }
-        true
-    }
-
-    fn progress(&self) -> Progress {
-        let of_sessions = self.sessions.values().flat_map(|session| session.health.progress());
-        of_sessions.map(|(run, percent)| (run.clone(), percent)).collect()
-    }
-
-    fn stopping_runs(&self) -> FastHashSet<RunId> {
-        let of_sessions = self.sessions.values().flat_map(|session| &session.orders);
-        of_sessions
-            .filter(|(_, order)| matches!(order, OrderState::Stopping { .. }))
-            .map(|(run, _)| run.clone())
-            .chain(self.evicted.iter().cloned())
-            .collect()
-    }
-
     /// Runs whose lease must have expired, or whose worker began another life.
     fn expired_runs(&self, table: &JobTable, now: TimestampMs) -> Vec<TableChange> {
         let earlier_leases_end = self.leading_since + longest_real_time(self.settings.lease_ms);
@@ -359,21 +253,6 @@
     }
 }
 
-/// Keeps the room that is about to be free for a unit that fits there.
-fn reserve_soon(unit: &Unit<'_>, slots: &mut [Slot]) -> bool {
-    let Some(placement) = place(unit, slots, Room::Soon, true) else { return false };
-    let need = footprint(unit.spec);
-    for at in placement {
-        slots[at].reserved = true;
-        slots[at].free_soon = subtract(slots[at].free_soon, need);
-    }
-    true
-}
-
-fn may_evict_others(unit: &Unit<'_>) -> bool {
-    matches!(unit.urgency.tier, Tier::Guaranteed | Tier::Priority(0))
-}
-
 fn lost_runs<Lost>(table: &JobTable, lost: Lost) -> Vec<TableChange>
 where
     Lost: Fn(&WorkerLife) -> bool,
@@ -386,77 +265,3 @@
     };
     runs.map(|(run, _)| TableChange::End(end(run))).collect()
 }
-
-/// Proposes the ends that the table does not have yet.
-fn note_ends(
-    session: &mut Session,
-    observation: &Observation,
-    table: &JobTable,
-    now: TimestampMs,
-) -> Vec<TableChange> {
-    let mut changes = Vec::new();
-    let known = session.proposed_end.max(table.noted_end(&observation.life));
-    let mut last = known;
-    for ended in observation.ended.iter().filter(|ended| ended.number > known) {
-        last = last.max(ended.number);
-        session.health.on_end(&ended.run, ended.outcome, now);
-        if table.open_runs().contains_key(&ended.run) {
-            changes.push(TableChange::End(RunEnd {
-                run: ended.run.clone(),
-                outcome: ended.outcome,
-                checkpoint: ended.checkpoint.clone(),
-            }));
-        }
-    }
-    if last > known {
-        session.proposed_end = last;
-        changes.push(TableChange::NoteEnds(observation.life.clone(), last));
-    }
-    changes
-}
-
-/// Follows each open run of the worker: whether it began, goes on or is missing.
-fn follow_runs(
-    session: &mut Session,
-    observation: &Observation,
-    table: &JobTable,
-) -> Vec<TableChange> {
-    let mut changes = Vec::new();
-    for run in table.runs_of(&observation.life) {
-        let ended = observation.ended.iter().any(|ended| ended.run == *run);
-        let running = observation.running.iter().any(|row| row.run == *run);
-        let order = session.orders.get(run).copied();
-        let next = match order {
-            // The end is on its way into the table; the run needs no more orders.
-            _ if ended => Some(OrderState::Active { missing_count: 0 }),
-            None if running => Some(OrderState::Active { missing_count: 0 }),
-            Some(OrderState::Stopping { .. }) if running => None,
-            _ if running => Some(OrderState::Active { missing_count: 0 }),
-            Some(OrderState::Active { missing_count } | OrderState::Unknown { missing_count })
-                if missing_count + 1 >= MISSING_LIMIT =>
-            {
-                Some(OrderState::Stopping { sent_at: None })
-            }
-            Some(OrderState::Active { missing_count }) => {
-                Some(OrderState::Active { missing_count: missing_count + 1 })
-            }
-            Some(OrderState::Unknown { missing_count }) => {
-                Some(OrderState::Unknown { missing_count: missing_count + 1 })
-            }
-            Some(OrderState::Stopping { .. }) if observation.stopped.contains(run) => {
-                // Neither running nor ended after a confirmed stop: it never began and cannot.
-                changes.push(TableChange::End(RunEnd {
-                    run: run.clone(),
-                    outcome: RunOutcome::NeverBegan,
-                    checkpoint: None,
-                }));
-                None
-            }
-            Some(OrderState::Starting { .. } | OrderState::Stopping { .. }) | None => None,
-        };
-        if let Some(next) = next {
-            session.orders.insert(run.clone(), next);
-        }
-    }
-    changes
-}
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -6,10 +6,12 @@
 mod capacity;
 mod demand;
 mod dispatcher;
+mod eviction;
 mod headroom;
 mod health;
 mod lease;
 mod loss;
+mod observation;
 mod placement;
 mod protocol;
 mod reclaim;
@@ -20,7 +22,6 @@
 pub use dispatcher::{Dispatcher, TableChange};
 pub use lease::ClockReading;
 pub use protocol::{
-    AgentMessage, EndedRun, Observation, Orders, RunningRun, StartOrder, StartResult,
-    WorkerState,
+    AgentMessage, EndedRun, Observation, Orders, RunningRun, StartOrder, StartResult, WorkerState,
 };
 pub use settings::DispatchSettings;
--- a/crates/yuccatack_dispatch/src/settings.rs
+++ b/crates/yuccatack_dispatch/src/settings.rs
@@ -14,15 +14,13 @@
     pub lease_ms: DurationMs,
     /// How long after a cancellation or a preemption a worker may take to stop a run.
     pub stop_ms: DurationMs,
-    /// How many times as long a task takes on a second rack or away from its data.
-    pub far_factor: u32,
 }
 
 impl DispatchSettings {
     /// Settings for workers that accept leases up to `longest_lease`.
-    pub fn new(longest_lease: DurationMs, stop_ms: DurationMs, far_factor: u32) -> Self {
+    pub fn new(longest_lease: DurationMs, stop_ms: DurationMs) -> Self {
         let lease_ms = DurationMs::new(longest_lease.get() * LEASE_PERCENT / 100);
-        Self { lease_ms, stop_ms, far_factor }
+        Self { lease_ms, stop_ms }
     }
 }
 
--- a/crates/yuccatack_dispatch/tests/support/mod.rs
+++ b/crates/yuccatack_dispatch/tests/support/mod.rs
@@ -32,7 +32,7 @@
 }
 
 pub fn settings() -> DispatchSettings {
-    DispatchSettings::new(LONGEST_LEASE, DurationMs::new(400), 3)
+    DispatchSettings::new(LONGEST_LEASE, DurationMs::new(400))
 }
 
 pub fn node(index: usize) -> NodeName {
--- a/crates/yuccatack_queue_client/tests/silent_leader.rs
+++ b/crates/yuccatack_queue_client/tests/silent_leader.rs
@@ -101,10 +101,8 @@
 #[tokio::test]
 async fn lost_answer_told() {
     let (client, silence, mut arrived) = replica().await;
-    let join = protocol::Request::Join {
-        replica_id: 1,
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-    };
+    let join =
+        protocol::Request::Join { replica_id: 1, address: SocketAddr::from(([127, 0, 0, 1], 1)) };
     assert!(client.call(&join, LIMIT).await.is_ok());
     silence.send(true).unwrap();
     // The lead was confirmed a moment ago, so that the request is sent and its answer is lost.
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -22,18 +22,6 @@
 use crate::observe::{log_applied, log_command};
 use crate::state::QueueState;
 
-/// The shortest time from one confirmation of the lead for leases to the next; leases last several
-/// seconds, and each confirmation costs a round of messages.
-const CONFIRM_INTERVAL: DurationMs = DurationMs::new(100);
-
-/// How often the leader decides without a change of the table or of the workers. Leases end and
-/// scheduled jobs become due without any message.
-const DECISION_INTERVAL: DurationMs = DurationMs::new(50);
-
-/// After a decision the leader does other work for this many times as long as the decision took, so
-/// that decisions on a loaded deployment cannot keep it from its heartbeats and calls.
-const DECISION_PAUSE_FACTOR: u64 = 3;
-
 /// How often agents are shown that the leader is alive. They give a stream up after three misses.
 const BEAT_INTERVAL: DurationMs = DurationMs::new(250);
 
@@ -41,7 +29,7 @@
 const FORGET_INTERVAL: DurationMs = DurationMs::new(30_000);
 
 /// What waits for a proposal.
-enum Proposed {
+pub(crate) enum Proposed {
     Call(oneshot::Sender<Response>),
     /// A batch of table changes; the next one is decided after it.
     Changes,
@@ -49,7 +37,7 @@
 }
 
 /// What waits for a confirmation of the lead.
-enum Confirmed {
+pub(crate) enum Confirmed {
     Call(Request, oneshot::Sender<Response>),
     Leases { began_at: TimestampMs },
 }
@@ -64,32 +52,32 @@
 }
 
 pub(crate) struct ControlState {
-    replication: ReplicationHandle,
-    settings: DispatchSettings,
-    joins: mpsc::Sender<JoinRequest>,
-    metrics: Metrics,
-    started: Instant,
-    state: QueueState,
-    applied: LogIndex,
-    leader_address: Option<SocketAddr>,
-    dispatcher: Option<Dispatcher>,
-    agents: Agents,
-    proposals: FastHashMap<ProposalId, Proposed>,
-    reads: FastHashMap<ReadId, Confirmed>,
-    next_number: u64,
-    changes: Vec<TableChange>,
-    changes_proposed: bool,
-    schedule_requested: bool,
+    pub(crate) replication: ReplicationHandle,
+    pub(crate) settings: DispatchSettings,
+    pub(crate) joins: mpsc::Sender<JoinRequest>,
+    pub(crate) metrics: Metrics,
+    pub(crate) started: Instant,
+    pub(crate) state: QueueState,
+    pub(crate) applied: LogIndex,
+    pub(crate) leader_address: Option<SocketAddr>,
+    pub(crate) dispatcher: Option<Dispatcher>,
+    pub(crate) agents: Agents,
+    pub(crate) proposals: FastHashMap<ProposalId, Proposed>,
+    pub(crate) reads: FastHashMap<ReadId, Confirmed>,
+    pub(crate) next_number: u64,
+    pub(crate) changes: Vec<TableChange>,
+    pub(crate) changes_proposed: bool,
+    pub(crate) schedule_requested: bool,
     /// Whether anything changed since the last decision.
-    decision_due: bool,
-    decided_at: TimestampMs,
+    pub(crate) decision_due: bool,
+    pub(crate) decided_at: TimestampMs,
     /// Until when other work comes first.
-    paused_until: TimestampMs,
-    lease_read: bool,
-    confirmed_at: TimestampMs,
-    forgot_at: TimestampMs,
-    beat_at: TimestampMs,
-    drains: Vec<oneshot::Sender<()>>,
+    pub(crate) paused_until: TimestampMs,
+    pub(crate) lease_read: bool,
+    pub(crate) confirmed_at: TimestampMs,
+    pub(crate) forgot_at: TimestampMs,
+    pub(crate) beat_at: TimestampMs,
+    pub(crate) drains: Vec<oneshot::Sender<()>>,
 }
 
 impl Actor for ControlActor {
@@ -189,11 +177,11 @@
 }
 
 impl ControlState {
-    fn now(&self) -> TimestampMs {
+    pub(crate) fn now(&self) -> TimestampMs {
         TimestampMs::default() + DurationMs::from(self.started.elapsed())
     }
 
-    fn number(&mut self) -> u64 {
+    pub(crate) fn number(&mut self) -> u64 {
         self.next_number += 1;
         self.next_number
     }
@@ -206,16 +194,6 @@
         LeaderHint { leader: self.leader_address, members: members.collect() }
     }
 
-    fn schedule_is_due(&self) -> bool {
-        let now = self.now();
-        if now < self.paused_until {
-            return false;
-        }
-        let decision = self.decision_due || now.since(self.decided_at) >= DECISION_INTERVAL;
-        let confirmation = !self.lease_read && now.since(self.confirmed_at) >= CONFIRM_INTERVAL;
-        self.dispatcher.is_some() && (decision || confirmation)
-    }
-
     fn on_call(&mut self, request: Request, reply: oneshot::Sender<Response>) {
         if self.dispatcher.is_none() {
             let hint = self.hint();
@@ -359,7 +337,11 @@
         Ok(())
     }
 
-    fn propose(&mut self, command: &Command, waits: Proposed) -> Result<(), ActorProcessingErr> {
+    pub(crate) fn propose(
+        &mut self,
+        command: &Command,
+        waits: Proposed,
+    ) -> Result<(), ActorProcessingErr> {
         let proposal = ProposalId::new(self.number());
         let payload = Bytes::from(encode(command)?);
         self.proposals.insert(proposal, waits);
@@ -386,64 +368,6 @@
         Ok(())
     }
 
-    /// Confirms the lead, decides and sends what is due.
-    fn schedule(&mut self) -> Result<(), ActorProcessingErr> {
-        self.schedule_requested = false;
-        let now = self.now();
-        self.decision_due = false;
-        self.decided_at = now;
-        let Some(dispatcher) = &mut self.dispatcher else { return Ok(()) };
-        if !self.changes_proposed {
-            let jobs = &self.state.jobs;
-            let unix_ms = unix_now_ms();
-            let mut changes = std::mem::take(&mut self.changes);
-            if changes.is_empty() {
-                // Decisions build on a table without changes under way.
-                changes = dispatcher.decide(jobs, &self.state.configuration, now, unix_ms);
-                self.metrics.queues.count_evictions(dispatcher.take_eviction_count());
-            }
-            if !changes.is_empty() {
-                self.changes_proposed = true;
-                let command = Command::Change { changes, now_unix_ms: unix_ms };
-                self.propose(&command, Proposed::Changes)?;
-            }
-        }
-        self.send_orders(now);
-        if !self.lease_read && now.since(self.confirmed_at) >= CONFIRM_INTERVAL {
-            self.lease_read = true;
-            self.confirmed_at = now;
-            let read = ReadId::new(self.number());
-            self.reads.insert(read, Confirmed::Leases { began_at: now });
-            self.replication.read(read);
-        }
-        let took_ms = self.now().since(now).get();
-        self.paused_until = self.now() + DurationMs::new(DECISION_PAUSE_FACTOR * took_ms);
-        Ok(())
-    }
-
-    fn send_orders(&mut self, now: TimestampMs) {
-        let Some(dispatcher) = &mut self.dispatcher else { return };
-        for (node, orders) in dispatcher.orders(&self.state.jobs, now) {
-            for start in &orders.starts {
-                log::info!(
-                    event = "run_ordered", run:% = start.run, node = node.as_str(),
-                    lease_until_clock_ms = start.until_clock_ms, token = orders.token;
-                    "a run is ordered to begin"
-                );
-            }
-            for stop in &orders.stops {
-                log::info!(
-                    event = "stop_ordered", run:% = stop, node = node.as_str(),
-                    token = orders.token;
-                    "a run is ordered to stop"
-                );
-            }
-            if !self.agents.send(&node, orders) {
-                dispatcher.disconnect(&node);
-            }
-        }
-    }
-
     fn finish_drains(&mut self) {
         if self.drains.is_empty() || self.has_waiting_calls() {
             return;
@@ -466,7 +390,7 @@
     let _ = reply.send(response);
 }
 
-fn unix_now_ms() -> u64 {
+pub(crate) fn unix_now_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/yuccatack_queue_control/src/lib.rs
+++ b/crates/yuccatack_queue_control/src/lib.rs
@@ -11,6 +11,7 @@
 mod message;
 mod observe;
 mod process;
+mod schedule;
 mod service;
 mod state;
 
--- a/crates/yuccatack_queue_control/tests/support/mod.rs
+++ b/crates/yuccatack_queue_control/tests/support/mod.rs
@@ -73,7 +73,7 @@
         seeds: seeds.clone(),
         first_start: first,
         tolerated_loss_count: 1,
-        dispatch: DispatchSettings::new(DurationMs::new(3_000), DurationMs::new(200), 3),
+        dispatch: DispatchSettings::new(DurationMs::new(3_000), DurationMs::new(200)),
     };
     let client = QueueClient::new(seeds);
     let task = tokio::spawn(async move {
--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -7,9 +7,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use yuccatack_core::{DurationMs, NodeName};
-use yuccatack_dispatch::{
-    AgentMessage, Observation, Orders, StartOrder, StartResult, WorkerState,
-};
+use yuccatack_dispatch::{AgentMessage, Observation, Orders, StartOrder, StartResult, WorkerState};
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_queue_client::protocol::{AgentFrame, LeaderFrame};
 use yuccatack_queue_client::{AgentStream, Backoff, QueueClient};
--- a/crates/yuccatack_worker_agent/tests/hold_pace.rs
+++ b/crates/yuccatack_worker_agent/tests/hold_pace.rs
@@ -56,7 +56,8 @@
         let (sender, frames) = mpsc::channel(FRAME_QUEUE_LENGTH);
         sender.send(LeaderFrame::Leading { token: TOKEN }).await.unwrap();
         self.frames.send(sender).await.unwrap();
-        let frames = ReceiverStream::new(frames).map(|frame| Ok(Envelope::try_from(&frame).unwrap()));
+        let frames =
+            ReceiverStream::new(frames).map(|frame| Ok(Envelope::try_from(&frame).unwrap()));
         Ok(Response::new(Box::pin(frames)))
     }
 }
