Log what waits for capacity and how the capacity is used

Cause: the lines of the leader could not tell whether jobs of auditoria-recalculo waited because of the order of the queues, because of workers that are kept free, or because they counted as overdue.

Change: each scheduling pass that leaves ready tasks waiting has a summary, and the leader logs it once a second as tasks_waiting: waiting, overdue and used by priority, and free, held and reserved accelerators.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -17,6 +17,7 @@
 use crate::reconcile::Reconciliation;
 use crate::session::{OrderState, Session};
 use crate::settings::DispatchSettings;
+use crate::summary::PassSummary;
 
 /// Number of tasks for which one scheduling pass searches for runs to evict. A group is searched as
 /// a whole, so the last one may exceed the limit. A search visits every run for every task, so a
@@ -46,6 +47,7 @@
     headroom: Headroom,
     /// Number of evictions since the last call of [`Self::take_eviction_count`].
     pub(crate) eviction_count: u64,
+    summary: Option<PassSummary>,
 }
 
 impl Dispatcher {
@@ -60,6 +62,7 @@
             evicted: FastHashSet::default(),
             headroom: Headroom::default(),
             eviction_count: 0,
+            summary: None,
         }
     }
 
@@ -90,6 +93,11 @@
         std::mem::take(&mut self.eviction_count)
     }
 
+    /// Returns the summary of the last pass; `None` if it began every ready task.
+    pub fn pass_summary(&self) -> Option<&PassSummary> {
+        self.summary.as_ref()
+    }
+
     /// Records that a heartbeat round which began at `began_at` confirmed leadership. Leases may
     /// build on all clock readings received before. Any later leader was elected after `began_at`,
     /// so it can bound every lease that this one granted.
@@ -188,6 +196,7 @@
         self.headroom.update(table, now);
         let urgent_demand = urgent_accelerator_demand(table);
         let groups = ready_task_groups(table, configuration, &urgent_demand, unix_ms);
+        self.summary = None;
         if groups.is_empty() {
             return changes;
         }
@@ -196,17 +205,21 @@
         // All tasks of a step are equal: once one does not fit, the others do not either.
         let mut blocked_steps = FastHashSet::default();
         let mut headroom_reserved = false;
+        let mut waiting = Vec::new();
         for group in &groups {
             if !group.is_urgent() && !headroom_reserved {
                 headroom_reserved = true;
                 self.headroom.reserve(&mut workers);
             }
             let step = (group.job.order, group.occurrence, group.step);
-            if blocked_steps.contains(&step) {
+            if !blocked_steps.contains(&step)
+                && let Some(placement) = place(group, &workers, CapacityKind::Free, false)
+            {
+                changes.push(TableChange::Begin(occupy(group, &placement, &mut workers)));
                 continue;
             }
-            if let Some(placement) = place(group, &workers, CapacityKind::Free, false) {
-                changes.push(TableChange::Begin(occupy(group, &placement, &mut workers)));
+            waiting.push(group);
+            if blocked_steps.contains(&step) {
                 continue;
             }
             if reserve_after_stops(group, &mut workers) {
@@ -220,6 +233,9 @@
             }
             blocked_steps.insert(step);
         }
+        if !waiting.is_empty() {
+            self.summary = Some(PassSummary::new(&waiting, &workers, table));
+        }
         changes
     }
 
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 mod reconcile;
 mod session;
 mod settings;
+mod summary;
 
 pub use dispatcher::{Dispatcher, TableChange};
 pub use lease::ClockReading;
@@ -26,3 +27,4 @@
     AgentMessage, EndedRun, Observation, Orders, RunningRun, StartOrder, StartResult, WorkerState,
 };
 pub use settings::DispatchSettings;
+pub use summary::{ByPriority, PassSummary};
--- /dev/null
+++ b/crates/yuccatack_dispatch/src/summary.rs
@@ -0,0 +1,85 @@
+//! Summary of a scheduling pass for logs: what waits, and how the capacity is used.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use yuccatack_runs::JobTable;
+
+use crate::capacity::WorkerSnapshot;
+use crate::demand::{TaskGroup, Tier};
+
+/// Amounts by the priority of the queue.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ByPriority(BTreeMap<u32, u64>);
+
+impl ByPriority {
+    fn add(&mut self, priority: u32, amount: u64) {
+        *self.0.entry(priority).or_default() += amount;
+    }
+
+    /// Returns the amount of one priority.
+    pub fn get(&self, priority: u32) -> u64 {
+        self.0.get(&priority).copied().unwrap_or(0)
+    }
+}
+
+impl fmt::Display for ByPriority {
+    /// Writes for example `0:12 2:3`.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, (priority, amount)) in self.0.iter().enumerate() {
+            let separator = if position > 0 { " " } else { "" };
+            write!(formatter, "{separator}{priority}:{amount}")?;
+        }
+        Ok(())
+    }
+}
+
+/// State at the end of a scheduling pass in which not every ready task could begin.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PassSummary {
+    /// Ready tasks that did not begin.
+    pub waiting_tasks: ByPriority,
+    /// Those of them whose job has missed its objective by far.
+    pub overdue_tasks: ByPriority,
+    /// Accelerators of open runs.
+    pub used_accelerators: ByPriority,
+    /// Workers that may get new runs.
+    pub available_worker_count: usize,
+    /// Accelerators of available workers that no run uses.
+    pub free_accelerator_count: u32,
+    /// Those of them on workers that are kept free for urgent work.
+    pub held_accelerator_count: u32,
+    /// Those of them on workers that are reserved for a group of this pass.
+    pub reserved_accelerator_count: u32,
+}
+
+impl PassSummary {
+    /// Summarizes a pass that left the groups in `waiting` without capacity.
+    pub(crate) fn new(
+        waiting: &[&TaskGroup<'_>],
+        workers: &[WorkerSnapshot],
+        table: &JobTable,
+    ) -> Self {
+        let mut summary = Self { available_worker_count: workers.len(), ..Self::default() };
+        for group in waiting {
+            let (priority, task_count) = (group.job.submission.priority, group.tasks.len() as u64);
+            summary.waiting_tasks.add(priority, task_count);
+            if matches!(group.urgency.tier, Tier::Overdue(_)) {
+                summary.overdue_tasks.add(priority, task_count);
+            }
+        }
+        for (run, open) in table.open_runs() {
+            if let Some(job) = table.job(&run.task.job) {
+                let count = u64::from(open.demand.accelerator_count);
+                summary.used_accelerators.add(job.submission.priority, count);
+            }
+        }
+        for worker in workers {
+            let free = worker.free.accelerator_count;
+            summary.free_accelerator_count += free;
+            summary.held_accelerator_count += if worker.held_for_urgent { free } else { 0 };
+            summary.reserved_accelerator_count += if worker.reserved { free } else { 0 };
+        }
+        summary
+    }
+}
--- a/crates/yuccatack_queue_control/src/schedule.rs
+++ b/crates/yuccatack_queue_control/src/schedule.rs
@@ -2,6 +2,7 @@
 
 use ractor::ActorProcessingErr;
 use yuccatack_core::{DurationMs, TimestampMs};
+use yuccatack_dispatch::PassSummary;
 use yuccatack_replication::ReadId;
 
 use crate::actor::{ControlState, PendingProposal, PendingRead, unix_now_ms};
@@ -15,6 +16,9 @@
 /// announces that a lease has expired or that a scheduled job is due.
 const PASS_INTERVAL: DurationMs = DurationMs::new(50);
 
+/// Interval at which the leader logs what waits for capacity.
+const SUMMARY_INTERVAL: DurationMs = DurationMs::new(1_000);
+
 /// Pause after a scheduling pass as a multiple of the pass's duration, so that passes on a loaded
 /// deployment do not delay heartbeats and calls.
 const PASS_PAUSE_FACTOR: u64 = 3;
@@ -48,6 +52,12 @@
                 changes =
                     dispatcher.decide(jobs, &self.queue_state.configuration, now, now_unix_ms);
                 self.metrics.queues.count_evictions(dispatcher.take_eviction_count());
+                if let Some(summary) = dispatcher.pass_summary()
+                    && now.since(self.summarized_at) >= SUMMARY_INTERVAL
+                {
+                    self.summarized_at = now;
+                    log_summary(summary);
+                }
             }
             if !changes.is_empty() {
                 self.changes_in_flight = true;
@@ -91,3 +101,13 @@
         }
     }
 }
+
+fn log_summary(summary: &PassSummary) {
+    log::info!(
+        event = "tasks_waiting", waiting:% = summary.waiting_tasks,
+        overdue:% = summary.overdue_tasks, used:% = summary.used_accelerators,
+        workers = summary.available_worker_count, free = summary.free_accelerator_count,
+        held = summary.held_accelerator_count, reserved = summary.reserved_accelerator_count;
+        "ready tasks wait for capacity"
+    );
+}
