Headroom yields to the most urgent queue that waits

Cause: up to 0.4 of what urgent work used lately was kept free however long other jobs waited. tasks_waiting shows 8.4 accelerators held on average while 41 tasks waited, so the backlog of one priority pushed the next one out.

Change: after 1 s of waiting, groups of the most urgent queue that waits may use the headroom.

Test: headroom_yields_to_waiting failed before the change; headroom_yields_in_order holds the order.

--- a/crates/yuccatack_dispatch/src/demand.rs
+++ b/crates/yuccatack_dispatch/src/demand.rs
@@ -1,6 +1,6 @@
 //! Task groups that are ready to begin, in order of urgency.
 
-use yuccatack_core::{FastHashMap, OrganisationName};
+use yuccatack_core::{DurationMs, FastHashMap, OrganisationName};
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{Job, JobTable, Occurrence, StepSpec};
 
@@ -16,6 +16,10 @@
     /// Number that the runs of all tasks get.
     pub run_number: u32,
     pub urgency: Urgency,
+    /// Time since the job was accepted, or its occurrence was due.
+    pub waited_ms: DurationMs,
+    /// `true` if the group may be placed on workers that are held for urgent work.
+    pub may_use_headroom: bool,
     /// `true` if one more failure fails the job.
     pub last_attempt: bool,
 }
@@ -25,6 +29,11 @@
     pub fn is_urgent(&self) -> bool {
         self.job.submission.priority == 0
     }
+
+    /// Returns `true` for jobs so late that completing them has no value.
+    pub fn is_overdue(&self) -> bool {
+        matches!(self.urgency.tier, Tier::Overdue(_))
+    }
 }
 
 /// Scheduling order of a task group; the smallest comes first.
@@ -139,6 +148,8 @@
             run_number: step_progress.next_run(spec, tasks[0]),
             tasks,
             urgency,
+            may_use_headroom: job.submission.priority == 0,
+            waited_ms: DurationMs::new(unix_ms.saturating_sub(since_unix_ms)),
             last_attempt: !spec.long_running && failed_count + 1 >= max_attempts,
         };
         if spec.gang {
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -10,7 +10,7 @@
 use crate::capacity::available_workers;
 use crate::demand::{ready_task_groups, urgent_accelerator_demand};
 use crate::eviction::{may_evict, reserve_after_stops};
-use crate::headroom::Headroom;
+use crate::headroom::{Headroom, share_headroom};
 use crate::lease::max_real_duration;
 use crate::placement::{CapacityKind, occupy, place};
 use crate::protocol::{AgentMessage, Orders, StartResult, WorkerState};
@@ -195,7 +195,8 @@
         let mut changes = self.expired_runs(table, now);
         self.headroom.update(table, now);
         let urgent_demand = urgent_accelerator_demand(table);
-        let groups = ready_task_groups(table, configuration, &urgent_demand, unix_ms);
+        let mut groups = ready_task_groups(table, configuration, &urgent_demand, unix_ms);
+        share_headroom(&mut groups);
         self.summary = None;
         if groups.is_empty() {
             return changes;
--- a/crates/yuccatack_dispatch/src/headroom.rs
+++ b/crates/yuccatack_dispatch/src/headroom.rs
@@ -6,10 +6,11 @@
 use std::cmp::Reverse;
 use std::sync::Arc;
 
-use yuccatack_core::{FastHashMap, TimestampMs};
+use yuccatack_core::{DurationMs, FastHashMap, TimestampMs};
 use yuccatack_runs::JobTable;
 
 use crate::capacity::WorkerSnapshot;
+use crate::demand::TaskGroup;
 
 /// Time constant of the moving average of urgent work; several times the length of an urgent task.
 const AVERAGING_TIME_MS: f64 = 8_000.0;
@@ -18,6 +19,25 @@
 /// for a few seconds, so about this fraction of it is requested during one eviction.
 const HEADROOM_RATIO: f64 = 0.4;
 
+/// Time after which waiting jobs may use the headroom. While jobs wait longer than that, capacity is
+/// short, and workers that are left idle for urgent jobs would only lengthen the queue of all others.
+const MAX_HELD_BACK_MS: DurationMs = DurationMs::new(1_000);
+
+/// Lets the groups that have waited longest use the headroom: those of the most urgent queue that
+/// waits. Small tasks of less urgent queues would fill it first and leave wide gangs no room.
+pub(crate) fn share_headroom(groups: &mut [TaskGroup<'_>]) {
+    let waits = |group: &TaskGroup<'_>| {
+        !group.is_urgent() && group.waited_ms >= MAX_HELD_BACK_MS && !group.is_overdue()
+    };
+    let priority = |group: &TaskGroup<'_>| group.job.submission.priority;
+    let Some(first) = groups.iter().filter(|group| waits(group)).map(priority).min() else {
+        return;
+    };
+    for group in groups {
+        group.may_use_headroom |= waits(group) && priority(group) == first;
+    }
+}
+
 /// Moving average of the accelerators used by urgent work.
 #[derive(Debug, Default)]
 pub(crate) struct Headroom {
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -126,9 +126,10 @@
     let need = footprint(group.spec);
     let mut free: FastHashMap<usize, (Resources, u32)> = FastHashMap::default();
     for index in set {
-        let held_for_urgent =
-            kind != CapacityKind::Total && workers[*index].held_for_urgent && !group.is_urgent();
-        if !held_for_urgent && (with_reserved || !workers[*index].reserved) {
+        let held_back = kind != CapacityKind::Total
+            && workers[*index].held_for_urgent
+            && !group.may_use_headroom;
+        if !held_back && (with_reserved || !workers[*index].reserved) {
             free.insert(
                 *index,
                 (kind.of(&workers[*index]), step_allowance(group, &workers[*index])),
--- a/crates/yuccatack_dispatch/src/summary.rs
+++ b/crates/yuccatack_dispatch/src/summary.rs
@@ -6,7 +6,7 @@
 use yuccatack_runs::JobTable;
 
 use crate::capacity::WorkerSnapshot;
-use crate::demand::{TaskGroup, Tier};
+use crate::demand::TaskGroup;
 
 /// Amounts by the priority of the queue.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -64,7 +64,7 @@
         for group in waiting {
             let (priority, task_count) = (group.job.submission.priority, group.tasks.len() as u64);
             summary.waiting_tasks.add(priority, task_count);
-            if matches!(group.urgency.tier, Tier::Overdue(_)) {
+            if group.is_overdue() {
                 summary.overdue_tasks.add(priority, task_count);
             }
         }
--- a/crates/yuccatack_dispatch/tests/urgent_headroom.rs
+++ b/crates/yuccatack_dispatch/tests/urgent_headroom.rs
@@ -52,3 +52,35 @@
     }
     panic!("the headroom was held although no urgent work arrived");
 }
+
+#[test]
+fn headroom_yields_to_waiting() {
+    let mut cluster = cluster_with_urgent_load();
+    cluster.submit("low", 2, step(1, 8));
+    assert!(starts(&cluster.decide()).is_empty());
+    // The urgent job goes on, so the headroom stays; the worker must not stay idle with it.
+    for _ in 0..3 {
+        cluster.advance(500);
+        let worker_index = cluster.worker_of(&run("urgent", 0, 1));
+        cluster.observe(worker_index, &[(run("urgent", 0, 1), 50)], &[], &[]);
+        cluster.observe(1 - worker_index, &[], &[], &[]);
+    }
+    assert_eq!(
+        starts(&cluster.decide()),
+        [run("low", 0, 1)],
+        "a worker was kept idle for urgent work while a job waited"
+    );
+}
+
+#[test]
+fn headroom_yields_in_order() {
+    let mut cluster = cluster_with_urgent_load();
+    // The small tasks would fit, but then the wide one never would.
+    cluster.submit("small", 2, step(4, 1));
+    cluster.submit("wide", 1, step(1, 8));
+    cluster.advance(1_100);
+    let worker_index = cluster.worker_of(&run("urgent", 0, 1));
+    cluster.observe(worker_index, &[(run("urgent", 0, 1), 50)], &[], &[]);
+    cluster.observe(1 - worker_index, &[], &[], &[]);
+    assert_eq!(starts(&cluster.decide()), [run("wide", 0, 1)]);
+}
