--- a/crates/yuccatack_dispatch/src/summary.rs
+++ b/crates/yuccatack_dispatch/src/summary.rs
@@ -47,9 +47,13 @@
     pub available_worker_count: usize,
     /// Accelerators of available workers that no run uses.
     pub free_accelerator_count: u32,
-    /// Those of them on workers that are kept free for urgent work.
+    /// CPU of available workers that no run uses, in thousandths of a core.
+    pub free_cores_milli: u64,
+    /// Memory of available workers that no run uses.
+    pub free_memory_bytes: u64,
+    /// Free accelerators on workers that are kept free for urgent work.
     pub held_accelerator_count: u32,
-    /// Those of them on workers that are reserved for a group of this pass.
+    /// Free accelerators on workers that are reserved for a group of this pass.
     pub reserved_accelerator_count: u32,
 }
 
@@ -77,6 +81,8 @@
         for worker in workers {
             let free = worker.free.accelerator_count;
             summary.free_accelerator_count += free;
+            summary.free_cores_milli += worker.free.cores_milli;
+            summary.free_memory_bytes += worker.free.memory_bytes;
             summary.held_accelerator_count += if worker.held_for_urgent { free } else { 0 };
             summary.reserved_accelerator_count += if worker.reserved { free } else { 0 };
         }
--- a/crates/yuccatack_queue_control/src/schedule.rs
+++ b/crates/yuccatack_queue_control/src/schedule.rs
@@ -107,6 +107,7 @@
         event = "tasks_waiting", waiting:% = summary.waiting_tasks,
         overdue:% = summary.overdue_tasks, used:% = summary.used_accelerators,
         workers = summary.available_worker_count, free = summary.free_accelerator_count,
+        free_cores_milli = summary.free_cores_milli, free_memory_bytes = summary.free_memory_bytes,
         held = summary.held_accelerator_count, reserved = summary.reserved_accelerator_count;
         "ready tasks wait for capacity"
     );
