Give each less urgent priority a minimum share of the capacity

Cause: queues were served strictly by priority, and urgent jobs evicted the cheapest runs, so a shortage fell on the least urgent queue alone. The class of fault: starvation under static priorities.

Change: 0.1 of a service's capacity is divided equally among the less urgent priorities with demand and 0.4 by demand, as dominant shares. Groups within the share of their priority come before the order of priorities, and urgent jobs don't evict runs within it, counted over a whole pass. Guaranteed jobs still do, at a higher loss.

--- a/crates/yuccatack_dispatch/src/demand.rs
+++ b/crates/yuccatack_dispatch/src/demand.rs
@@ -50,6 +50,10 @@
 pub(crate) enum Tier {
     /// Most urgent jobs of an organisation, within its guaranteed accelerators.
     Guaranteed,
+    /// All other most urgent jobs.
+    Urgent,
+    /// Less urgent jobs within the minimum share of their priority, by priority.
+    MinimumShare(u32),
     /// All other jobs, by the priority of their queue.
     Priority(u32),
     /// Jobs so late that completing them has no value, by the priority of their queue.
@@ -178,6 +182,8 @@
         Tier::Guaranteed
     } else if overdue {
         Tier::Overdue(submission.priority)
+    } else if submission.priority == 0 {
+        Tier::Urgent
     } else {
         Tier::Priority(submission.priority)
     };
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -9,7 +9,7 @@
 
 use crate::capacity::available_workers;
 use crate::demand::{ready_task_groups, urgent_accelerator_demand};
-use crate::eviction::{may_evict, reserve_after_stops};
+use crate::eviction::{EvictionInputs, may_evict, reserve_after_stops};
 use crate::headroom::{Headroom, share_headroom};
 use crate::lease::max_real_duration;
 use crate::placement::{CapacityKind, occupy, place};
@@ -17,6 +17,7 @@
 use crate::reconcile::Reconciliation;
 use crate::session::{OrderState, Session};
 use crate::settings::DispatchSettings;
+use crate::share::MinimumShares;
 use crate::summary::PassSummary;
 
 /// Number of tasks for which one scheduling pass searches for runs to evict. A group is searched as
@@ -202,6 +203,8 @@
             return changes;
         }
         let mut workers = available_workers(&self.sessions, table, now);
+        let mut shares = MinimumShares::new(&groups, &workers, table, &self.stopping_runs());
+        shares.promote(&mut groups);
         let mut remaining_search_tasks = EVICTION_SEARCH_TASK_COUNT;
         // All tasks of a step are equal: once one does not fit, the others do not either.
         let mut blocked_steps = FastHashSet::default();
@@ -228,7 +231,13 @@
             }
             if may_evict(group) && remaining_search_tasks > 0 {
                 remaining_search_tasks = remaining_search_tasks.saturating_sub(group.tasks.len());
-                if self.evict_for(group, &mut workers, table, configuration, &urgent_demand) {
+                let inputs = EvictionInputs {
+                    table,
+                    configuration,
+                    urgent_demand: &urgent_demand,
+                    shares: &mut shares,
+                };
+                if self.evict_for(group, &mut workers, inputs) {
                     continue;
                 }
             }
--- a/crates/yuccatack_dispatch/src/eviction.rs
+++ b/crates/yuccatack_dispatch/src/eviction.rs
@@ -12,6 +12,15 @@
 use crate::placement::{CapacityKind, place};
 use crate::reclaim::Reclaim;
 use crate::session::OrderState;
+use crate::share::MinimumShares;
+
+/// State of a scheduling pass that the choice of runs to evict depends on.
+pub(crate) struct EvictionInputs<'a> {
+    pub table: &'a JobTable,
+    pub configuration: &'a ConfigurationStore,
+    pub urgent_demand: &'a FastHashMap<OrganisationName, u64>,
+    pub shares: &'a mut MinimumShares,
+}
 
 impl Dispatcher {
     /// Evicts less urgent runs for a group that does not fit, and reserves their capacity for it.
@@ -20,19 +29,11 @@
         &mut self,
         group: &TaskGroup<'_>,
         workers: &mut [WorkerSnapshot],
-        table: &JobTable,
-        configuration: &ConfigurationStore,
-        urgent_demand: &FastHashMap<OrganisationName, u64>,
+        inputs: EvictionInputs<'_>,
     ) -> bool {
         let stopping = self.stopping_runs();
         let progress = self.progress();
-        let reclaim = Reclaim {
-            table,
-            configuration,
-            urgent_demand,
-            stopping: &stopping,
-            progress: &progress,
-        };
+        let reclaim = Reclaim { inputs: &inputs, stopping: &stopping, progress: &progress };
         let Some(eviction) = reclaim.find(group, workers) else { return false };
         for victim in eviction.victims {
             log::info!(
@@ -40,6 +41,7 @@
                 for_job = group.job.submission.name.as_str();
                 "evicting the run to free its capacity for a more urgent job"
             );
+            inputs.shares.release(&victim, inputs.table);
             self.eviction_count += 1;
             self.evicted.insert(victim);
         }
@@ -57,7 +59,7 @@
         per_session.map(|(run, percent)| (run.clone(), percent)).collect()
     }
 
-    fn stopping_runs(&self) -> FastHashSet<RunId> {
+    pub(crate) fn stopping_runs(&self) -> FastHashSet<RunId> {
         let per_session = self.sessions.values().flat_map(|session| &session.orders);
         per_session
             .filter(|(_, order)| matches!(order, OrderState::Stopping { .. }))
@@ -82,5 +84,5 @@
 }
 
 pub(crate) fn may_evict(group: &TaskGroup<'_>) -> bool {
-    matches!(group.urgency.tier, Tier::Guaranteed | Tier::Priority(0))
+    matches!(group.urgency.tier, Tier::Guaranteed | Tier::Urgent)
 }
--- a/crates/yuccatack_dispatch/src/headroom.rs
+++ b/crates/yuccatack_dispatch/src/headroom.rs
@@ -23,12 +23,16 @@
 /// short, and workers that are left idle for urgent jobs would only lengthen the queue of all others.
 const MAX_HELD_BACK_MS: DurationMs = DurationMs::new(1_000);
 
+/// Returns `true` if headroom may no longer delay the group.
+pub(crate) fn has_waited_long(group: &TaskGroup<'_>) -> bool {
+    group.waited_ms >= MAX_HELD_BACK_MS
+}
+
 /// Lets the groups that have waited longest use the headroom: those of the most urgent queue that
 /// waits. Small tasks of less urgent queues would fill it first and leave wide gangs no room.
 pub(crate) fn share_headroom(groups: &mut [TaskGroup<'_>]) {
-    let waits = |group: &TaskGroup<'_>| {
-        !group.is_urgent() && group.waited_ms >= MAX_HELD_BACK_MS && !group.is_overdue()
-    };
+    let waits =
+        |group: &TaskGroup<'_>| !group.is_urgent() && has_waited_long(group) && !group.is_overdue();
     let priority = |group: &TaskGroup<'_>| group.job.submission.priority;
     let Some(first) = groups.iter().filter(|group| waits(group)).map(priority).min() else {
         return;
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 mod reconcile;
 mod session;
 mod settings;
+mod share;
 mod summary;
 
 pub use dispatcher::{Dispatcher, TableChange};
--- a/crates/yuccatack_dispatch/src/reclaim.rs
+++ b/crates/yuccatack_dispatch/src/reclaim.rs
@@ -1,11 +1,11 @@
 //! Selection of the runs to evict for a more urgent task group.
 
-use yuccatack_core::{FastHashMap, FastHashSet, OrganisationName, Resources};
-use yuccatack_queues::ConfigurationStore;
-use yuccatack_runs::{JobTable, RunId};
+use yuccatack_core::{FastHashMap, FastHashSet, Resources};
+use yuccatack_runs::{RunId, StepSpec};
 
 use crate::capacity::{WorkerSnapshot, add, footprint, subtract};
 use crate::demand::{TaskGroup, Tier, within_guarantee};
+use crate::eviction::EvictionInputs;
 use crate::loss::{RunProgress, eviction_loss, task_work};
 use crate::placement::{Placement, candidate_sets, step_allowance};
 
@@ -15,9 +15,7 @@
 
 /// Inputs of the search for runs to evict.
 pub(crate) struct Reclaim<'a> {
-    pub table: &'a JobTable,
-    pub configuration: &'a ConfigurationStore,
-    pub urgent_demand: &'a FastHashMap<OrganisationName, u64>,
+    pub inputs: &'a EvictionInputs<'a>,
     /// Runs that are already being stopped.
     pub stopping: &'a FastHashSet<RunId>,
     pub progress: &'a RunProgress,
@@ -32,6 +30,15 @@
     pub victims: Vec<RunId>,
 }
 
+/// Runs chosen so far in the search for one group.
+#[derive(Clone, Debug, Default)]
+struct Victims {
+    runs: FastHashSet<RunId>,
+    loss: u64,
+    /// Fraction of the service's capacity that the runs of each priority release.
+    released_fractions: FastHashMap<u32, f64>,
+}
+
 impl Reclaim<'_> {
     /// Finds the runs with the smallest loss whose eviction lets the group fit.
     ///
@@ -40,11 +47,11 @@
     pub fn find(&self, group: &TaskGroup<'_>, workers: &[WorkerSnapshot]) -> Option<Eviction> {
         let sets = candidate_sets(group, workers);
         let evictions = sets.iter().filter_map(|set| self.find_in_set(group, workers, set));
-        let (cost, eviction) = evictions.min_by_key(|(cost, _)| *cost)?;
+        let (loss, eviction) = evictions.min_by_key(|(loss, _)| *loss)?;
         // Guaranteed capacity is reclaimed at any cost to other organisations.
         let guaranteed = group.urgency.tier == Tier::Guaranteed;
         let work = task_work(group.spec).saturating_mul(group.tasks.len() as u64);
-        (guaranteed || cost <= EVICTION_LOSS_FACTOR * work).then_some(eviction)
+        (guaranteed || loss <= EVICTION_LOSS_FACTOR * work).then_some(eviction)
     }
 
     fn find_in_set(
@@ -58,90 +65,113 @@
             set.iter().map(|index| (*index, workers[*index].free_after_stops)).collect();
         let mut allowed: FastHashMap<usize, u32> =
             set.iter().map(|index| (*index, step_allowance(group, &workers[*index]))).collect();
-        let mut victims = FastHashSet::default();
+        let mut victims = Victims::default();
         let mut placement = Vec::with_capacity(group.tasks.len());
         let mut freed_per_task = Vec::with_capacity(group.tasks.len());
-        let mut total_cost = 0;
         for _ in &group.tasks {
             let candidates_per_worker =
                 set.iter().filter(|index| allowed[index] > 0).filter_map(|index| {
-                    let chosen =
-                        self.victims_on(group, &workers[*index], free[index], need, &victims)?;
-                    Some((
-                        chosen
-                            .iter()
-                            .map(|run| eviction_loss(run, self.table, self.progress))
-                            .sum::<u64>(),
-                        *index,
-                        chosen,
-                    ))
+                    let chosen = self.victims_on(group, &workers[*index], free[index], &victims)?;
+                    Some((*index, chosen))
                 });
-            let (cost, index, chosen) =
-                candidates_per_worker.min_by_key(|(cost, index, _)| (*cost, *index))?;
-            total_cost += cost;
-            let footprints = chosen.iter().filter_map(|run| self.footprint_of(run));
+            let (index, chosen) =
+                candidates_per_worker.min_by_key(|(index, chosen)| (chosen.loss, *index))?;
+            let added = chosen.runs.difference(&victims.runs);
+            let footprints = added.filter_map(|run| self.spec_of(run)).map(footprint);
             let freed = footprints.fold(Resources::default(), add);
             free.insert(index, subtract(add(free[&index], freed), need));
             freed_per_task.push(freed);
             allowed.entry(index).and_modify(|remaining| *remaining -= 1);
-            victims.extend(chosen);
+            victims = chosen;
             placement.push(index);
         }
-        let mut victims: Vec<RunId> = victims.into_iter().collect();
-        victims.sort_unstable();
-        Some((total_cost, Eviction { placement, freed: freed_per_task, victims }))
-    }
-
-    fn footprint_of(&self, run: &RunId) -> Option<Resources> {
-        self.table.job(&run.task.job)?.step_spec(run.task.step).map(footprint)
+        let mut runs: Vec<RunId> = victims.runs.into_iter().collect();
+        runs.sort_unstable();
+        Some((victims.loss, Eviction { placement, freed: freed_per_task, victims: runs }))
     }
 
-    /// Returns the runs of a worker to evict so that one task fits, in order of increasing loss.
+    /// Adds runs of a worker to the victims, in order of increasing loss, until one task fits.
     fn victims_on(
         &self,
         group: &TaskGroup<'_>,
         worker: &WorkerSnapshot,
         mut free: Resources,
-        need: Resources,
-        already_chosen: &FastHashSet<RunId>,
-    ) -> Option<Vec<RunId>> {
-        let mut chosen = Vec::new();
+        victims: &Victims,
+    ) -> Option<Victims> {
+        let need = footprint(group.spec);
+        let mut victims = victims.clone();
         if free.contains(&need) {
-            return Some(chosen);
+            return Some(victims);
         }
-        let mut candidates: Vec<&RunId> = worker
+        let mut candidates: Vec<(u64, &RunId)> = worker
             .runs
             .iter()
-            .filter(|run| !already_chosen.contains(run) && !self.stopping.contains(run))
+            .filter(|run| !victims.runs.contains(run) && !self.stopping.contains(run))
             .filter(|run| self.may_evict(group, run))
+            .map(|run| (eviction_loss(run, self.inputs.table, self.progress), run))
             .collect();
-        candidates
-            .sort_by_key(|run| (eviction_loss(run, self.table, self.progress), (*run).clone()));
-        for run in candidates {
-            free = add(free, self.footprint_of(run).unwrap_or_default());
-            chosen.push(run.clone());
+        candidates.sort_unstable();
+        let mut protected = Vec::new();
+        for (loss, run) in candidates {
+            if !self.release_surplus(run, &mut victims) {
+                protected.push((loss, run));
+                continue;
+            }
+            free = add(free, self.spec_of(run).map(footprint).unwrap_or_default());
+            victims.loss += loss;
+            victims.runs.insert(run.clone());
+            if free.contains(&need) {
+                return Some(victims);
+            }
+        }
+        if group.urgency.tier != Tier::Guaranteed {
+            return None;
+        }
+        for (loss, run) in protected {
+            free = add(free, self.spec_of(run).map(footprint).unwrap_or_default());
+            // The whole work counts on top, so that runs beyond a minimum share go first.
+            victims.loss += loss + self.spec_of(run).map_or(0, task_work);
+            victims.runs.insert(run.clone());
             if free.contains(&need) {
-                return Some(chosen);
+                return Some(victims);
             }
         }
         None
     }
 
+    /// Counts the capacity of the run as released. Returns `false` if its priority would fall below
+    /// its minimum share.
+    fn release_surplus(&self, run: &RunId, victims: &mut Victims) -> bool {
+        let Some(job) = self.inputs.table.job(&run.task.job) else { return true };
+        let Some(spec) = job.step_spec(run.task.step) else { return true };
+        let (service, priority) = (&job.submission.service, job.submission.priority);
+        let fraction = self.inputs.shares.dominant_fraction(service, spec);
+        let released_fraction = victims.released_fractions.entry(priority).or_default();
+        let surplus_fraction = self.inputs.shares.surplus_fraction(service, priority);
+        let allowed = *released_fraction + fraction <= surplus_fraction;
+        *released_fraction += if allowed { fraction } else { 0.0 };
+        allowed
+    }
+
+    fn spec_of(&self, run: &RunId) -> Option<&StepSpec> {
+        self.inputs.table.job(&run.task.job)?.step_spec(run.task.step)
+    }
+
     /// Returns `true` if the group may evict the run: only less urgent runs are evicted, and runs
     /// within a guarantee never are.
     fn may_evict(&self, group: &TaskGroup<'_>, run: &RunId) -> bool {
-        let Some(job) = self.table.job(&run.task.job) else { return false };
+        let Some(job) = self.inputs.table.job(&run.task.job) else { return false };
         let submission = &job.submission;
         let guaranteed = submission.priority == 0
             && within_guarantee(
                 submission.organisation.as_ref(),
-                self.urgent_demand,
-                self.configuration,
+                self.inputs.urgent_demand,
+                self.inputs.configuration,
             );
         match group.urgency.tier {
             Tier::Guaranteed => !guaranteed,
-            Tier::Priority(priority) => priority == 0 && submission.priority > 0,
-            Tier::Overdue(_) => false,
+            Tier::Urgent => submission.priority > 0,
+            Tier::MinimumShare(_) | Tier::Priority(_) | Tier::Overdue(_) => false,
         }
     }
 }
--- a/crates/yuccatack_dispatch/tests/reclaim_order.rs
+++ b/crates/yuccatack_dispatch/tests/reclaim_order.rs
@@ -87,8 +87,9 @@
     for run in &low {
         cluster.report_begun(run);
     }
+    cluster.add_organisation("owner", 320);
     for job_index in 0..worker_count {
-        cluster.submit(&format!("urgent{job_index}"), 0, step(1, 8));
+        cluster.submit_for(&format!("urgent{job_index}"), Some("owner"), 0, step(1, 8));
     }
     let first = stops(&cluster.decide()).len();
     assert!((1..worker_count).contains(&first), "{first} evictions in one scheduling pass");
