Derive deadlines from the run times of completed runs

Cause: deadlines within a queue followed the callers' estimates alone.

Change: the leader measures completed runs and fits the run times of each queue to their estimates, as logarithms, beginning with the estimate. A new leader learns again.

Test: run_time_estimates; wrong_estimates_outweighed fails on the code before, estimate_used_first holds on both.

--- a/crates/yuccatack_dispatch/src/demand.rs
+++ b/crates/yuccatack_dispatch/src/demand.rs
@@ -4,6 +4,8 @@
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{Job, JobTable, Occurrence, StepSpec};
 
+use crate::run_time::RunTimes;
+
 /// Tasks that are placed together: a whole gang, or a single task of any other step.
 #[derive(Clone, Debug)]
 pub(crate) struct TaskGroup<'a> {
@@ -60,6 +62,15 @@
     Overdue(u32),
 }
 
+/// What the deadlines of an occurrence's steps depend on.
+#[derive(Clone, Copy)]
+struct Timing<'a> {
+    /// Unix time at which the job was accepted, or its occurrence was due.
+    since_unix_ms: u64,
+    /// Predicted length of the longest chain of steps that begins with each step.
+    chains_ms: &'a [u64],
+}
+
 /// Multiple of its objective after which a job has no value.
 const OVERDUE_FACTOR: u64 = 3;
 
@@ -99,19 +110,22 @@
     table: &'a JobTable,
     configuration: &ConfigurationStore,
     urgent_demand: &FastHashMap<OrganisationName, u64>,
+    run_times: &RunTimes,
     unix_ms: u64,
 ) -> Vec<TaskGroup<'a>> {
     let mut groups = Vec::new();
     for job in table.jobs().filter(|job| !job.phase.is_final()) {
         let guaranteed = job.submission.priority == 0
             && within_guarantee(job.submission.organisation.as_ref(), urgent_demand, configuration);
+        let chains_ms = run_times.chains_ms(job);
         for occurrence in 0..job.submission.spec.occurrence_count() {
             let due = job.submission.spec.due_at_unix_ms(occurrence);
             if due.is_some_and(|due| due > unix_ms) {
                 break;
             }
             let since_unix_ms = due.unwrap_or(job.submission.accepted_at_unix_ms);
-            collect_occurrence(job, occurrence, since_unix_ms, guaranteed, unix_ms, &mut groups);
+            let timing = Timing { since_unix_ms, chains_ms: &chains_ms };
+            collect_occurrence(job, occurrence, timing, guaranteed, unix_ms, &mut groups);
         }
     }
     groups.sort_by_key(|group| group.urgency);
@@ -121,7 +135,7 @@
 fn collect_occurrence<'a>(
     job: &'a Job,
     occurrence: u32,
-    since_unix_ms: u64,
+    timing: Timing<'_>,
     guaranteed: bool,
     unix_ms: u64,
     groups: &mut Vec<TaskGroup<'a>>,
@@ -142,7 +156,7 @@
         if step_progress.is_done() || !progress.is_ready(spec) {
             continue;
         }
-        let urgency = urgency(job, step, since_unix_ms, guaranteed, unix_ms);
+        let urgency = urgency(job, step, timing, guaranteed, unix_ms);
         let max_attempts = job.submission.max_attempts;
         let group = |tasks: Vec<u32>, failed_count: u32| TaskGroup {
             job,
@@ -153,7 +167,7 @@
             tasks,
             urgency,
             may_use_headroom: job.submission.priority == 0,
-            waited_ms: DurationMs::new(unix_ms.saturating_sub(since_unix_ms)),
+            waited_ms: DurationMs::new(unix_ms.saturating_sub(timing.since_unix_ms)),
             last_attempt: !spec.long_running && failed_count + 1 >= max_attempts,
         };
         if spec.gang {
@@ -169,13 +183,14 @@
     }
 }
 
-fn urgency(job: &Job, step: u32, since_unix_ms: u64, guaranteed: bool, unix_ms: u64) -> Urgency {
+fn urgency(job: &Job, step: u32, timing: Timing<'_>, guaranteed: bool, unix_ms: u64) -> Urgency {
+    let Timing { since_unix_ms, chains_ms } = timing;
     let submission = &job.submission;
-    let chain_ms = submission.spec.longest_chain_ms().get();
+    let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
     // The product is far below 2^53, so the float holds whole milliseconds exactly.
     let stretched_ms = (chain_ms as f64 * submission.stretch.max(1.0)) as u64;
     let objective_ms = stretched_ms + submission.allowance_ms.get();
-    let remaining_ms = remaining_chain_ms(job, step);
+    let remaining_ms = chains_ms.get(step as usize).copied().unwrap_or(0);
     let latest_begin_unix_ms = (since_unix_ms + objective_ms).saturating_sub(remaining_ms);
     let overdue = unix_ms > since_unix_ms + OVERDUE_FACTOR * objective_ms;
     let tier = if guaranteed {
@@ -189,17 +204,3 @@
     };
     Urgency { tier, latest_begin_unix_ms, order: job.order }
 }
-
-/// Returns the estimated length of the longest chain of steps that begins with `step`.
-fn remaining_chain_ms(job: &Job, step: u32) -> u64 {
-    let steps = &job.submission.spec.steps;
-    let mut chain_ms = vec![0u64; steps.len()];
-    for index in (step as usize..steps.len()).rev() {
-        let number = u32::try_from(index).unwrap_or(u32::MAX);
-        let followers =
-            (index + 1..steps.len()).filter(|later| steps[*later].after.contains(&number));
-        let following_ms = followers.map(|later| chain_ms[later]).max().unwrap_or(0);
-        chain_ms[index] = steps[index].estimated_run_ms.get() + following_ms;
-    }
-    chain_ms.get(step as usize).copied().unwrap_or(0)
-}
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -15,6 +15,7 @@
 use crate::placement::{CapacityKind, occupy, place};
 use crate::protocol::{AgentMessage, Orders, StartResult, WorkerState};
 use crate::reconcile::Reconciliation;
+use crate::run_time::RunTimes;
 use crate::session::{OrderState, Session};
 use crate::settings::DispatchSettings;
 use crate::share::MinimumShares;
@@ -46,6 +47,7 @@
     pub(crate) sessions: BTreeMap<NodeName, Session>,
     pub(crate) evicted: FastHashSet<RunId>,
     headroom: Headroom,
+    pub(crate) run_times: RunTimes,
     /// Number of evictions since the last call of [`Self::take_eviction_count`].
     pub(crate) eviction_count: u64,
     summary: Option<PassSummary>,
@@ -62,6 +64,7 @@
             sessions: BTreeMap::new(),
             evicted: FastHashSet::default(),
             headroom: Headroom::default(),
+            run_times: RunTimes::default(),
             eviction_count: 0,
             summary: None,
         }
@@ -196,7 +199,8 @@
         let mut changes = self.expired_runs(table, now);
         self.headroom.update(table, now);
         let urgent_demand = urgent_accelerator_demand(table);
-        let mut groups = ready_task_groups(table, configuration, &urgent_demand, unix_ms);
+        let mut groups =
+            ready_task_groups(table, configuration, &urgent_demand, &self.run_times, unix_ms);
         share_headroom(&mut groups);
         self.summary = None;
         if groups.is_empty() {
--- a/crates/yuccatack_dispatch/src/health.rs
+++ b/crates/yuccatack_dispatch/src/health.rs
@@ -27,9 +27,14 @@
 /// otherwise take its own pause for a stall of the run.
 const STALL_SAMPLE_COUNT: u32 = 6;
 
-/// Series of observations of a run at the same progress.
+/// Progress below which a run must have been seen first for its run time to be measured.
+const MAX_FIRST_PERCENT: u8 = 50;
+
+/// Observations of a run: the first one, and the series of those at the current progress.
 #[derive(Debug)]
 struct ProgressSamples {
+    first_percent: u8,
+    first_clock_ms: u64,
     percent: u8,
     since_clock_ms: u64,
     sample_count: u32,
@@ -67,6 +72,17 @@
         self.progress.iter().map(|(run, samples)| (run, samples.percent))
     }
 
+    /// Returns the run time of a run that has just completed, scaled up if it was first seen later
+    /// than at its start. Returns `None` if it was seen too late or not at all.
+    pub fn run_time_ms(&self, run: &RunId, clock_ms: u64) -> Option<DurationMs> {
+        let samples = self.progress.get(run)?;
+        if samples.first_percent > MAX_FIRST_PERCENT {
+            return None;
+        }
+        let elapsed_ms = clock_ms.saturating_sub(samples.first_clock_ms);
+        Some(DurationMs::new(elapsed_ms * 100 / u64::from(100 - samples.first_percent)))
+    }
+
     pub fn on_end(&mut self, run: &RunId, outcome: RunOutcome, now: TimestampMs) {
         self.progress.remove(run);
         match outcome {
@@ -102,15 +118,18 @@
     pub fn on_running(&mut self, running: &[RunningRun], clock_ms: u64) -> Vec<RunId> {
         let mut stalled = Vec::new();
         for row in running {
-            let initial =
-                ProgressSamples { percent: row.percent, since_clock_ms: clock_ms, sample_count: 0 };
+            let initial = ProgressSamples {
+                first_percent: row.percent,
+                first_clock_ms: clock_ms,
+                percent: row.percent,
+                since_clock_ms: clock_ms,
+                sample_count: 0,
+            };
             let samples = self.progress.entry(row.run.clone()).or_insert(initial);
             if samples.percent != row.percent {
-                *samples = ProgressSamples {
-                    percent: row.percent,
-                    since_clock_ms: clock_ms,
-                    sample_count: 0,
-                };
+                samples.percent = row.percent;
+                samples.since_clock_ms = clock_ms;
+                samples.sample_count = 0;
             }
             samples.sample_count += 1;
             let unchanged_ms = clock_ms.saturating_sub(samples.since_clock_ms);
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod protocol;
 mod reclaim;
 mod reconcile;
+mod run_time;
 mod session;
 mod settings;
 mod share;
--- a/crates/yuccatack_dispatch/src/observation.rs
+++ b/crates/yuccatack_dispatch/src/observation.rs
@@ -1,11 +1,12 @@
 //! Handling of observations of a worker: ended, started, missing and stalled runs.
 
-use yuccatack_core::{NodeName, TimestampMs};
+use yuccatack_core::{DurationMs, NodeName, TimestampMs};
 use yuccatack_runs::{JobTable, RunEnd, RunId, RunOutcome};
 
 use crate::dispatcher::{Dispatcher, TableChange};
 use crate::lease::ClockReading;
 use crate::protocol::Observation;
+use crate::run_time::RunTimes;
 use crate::session::{OrderState, Session};
 
 /// Number of consecutive observations in which a run must be missing before it is stopped. A single
@@ -30,7 +31,7 @@
         }
         session.latest_reading =
             Some(ClockReading { clock_ms: observation.clock_ms, received_at: now });
-        let mut changes = record_ends(session, &observation, table, now);
+        let mut changes = record_ends(session, &observation, table, now, &mut self.run_times);
         changes.extend(update_order_states(session, &observation, table));
         let stalled = session.health.on_running(&observation.running, observation.clock_ms);
         for run in stalled {
@@ -78,12 +79,18 @@
     observation: &Observation,
     table: &JobTable,
     now: TimestampMs,
+    run_times: &mut RunTimes,
 ) -> Vec<TableChange> {
     let mut changes = Vec::new();
     let recorded_end = session.proposed_end.max(table.acknowledged_end(&observation.incarnation));
     let mut last_end = recorded_end;
     for ended in observation.ended.iter().filter(|ended| ended.number > recorded_end) {
         last_end = last_end.max(ended.number);
+        if ended.outcome == RunOutcome::Done
+            && let Some(run_time_ms) = session.health.run_time_ms(&ended.run, observation.clock_ms)
+        {
+            record_run_time(&ended.run, run_time_ms, table, run_times);
+        }
         session.health.on_end(&ended.run, ended.outcome, now);
         if table.open_runs().contains_key(&ended.run) {
             changes.push(TableChange::End(RunEnd {
@@ -100,6 +107,20 @@
     changes
 }
 
+fn record_run_time(
+    run: &RunId,
+    run_time_ms: DurationMs,
+    table: &JobTable,
+    run_times: &mut RunTimes,
+) {
+    let Some(job) = table.job(&run.task.job) else { return };
+    let Some(spec) = job.step_spec(run.task.step) else { return };
+    // The members of a gang end together and count once.
+    if !spec.long_running && (!spec.gang || run.task.index == 0) {
+        run_times.record(&job.submission.queue, spec, run_time_ms);
+    }
+}
+
 /// Updates the order state of each open run of the worker.
 ///
 /// Returns the ends of runs that were stopped before they began.
--- a/crates/yuccatack_runs/src/spec.rs
+++ b/crates/yuccatack_runs/src/spec.rs
@@ -163,16 +163,4 @@
         let offset_ms = schedule.period_ms.get().saturating_mul(u64::from(occurrence));
         Some(schedule.first_at_unix_ms.saturating_add(offset_ms))
     }
-
-    /// Returns the estimated run time of the longest chain of dependent steps.
-    pub fn longest_chain_ms(&self) -> DurationMs {
-        let mut ends_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let predecessor_ends_ms =
-                step.after.iter().filter_map(|after| ends_ms.get(*after as usize));
-            let begin_ms = predecessor_ends_ms.copied().max().unwrap_or(0);
-            ends_ms.push(begin_ms + step.estimated_run_ms.get());
-        }
-        DurationMs::new(ends_ms.into_iter().max().unwrap_or(0))
-    }
 }
