Late urgent jobs neither evict nor precede minimum shares

Cause: an urgent job that could no longer meet its objective went on ahead of all others and evicted their runs.

Change: urgent jobs without a guarantee that are late by the predicted run times, with a margin of half of the remaining time, come after the minimum shares and evict nothing. Guaranteed jobs are as before.

Test: reclaim_order; late_job_not_evicting fails on the code before, timely_job_evicts holds on both.

--- a/crates/yuccatack_dispatch/src/demand.rs
+++ b/crates/yuccatack_dispatch/src/demand.rs
@@ -52,10 +52,12 @@
 pub(crate) enum Tier {
     /// Most urgent jobs of an organisation, within its guaranteed accelerators.
     Guaranteed,
-    /// All other most urgent jobs.
+    /// Other most urgent jobs that can still meet their objective.
     Urgent,
     /// Less urgent jobs within the minimum share of their priority, by priority.
     MinimumShare(u32),
+    /// Other most urgent jobs, which will miss their objective anyway.
+    LateUrgent,
     /// All other jobs, by the priority of their queue.
     Priority(u32),
     /// Jobs so late that completing them has no value, by the priority of their queue.
@@ -74,6 +76,10 @@
 /// Multiple of its objective after which a job has no value.
 const OVERDUE_FACTOR: u64 = 3;
 
+/// Part of a predicted run time that a job may fall behind before it counts as late, since
+/// predictions may be too long.
+const LATE_MARGIN_PERCENT: u64 = 50;
+
 /// Returns the accelerators that the most urgent unfinished jobs of each organisation need.
 pub(crate) fn urgent_accelerator_demand(table: &JobTable) -> FastHashMap<OrganisationName, u64> {
     let mut urgent_demand: FastHashMap<OrganisationName, u64> = FastHashMap::default();
@@ -192,11 +198,15 @@
     let objective_ms = stretched_ms + submission.allowance_ms.get();
     let remaining_ms = chains_ms.get(step as usize).copied().unwrap_or(0);
     let latest_begin_unix_ms = (since_unix_ms + objective_ms).saturating_sub(remaining_ms);
+    let margin_ms = remaining_ms * LATE_MARGIN_PERCENT / 100;
+    let late = unix_ms > latest_begin_unix_ms + margin_ms;
     let overdue = unix_ms > since_unix_ms + OVERDUE_FACTOR * objective_ms;
     let tier = if guaranteed {
         Tier::Guaranteed
     } else if overdue {
         Tier::Overdue(submission.priority)
+    } else if submission.priority == 0 && late {
+        Tier::LateUrgent
     } else if submission.priority == 0 {
         Tier::Urgent
     } else {
--- a/crates/yuccatack_dispatch/src/reclaim.rs
+++ b/crates/yuccatack_dispatch/src/reclaim.rs
@@ -171,7 +171,9 @@
         match group.urgency.tier {
             Tier::Guaranteed => !guaranteed,
             Tier::Urgent => submission.priority > 0,
-            Tier::MinimumShare(_) | Tier::Priority(_) | Tier::Overdue(_) => false,
+            Tier::MinimumShare(_) | Tier::LateUrgent | Tier::Priority(_) | Tier::Overdue(_) => {
+                false
+            }
         }
     }
 }
--- a/crates/yuccatack_dispatch/tests/reclaim_order.rs
+++ b/crates/yuccatack_dispatch/tests/reclaim_order.rs
@@ -135,3 +135,31 @@
     cluster.submit_for("guaranteed", Some("holder"), 0, step(1, 8));
     assert_eq!(stops(&cluster.decide()), [run("background", 0, 1)]);
 }
+
+#[test]
+fn late_job_not_evicting() {
+    let mut cluster = TestCluster::new(1);
+    cluster.submit("low", 2, step(2, 4));
+    cluster.decide();
+    (0..2).for_each(|index| cluster.report_begun(&run("low", index, 1)));
+    // Its objective is 7 s and its run time 2 s.
+    cluster.submit("urgent", 0, step(1, 4));
+    cluster.advance(6_100);
+    cluster.observe(0, &[(run("low", 0, 1), 10), (run("low", 1, 1), 10)], &[], &[]);
+    assert!(
+        stops(&cluster.decide()).is_empty(),
+        "a run was evicted for a job that misses its objective anyway"
+    );
+}
+
+#[test]
+fn timely_job_evicts() {
+    let mut cluster = TestCluster::new(1);
+    cluster.submit("low", 2, step(2, 4));
+    cluster.decide();
+    (0..2).for_each(|index| cluster.report_begun(&run("low", index, 1)));
+    cluster.submit("urgent", 0, step(1, 4));
+    cluster.advance(5_900);
+    cluster.observe(0, &[(run("low", 0, 1), 10), (run("low", 1, 1), 10)], &[], &[]);
+    assert_eq!(stops(&cluster.decide()).len(), 1);
+}
