--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -23,6 +23,8 @@
     pub total: Resources,
     /// `true` if no run failed here recently, so that the worker may get a task's last attempt.
     pub reliable: bool,
+    /// Gets no runs for now, since runs on the worker failed or stalled.
+    pub quarantined: bool,
     /// Reserved for a group that is more urgent than those placed later in the pass.
     pub reserved: bool,
     /// Headroom for urgent groups that may arrive soon.
@@ -38,7 +40,8 @@
     Resources { cores_milli, ..step.demand }
 }
 
-/// Returns the workers that may get new runs, with the capacity that open runs leave free.
+/// Returns the workers that can take new runs, quarantined ones included, with the capacity that open
+/// runs leave free.
 pub(crate) fn available_workers(
     sessions: &BTreeMap<NodeName, Session>,
     table: &JobTable,
@@ -59,6 +62,7 @@
                 free_after_stops: state.capacity,
                 total: state.capacity,
                 reliable: session.health.is_reliable(now),
+                quarantined: !session.health.is_usable(now),
                 reserved: false,
                 held_for_urgent: false,
                 runs: Vec::new(),
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use yuccatack_core::{FastHashSet, NodeName, TimestampMs};
+use yuccatack_core::{DurationMs, FastHashSet, NodeName, TimestampMs};
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{JobTable, RunEnd, RunId, RunOutcome, RunStart, WorkerIncarnation};
 
@@ -15,6 +15,7 @@
 use crate::placement::{CapacityKind, occupy, place};
 use crate::protocol::{AgentMessage, Orders, StartResult, WorkerState};
 use crate::reconcile::Reconciliation;
+use crate::restraint::Waivers;
 use crate::run_time::RunTimes;
 use crate::session::{OrderState, Session};
 use crate::settings::DispatchSettings;
@@ -26,6 +27,9 @@
 /// burst of urgent jobs would otherwise delay the leader's heartbeats.
 const EVICTION_SEARCH_TASK_COUNT: usize = 32;
 
+/// Interval of the summaries of what waits for capacity.
+const SUMMARY_INTERVAL: DurationMs = DurationMs::new(1_000);
+
 /// Change of the replicated table that the leader proposes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum TableChange {
@@ -51,6 +55,7 @@
     /// Number of evictions since the last call of [`Self::take_eviction_count`].
     pub(crate) eviction_count: u64,
     summary: Option<PassSummary>,
+    summarized_at: TimestampMs,
 }
 
 impl Dispatcher {
@@ -67,6 +72,7 @@
             run_times: RunTimes::default(),
             eviction_count: 0,
             summary: None,
+            summarized_at: TimestampMs::default(),
         }
     }
 
@@ -97,9 +103,10 @@
         std::mem::take(&mut self.eviction_count)
     }
 
-    /// Returns the summary of the last pass; `None` if it began every ready task.
-    pub fn pass_summary(&self) -> Option<&PassSummary> {
-        self.summary.as_ref()
+    /// Takes the summary of the last pass. Passes are summarized once a second while ready tasks
+    /// wait.
+    pub fn take_summary(&mut self) -> Option<PassSummary> {
+        self.summary.take()
     }
 
     /// Records that a heartbeat round which began at `began_at` confirmed leadership. Leases may
@@ -202,7 +209,6 @@
         let mut groups =
             ready_task_groups(table, configuration, &urgent_demand, &self.run_times, unix_ms);
         share_headroom(&mut groups);
-        self.summary = None;
         if groups.is_empty() {
             return changes;
         }
@@ -221,7 +227,7 @@
             }
             let step = (group.job.order, group.occurrence, group.step);
             if !blocked_steps.contains(&step)
-                && let Some(placement) = place(group, &workers, CapacityKind::Free, false)
+                && let Some(placement) = place(group, &workers, CapacityKind::Free, Waivers::NONE)
             {
                 changes.push(TableChange::Begin(occupy(group, &placement, &mut workers)));
                 continue;
@@ -247,7 +253,8 @@
             }
             blocked_steps.insert(step);
         }
-        if !waiting.is_empty() {
+        if !waiting.is_empty() && now.since(self.summarized_at) >= SUMMARY_INTERVAL {
+            self.summarized_at = now;
             self.summary = Some(PassSummary::new(&waiting, &workers, table));
         }
         changes
--- a/crates/yuccatack_dispatch/src/eviction.rs
+++ b/crates/yuccatack_dispatch/src/eviction.rs
@@ -11,6 +11,7 @@
 use crate::loss::RunProgress;
 use crate::placement::{CapacityKind, place};
 use crate::reclaim::Reclaim;
+use crate::restraint::{Restraint, Waivers};
 use crate::session::OrderState;
 use crate::share::MinimumShares;
 
@@ -72,7 +73,8 @@
 /// Reserves capacity for the group on workers where it fits once the runs being stopped have ended.
 /// Returns `false` if it does not fit there either.
 pub(crate) fn reserve_after_stops(group: &TaskGroup<'_>, workers: &mut [WorkerSnapshot]) -> bool {
-    let Some(placement) = place(group, workers, CapacityKind::FreeAfterStops, true) else {
+    let waivers = Waivers::NONE.with(Restraint::Reservation);
+    let Some(placement) = place(group, workers, CapacityKind::FreeAfterStops, waivers) else {
         return false;
     };
     let need = footprint(group.spec);
--- a/crates/yuccatack_dispatch/src/headroom.rs
+++ b/crates/yuccatack_dispatch/src/headroom.rs
@@ -66,11 +66,12 @@
     /// accelerators come first, since most gangs need a single rack.
     pub fn reserve(&self, workers: &mut [WorkerSnapshot]) {
         let mut rack_free: FastHashMap<Option<Arc<str>>, u32> = FastHashMap::default();
-        for worker in workers.iter().filter(|worker| !worker.reserved) {
+        let may_be_held = |worker: &WorkerSnapshot| !worker.reserved && !worker.quarantined;
+        for worker in workers.iter().filter(|worker| may_be_held(worker)) {
             *rack_free.entry(worker.rack.clone()).or_default() += worker.free.accelerator_count;
         }
         let mut order: Vec<usize> =
-            (0..workers.len()).filter(|index| !workers[*index].reserved).collect();
+            (0..workers.len()).filter(|index| may_be_held(&workers[*index])).collect();
         order.sort_by_key(|index| {
             let worker = &workers[*index];
             (Reverse(rack_free[&worker.rack]), Reverse(worker.free.accelerator_count))
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod protocol;
 mod reclaim;
 mod reconcile;
+mod restraint;
 mod run_time;
 mod session;
 mod settings;
@@ -29,4 +30,4 @@
     AgentMessage, EndedRun, Observation, Orders, RunningRun, StartOrder, StartResult, WorkerState,
 };
 pub use settings::DispatchSettings;
-pub use summary::{ByPriority, PassSummary};
+pub use summary::{ByPriority, PassSummary, WaitingGroup};
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -8,6 +8,7 @@
 
 use crate::capacity::{WorkerSnapshot, footprint, subtract};
 use crate::demand::TaskGroup;
+use crate::restraint::{Restraint, WaitCause, Waivers};
 
 /// Worker of each task of a group, as an index into the list of workers.
 pub(crate) type Placement = Vec<usize>;
@@ -34,12 +35,13 @@
 }
 
 /// Returns `true` if a worker may run tasks of the group, regardless of its free capacity.
-pub(crate) fn is_eligible(group: &TaskGroup<'_>, worker: &WorkerSnapshot) -> bool {
+fn is_eligible(group: &TaskGroup<'_>, worker: &WorkerSnapshot, waivers: Waivers) -> bool {
     let has_label =
         group.spec.required_label.as_ref().is_none_or(|label| worker.labels.contains(label));
     has_label
         && worker.service == group.job.submission.service
-        && (worker.reliable || !group.last_attempt)
+        && (worker.reliable || !group.last_attempt || waivers.contains(Restraint::LastAttempt))
+        && (!worker.quarantined || waivers.contains(Restraint::Quarantine))
 }
 
 /// Returns the number of further tasks of the group's step that its limit per worker allows.
@@ -59,21 +61,27 @@
 /// Prefers the rack that holds the step's data, then single racks for rack-local gangs. A rack
 /// counts only if it could hold the whole group when empty. Otherwise all eligible workers form one
 /// set.
-pub(crate) fn candidate_sets(group: &TaskGroup<'_>, workers: &[WorkerSnapshot]) -> Vec<Vec<usize>> {
+pub(crate) fn candidate_sets(
+    group: &TaskGroup<'_>,
+    workers: &[WorkerSnapshot],
+    waivers: Waivers,
+) -> Vec<Vec<usize>> {
     let eligible: Vec<usize> =
-        (0..workers.len()).filter(|index| is_eligible(group, &workers[*index])).collect();
+        (0..workers.len()).filter(|index| is_eligible(group, &workers[*index], waivers)).collect();
     let racks: BTreeSet<Option<Arc<str>>> =
         eligible.iter().map(|index| workers[*index].rack.clone()).collect();
     let in_rack = |rack: &Option<Arc<str>>| -> Vec<usize> {
         eligible.iter().copied().filter(|index| workers[*index].rack == *rack).collect()
     };
-    if let Some(data_rack) = &group.spec.data_rack {
+    if let Some(data_rack) = &group.spec.data_rack
+        && !waivers.contains(Restraint::DataRack)
+    {
         let data_rack_workers = in_rack(&Some(data_rack.clone()));
         if fits(group, workers, &data_rack_workers, CapacityKind::Total) {
             return vec![data_rack_workers];
         }
     }
-    if group.spec.rack_local && group.tasks.len() > 1 {
+    if group.spec.rack_local && group.tasks.len() > 1 && !waivers.contains(Restraint::SingleRack) {
         let sets: Vec<Vec<usize>> = racks
             .iter()
             .map(in_rack)
@@ -92,7 +100,7 @@
     set: &[usize],
     kind: CapacityKind,
 ) -> bool {
-    place_in(group, workers, set, kind, true).is_some()
+    place_in(group, workers, set, kind, Waivers::NONE.with(Restraint::Reservation)).is_some()
 }
 
 /// Places the group on the set of workers with the fewest accelerators left over.
@@ -100,11 +108,10 @@
     group: &TaskGroup<'_>,
     workers: &[WorkerSnapshot],
     kind: CapacityKind,
-    with_reserved: bool,
+    waivers: Waivers,
 ) -> Option<Placement> {
-    let sets = candidate_sets(group, workers);
-    let placements =
-        sets.iter().filter_map(|set| place_in(group, workers, set, kind, with_reserved));
+    let sets = candidate_sets(group, workers, waivers);
+    let placements = sets.iter().filter_map(|set| place_in(group, workers, set, kind, waivers));
     placements.min_by_key(|placement| leftover(placement, workers, kind))
 }
 
@@ -115,21 +122,35 @@
     chosen.into_iter().map(|index| kind.of(&workers[index]).accelerator_count).sum()
 }
 
+/// Returns the reason why a group has no placement on free capacity.
+pub(crate) fn wait_cause(group: &TaskGroup<'_>, workers: &[WorkerSnapshot]) -> WaitCause {
+    let fits_with = |waivers| place(group, workers, CapacityKind::Free, waivers).is_some();
+    let single =
+        Restraint::ALL.into_iter().find(|restraint| fits_with(Waivers::NONE.with(*restraint)));
+    match single {
+        Some(restraint) => WaitCause::Restrained(restraint),
+        None if fits_with(Waivers::all()) => WaitCause::RestrainedBySeveral,
+        None => WaitCause::NoCapacity,
+    }
+}
+
 /// Places each task on the worker of the set with the least free capacity that still fits it.
-pub(crate) fn place_in(
+fn place_in(
     group: &TaskGroup<'_>,
     workers: &[WorkerSnapshot],
     set: &[usize],
     kind: CapacityKind,
-    with_reserved: bool,
+    waivers: Waivers,
 ) -> Option<Placement> {
     let need = footprint(group.spec);
     let mut free: FastHashMap<usize, (Resources, u32)> = FastHashMap::default();
     for index in set {
         let held_back = kind != CapacityKind::Total
             && workers[*index].held_for_urgent
-            && !group.may_use_headroom;
-        if !held_back && (with_reserved || !workers[*index].reserved) {
+            && !group.may_use_headroom
+            && !waivers.contains(Restraint::Headroom);
+        let reserved = workers[*index].reserved && !waivers.contains(Restraint::Reservation);
+        if !held_back && !reserved {
             free.insert(
                 *index,
                 (kind.of(&workers[*index]), step_allowance(group, &workers[*index])),
--- a/crates/yuccatack_dispatch/src/reclaim.rs
+++ b/crates/yuccatack_dispatch/src/reclaim.rs
@@ -8,6 +8,7 @@
 use crate::eviction::EvictionInputs;
 use crate::loss::{RunProgress, eviction_loss, task_work};
 use crate::placement::{Placement, candidate_sets, step_allowance};
+use crate::restraint::Waivers;
 
 /// A group without a guarantee may cause evictions that lose at most this many times its own work.
 /// Beyond that, the lost work costs more than the group is worth.
@@ -45,7 +46,7 @@
     /// Returns `None` if no eviction makes the group fit, or if the loss is out of proportion to
     /// the work of a group without a guarantee.
     pub fn find(&self, group: &TaskGroup<'_>, workers: &[WorkerSnapshot]) -> Option<Eviction> {
-        let sets = candidate_sets(group, workers);
+        let sets = candidate_sets(group, workers, Waivers::NONE);
         let evictions = sets.iter().filter_map(|set| self.find_in_set(group, workers, set));
         let (loss, eviction) = evictions.min_by_key(|(loss, _)| *loss)?;
         // Guaranteed capacity is reclaimed at any cost to other organisations.
--- /dev/null
+++ b/crates/yuccatack_dispatch/src/restraint.rs
@@ -0,0 +1,87 @@
+//! Rules that keep a group from free capacity.
+
+use std::fmt;
+
+/// Rule by which the scheduler leaves free capacity unused, for other work or for a better
+/// placement of the group itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Restraint {
+    /// The step runs on the rack that holds its data.
+    DataRack,
+    /// A rack-local gang runs on a single rack.
+    SingleRack,
+    /// The worker is kept free for urgent work.
+    Headroom,
+    /// The worker is reserved for a group that is more urgent.
+    Reservation,
+    /// The last attempt of a task needs a worker on which no run failed recently.
+    LastAttempt,
+    /// The worker is quarantined.
+    Quarantine,
+}
+
+impl Restraint {
+    pub const ALL: [Self; 6] = [
+        Self::DataRack,
+        Self::SingleRack,
+        Self::Headroom,
+        Self::Reservation,
+        Self::LastAttempt,
+        Self::Quarantine,
+    ];
+
+    const fn bit(self) -> u8 {
+        1 << self as u8
+    }
+}
+
+/// Set of restraints that do not apply to a placement.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Waivers(u8);
+
+impl Waivers {
+    /// All restraints apply.
+    pub const NONE: Self = Self(0);
+
+    /// Adds a restraint to the waived ones.
+    #[must_use]
+    pub const fn with(self, restraint: Restraint) -> Self {
+        Self(self.0 | restraint.bit())
+    }
+
+    /// Waives all restraints.
+    pub fn all() -> Self {
+        Restraint::ALL.into_iter().fold(Self::NONE, Self::with)
+    }
+
+    pub const fn contains(self, restraint: Restraint) -> bool {
+        self.0 & restraint.bit() != 0
+    }
+}
+
+/// Reason why a group does not begin.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum WaitCause {
+    /// One rule keeps it from free capacity that would hold it.
+    Restrained(Restraint),
+    /// Several rules together keep it from free capacity that would hold it.
+    RestrainedBySeveral,
+    /// No free capacity holds it.
+    NoCapacity,
+}
+
+impl fmt::Display for WaitCause {
+    /// Writes the name that logs use.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Restrained(Restraint::DataRack) => "data_rack",
+            Self::Restrained(Restraint::SingleRack) => "single_rack",
+            Self::Restrained(Restraint::Headroom) => "headroom",
+            Self::Restrained(Restraint::Reservation) => "reservation",
+            Self::Restrained(Restraint::LastAttempt) => "last_attempt",
+            Self::Restrained(Restraint::Quarantine) => "quarantine",
+            Self::RestrainedBySeveral => "several",
+            Self::NoCapacity => "no_capacity",
+        })
+    }
+}
--- a/crates/yuccatack_dispatch/src/session.rs
+++ b/crates/yuccatack_dispatch/src/session.rs
@@ -51,15 +51,14 @@
         self.state.as_ref().map(|state| &state.incarnation)
     }
 
-    /// Returns `true` if the worker may get new runs: its agent is connected, its clock reading is
-    /// recent, and it is neither draining nor quarantined.
+    /// Returns `true` if the worker can take new runs: its agent is connected, its clock reading is
+    /// recent, and it is not draining.
     pub fn is_available(&self, now: TimestampMs) -> bool {
         let is_recent =
             |reading: &ClockReading| now.since(reading.received_at) <= MAX_READING_AGE_MS;
         self.connected
             && self.state.as_ref().is_some_and(|state| !state.draining)
             && self.confirmed_reading.as_ref().is_some_and(is_recent)
-            && self.health.is_usable(now)
     }
 
     /// Discards the state of the previous incarnation.
--- a/crates/yuccatack_dispatch/src/share.rs
+++ b/crates/yuccatack_dispatch/src/share.rs
@@ -43,7 +43,7 @@
         stopping: &FastHashSet<RunId>,
     ) -> Self {
         let mut capacities: FastHashMap<ServiceName, Resources> = FastHashMap::default();
-        for worker in workers {
+        for worker in workers.iter().filter(|worker| !worker.quarantined) {
             let capacity = capacities.entry(worker.service.clone()).or_default();
             *capacity = add(*capacity, worker.total);
         }
--- a/crates/yuccatack_dispatch/src/summary.rs
+++ b/crates/yuccatack_dispatch/src/summary.rs
@@ -3,10 +3,13 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use yuccatack_core::{DurationMs, JobName};
 use yuccatack_runs::JobTable;
 
 use crate::capacity::WorkerSnapshot;
 use crate::demand::TaskGroup;
+use crate::placement::wait_cause;
+use crate::restraint::WaitCause;
 
 /// Amounts by the priority of the queue.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -34,6 +37,24 @@
     }
 }
 
+/// Task group that waits, and the reason.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaitingGroup {
+    /// Job of the group.
+    pub job: JobName,
+    /// Time since the job was accepted, or its occurrence was due.
+    pub waited_ms: DurationMs,
+    cause: WaitCause,
+}
+
+impl WaitingGroup {
+    /// Returns the reason, in a form for logs: the rule that keeps the group from free capacity, or
+    /// `no_capacity`.
+    pub fn cause(&self) -> impl fmt::Display {
+        self.cause
+    }
+}
+
 /// State at the end of a scheduling pass in which not every ready task could begin.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PassSummary {
@@ -45,6 +66,8 @@
     pub used_accelerators: ByPriority,
     /// Workers that may get new runs.
     pub available_worker_count: usize,
+    /// Workers that may get none for now, since runs on them failed or stalled.
+    pub quarantined_worker_count: usize,
     /// Accelerators of available workers that no run uses.
     pub free_accelerator_count: u32,
     /// CPU of available workers that no run uses, in thousandths of a core.
@@ -55,6 +78,8 @@
     pub held_accelerator_count: u32,
     /// Free accelerators on workers that are reserved for a group of this pass.
     pub reserved_accelerator_count: u32,
+    /// Group that has waited longest.
+    pub longest_waiting: Option<WaitingGroup>,
 }
 
 impl PassSummary {
@@ -64,7 +89,17 @@
         workers: &[WorkerSnapshot],
         table: &JobTable,
     ) -> Self {
-        let mut summary = Self { available_worker_count: workers.len(), ..Self::default() };
+        let mut summary = Self {
+            quarantined_worker_count: workers.iter().filter(|worker| worker.quarantined).count(),
+            ..Self::default()
+        };
+        summary.available_worker_count = workers.len() - summary.quarantined_worker_count;
+        let longest = waiting.iter().max_by_key(|group| group.waited_ms);
+        summary.longest_waiting = longest.map(|group| WaitingGroup {
+            job: group.job.submission.name.clone(),
+            waited_ms: group.waited_ms,
+            cause: wait_cause(group, workers),
+        });
         for group in waiting {
             let (priority, task_count) = (group.job.submission.priority, group.tasks.len() as u64);
             summary.waiting_tasks.add(priority, task_count);
@@ -78,7 +113,7 @@
                 summary.used_accelerators.add(job.submission.priority, count);
             }
         }
-        for worker in workers {
+        for worker in workers.iter().filter(|worker| !worker.quarantined) {
             let free = worker.free.accelerator_count;
             summary.free_accelerator_count += free;
             summary.free_cores_milli += worker.free.cores_milli;
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -86,8 +86,6 @@
     pub(crate) lease_read_at: TimestampMs,
     pub(crate) jobs_removed_at: TimestampMs,
     pub(crate) agent_heartbeat_at: TimestampMs,
-    /// Time of the last line about waiting tasks.
-    pub(crate) summarized_at: TimestampMs,
     pub(crate) drain_replies: Vec<oneshot::Sender<()>>,
 }
 
@@ -126,7 +124,6 @@
             lease_read_at: TimestampMs::default(),
             jobs_removed_at: TimestampMs::default(),
             agent_heartbeat_at: TimestampMs::default(),
-            summarized_at: TimestampMs::default(),
             drain_replies: Vec::new(),
         })
     }
--- a/crates/yuccatack_queue_control/src/schedule.rs
+++ b/crates/yuccatack_queue_control/src/schedule.rs
@@ -16,9 +16,6 @@
 /// announces that a lease has expired or that a scheduled job is due.
 const PASS_INTERVAL: DurationMs = DurationMs::new(50);
 
-/// Interval at which the leader logs what waits for capacity.
-const SUMMARY_INTERVAL: DurationMs = DurationMs::new(1_000);
-
 /// Pause after a scheduling pass as a multiple of the pass's duration, so that passes on a loaded
 /// deployment do not delay heartbeats and calls.
 const PASS_PAUSE_FACTOR: u64 = 3;
@@ -52,11 +49,8 @@
                 changes =
                     dispatcher.decide(jobs, &self.queue_state.configuration, now, now_unix_ms);
                 self.metrics.queues.count_evictions(dispatcher.take_eviction_count());
-                if let Some(summary) = dispatcher.pass_summary()
-                    && now.since(self.summarized_at) >= SUMMARY_INTERVAL
-                {
-                    self.summarized_at = now;
-                    log_summary(summary);
+                if let Some(summary) = dispatcher.take_summary() {
+                    log_summary(&summary);
                 }
             }
             if !changes.is_empty() {
@@ -103,12 +97,17 @@
 }
 
 fn log_summary(summary: &PassSummary) {
+    let longest = summary.longest_waiting.as_ref();
     log::info!(
         event = "tasks_waiting", waiting:% = summary.waiting_tasks,
         overdue:% = summary.overdue_tasks, used:% = summary.used_accelerators,
         workers = summary.available_worker_count, free = summary.free_accelerator_count,
         free_cores_milli = summary.free_cores_milli, free_memory_bytes = summary.free_memory_bytes,
-        held = summary.held_accelerator_count, reserved = summary.reserved_accelerator_count;
+        held = summary.held_accelerator_count, reserved = summary.reserved_accelerator_count,
+        quarantined = summary.quarantined_worker_count,
+        longest_job = longest.map_or("", |group| group.job.as_str()),
+        longest_ms = longest.map_or(0, |group| group.waited_ms.get()),
+        longest_cause = longest.map(|group| group.cause().to_string()).unwrap_or_default();
         "ready tasks wait for capacity"
     );
 }
