--- a/crates/yuccatack_dispatch/tests/simulated_days/day.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/day.rs
@@ -57,6 +57,8 @@
     pub load_percent: u64,
     pub hopeless_percent: u8,
     pub fault_count: usize,
+    /// Number of faults that last for the whole day.
+    pub lasting_fault_count: usize,
     pub leader_change_count: usize,
     /// Percentage of the proposals that fail although the leader stays.
     pub failed_proposal_percent: u8,
@@ -71,6 +73,7 @@
             load_percent: 90,
             hopeless_percent: 1,
             fault_count: 0,
+            lasting_fault_count: 0,
             leader_change_count: 0,
             failed_proposal_percent: 0,
         }
@@ -128,9 +131,12 @@
                 SimulatedWorker::new(worker_state(index, plan.rack_size), speed_percent, begins_at)
             })
             .collect();
-        let faults = (0..plan.fault_count)
-            .map(|_| draw_fault(plan.worker_count, traffic_begins_at, traffic_ends_at, &mut random))
-            .collect();
+        let mut fault =
+            || draw_fault(plan.worker_count, traffic_begins_at, traffic_ends_at, &mut random);
+        let mut faults: Vec<WorkerFault> = (0..plan.fault_count).map(|_| fault()).collect();
+        for _ in 0..plan.lasting_fault_count {
+            faults.push(WorkerFault { ends_at: TimestampMs::new(u64::MAX / 2), ..fault() });
+        }
         let mut moment =
             || traffic_begins_at + DurationMs::new(random.random_range(0..plan.traffic_ms));
         let leader_changes = (0..plan.leader_change_count).map(|_| moment()).collect();
@@ -242,31 +248,35 @@
             }
         }
         let rates = self.rates();
+        for worker in self.workers.iter_mut().filter(|worker| worker.is_up()) {
+            for (run, execution) in &mut worker.running {
+                let rate = rates.get(run).copied().unwrap_or(0.0);
+                execution.completed_ms += rate * TICK.get() as f64;
+            }
+        }
+        let slow_gangs = self.slow_gangs();
         let mut broken = BTreeSet::new();
         for worker in self.workers.iter_mut().filter(|worker| worker.is_up()) {
             let expired = worker.lease_expired(now);
             let runs: Vec<RunId> = worker.running.keys().cloned().collect();
             for run in runs {
-                let rate = rates.get(&run).copied().unwrap_or(0.0);
                 let job = &self.jobs[&run.task.job];
                 let spec = &job.submission.spec.steps[run.task.step as usize];
-                let Some(execution) = worker.running.get_mut(&run) else { continue };
-                execution.completed_ms += rate * TICK.get() as f64;
+                let Some(execution) = worker.running.get(&run) else { continue };
                 let fails = execution.fails_at.is_some_and(|at| at <= now)
                     || (job.hopeless && execution.completed_ms > job.run_time_ms * 0.1);
-                let waits = spec.gang && rate == 0.0 && execution.completed_ms == 0.0;
+                let waits = spec.gang && !rates.contains_key(&run);
                 let outcome = if expired {
                     RunOutcome::Lapsed
                 } else if execution.stops_at.is_some_and(|at| at <= now) {
                     RunOutcome::Stopped
                 } else if fails {
                     RunOutcome::Failed
-                } else if execution.completed_ms >= job.run_time_ms {
-                    RunOutcome::Done
-                } else if waits
-                    && worker.conduct != Conduct::Stalls
-                    && now.since(execution.begun_at) > GANG_WAIT
+                } else if execution.completed_ms >= job.run_time_ms
+                    && !slow_gangs.contains(&gang_run(&run))
                 {
+                    RunOutcome::Done
+                } else if waits && now.since(execution.begun_at) > GANG_WAIT {
                     RunOutcome::Alone
                 } else {
                     continue;
@@ -288,8 +298,8 @@
         }
     }
 
-    /// Returns the rate of progress of each run. A gang advances at the rate of its slowest member
-    /// once all members are present.
+    /// Returns the rate of progress of each run. The members of a gang advance once all of them are
+    /// present.
     fn rates(&self) -> FastHashMap<RunId, f64> {
         let mut rates = FastHashMap::default();
         let mut gangs: BTreeMap<GangRun, Vec<Member>> = BTreeMap::new();
@@ -316,15 +326,29 @@
             if members.len() < spec.task_count as usize {
                 continue;
             }
-            let slowest = members.iter().map(|(_, rate, _)| *rate).fold(f64::INFINITY, f64::min);
             let racks: BTreeSet<_> = members.iter().map(|(_, _, rack)| rack.clone()).collect();
-            let spread = spec.rack_local && racks.len() > 1;
-            let rate = if spread { slowest / FAR_FACTOR } else { slowest };
-            rates.extend(members.into_iter().map(|(run, _, _)| (run, rate)));
+            let factor = if spec.rack_local && racks.len() > 1 { FAR_FACTOR } else { 1.0 };
+            rates.extend(members.into_iter().map(|(run, rate, _)| (run, rate / factor)));
         }
         rates
     }
 
+    /// Returns the gang runs with a member that is not present or has not completed its work.
+    fn slow_gangs(&self) -> BTreeSet<GangRun> {
+        let mut completed: BTreeMap<GangRun, u32> = BTreeMap::new();
+        for worker in self.workers.iter().filter(|worker| worker.is_up()) {
+            for (run, execution) in &worker.running {
+                let count = completed.entry(gang_run(run)).or_default();
+                *count += u32::from(execution.completed_ms >= self.jobs[&run.task.job].run_time_ms);
+            }
+        }
+        completed.retain(|(job, step, _), count| {
+            let spec = &self.jobs[job].submission.spec.steps[*step as usize];
+            spec.gang && *count < spec.task_count
+        });
+        completed.into_keys().collect()
+    }
+
     /// Lets agents poll their workers, and attach to the leader.
     fn run_agents(&mut self) {
         let now = self.now;
