Place tasks beside a sibling that waits for its last attempt

A task that may fail only once more waits for a worker without a recent failure. The pass then took the whole step for blocked, so that its siblings, which may go anywhere, waited too. Evidence: last_attempt_not_blocking begins nothing on the code before. Only tasks with the same restraint are blocked together now.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -216,7 +216,7 @@
         let mut shares = MinimumShares::new(&groups, &workers, table, &self.stopping_runs());
         shares.promote(&mut groups);
         let mut remaining_search_tasks = EVICTION_SEARCH_TASK_COUNT;
-        // All tasks of a step are equal: once one does not fit, the others do not either.
+        // Tasks of a step with as many attempts left are equal: once one does not fit, the others do not either.
         let mut blocked_steps = FastHashSet::default();
         let mut headroom_reserved = false;
         let mut waiting = Vec::new();
@@ -225,7 +225,7 @@
                 headroom_reserved = true;
                 self.headroom.reserve(&mut workers);
             }
-            let step = (group.job.order, group.occurrence, group.step);
+            let step = (group.job.order, group.occurrence, group.step, group.last_attempt);
             if !blocked_steps.contains(&step)
                 && let Some(placement) = place(group, &workers, CapacityKind::Free, Waivers::NONE)
             {
