Bound the time for which rules leave mostly unused capacity idle

Callers saw an accepted job that could run and did not, with most of the workers' capacity free (LOST). Cause: rules that serve other work or a better placement (data rack, single rack, headroom, reservation, last attempt, quarantine) held a group back without a bound. A rack-local gang of 3 tasks with 8 accelerators each waited for three empty workers in one rack while a third of all workers were empty; a task waited for its data rack behind a run of any length; overdue groups never got headroom.

A group that has waited for 2 s while at most 60% of its service's capacity is in use is placed without these rules, in the order of what they cost it. While capacity is short, all rules hold as before.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::settings::DispatchSettings;
 use crate::share::MinimumShares;
 use crate::summary::PassSummary;
+use crate::waiting::{UnusedServices, WaitingSteps};
 
 /// Number of tasks for which one scheduling pass searches for runs to evict. A group is searched as
 /// a whole, so the last one may exceed the limit. A search visits every run for every task, so a
@@ -52,6 +53,7 @@
     pub(crate) evicted: FastHashSet<RunId>,
     headroom: Headroom,
     pub(crate) run_times: RunTimes,
+    waiting_steps: WaitingSteps,
     /// Number of evictions since the last call of [`Self::take_eviction_count`].
     pub(crate) eviction_count: u64,
     summary: Option<PassSummary>,
@@ -70,6 +72,7 @@
             evicted: FastHashSet::default(),
             headroom: Headroom::default(),
             run_times: RunTimes::default(),
+            waiting_steps: WaitingSteps::default(),
             eviction_count: 0,
             summary: None,
             summarized_at: TimestampMs::default(),
@@ -210,6 +213,7 @@
             ready_task_groups(table, configuration, &urgent_demand, &self.run_times, unix_ms);
         share_headroom(&mut groups);
         if groups.is_empty() {
+            self.waiting_steps = WaitingSteps::default();
             return changes;
         }
         let mut workers = available_workers(&self.sessions, table, now);
@@ -226,9 +230,11 @@
                 self.headroom.reserve(&mut workers);
             }
             let step = (group.job.order, group.occurrence, group.step, group.last_attempt);
-            if !blocked_steps.contains(&step)
-                && let Some(placement) = place(group, &workers, CapacityKind::Free, Waivers::NONE)
-            {
+            let placement = (!blocked_steps.contains(&step)).then(|| {
+                place(group, &workers, CapacityKind::Free, Waivers::NONE)
+                    .or_else(|| self.waiting_steps.place_waiting(group, &workers, now))
+            });
+            if let Some(placement) = placement.flatten() {
                 changes.push(TableChange::Begin(occupy(group, &placement, &mut workers)));
                 continue;
             }
@@ -253,6 +259,8 @@
             }
             blocked_steps.insert(step);
         }
+        let services = UnusedServices::new(&self.sessions, table);
+        self.waiting_steps.update(&waiting, &services, now);
         if !waiting.is_empty() && now.since(self.summarized_at) >= SUMMARY_INTERVAL {
             self.summarized_at = now;
             self.summary = Some(PassSummary::new(&waiting, &workers, table));
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod settings;
 mod share;
 mod summary;
+mod waiting;
 
 pub use dispatcher::{Dispatcher, TableChange};
 pub use lease::ClockReading;
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -167,7 +167,8 @@
             })
             .min_by_key(|index| {
                 let remaining = free[index].0;
-                (remaining.accelerator_count, remaining.cores_milli, **index)
+                let quarantined = workers[**index].quarantined;
+                (quarantined, remaining.accelerator_count, remaining.cores_milli, **index)
             })?;
         if let Some((remaining, allowed)) = free.get_mut(best) {
             *remaining = subtract(*remaining, need);
--- a/crates/yuccatack_dispatch/src/restraint.rs
+++ b/crates/yuccatack_dispatch/src/restraint.rs
@@ -30,6 +30,18 @@
         Self::Quarantine,
     ];
 
+    /// Returns the name that logs use.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::DataRack => "data_rack",
+            Self::SingleRack => "single_rack",
+            Self::Headroom => "headroom",
+            Self::Reservation => "reservation",
+            Self::LastAttempt => "last_attempt",
+            Self::Quarantine => "quarantine",
+        }
+    }
+
     const fn bit(self) -> u8 {
         1 << self as u8
     }
@@ -59,6 +71,18 @@
     }
 }
 
+impl fmt::Display for Waivers {
+    /// Writes the names of the waived restraints, separated by commas.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let waived = Restraint::ALL.into_iter().filter(|restraint| self.contains(*restraint));
+        for (position, restraint) in waived.enumerate() {
+            let separator = if position > 0 { "," } else { "" };
+            write!(formatter, "{separator}{}", restraint.name())?;
+        }
+        Ok(())
+    }
+}
+
 /// Reason why a group does not begin.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum WaitCause {
@@ -74,12 +98,7 @@
     /// Writes the name that logs use.
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
-            Self::Restrained(Restraint::DataRack) => "data_rack",
-            Self::Restrained(Restraint::SingleRack) => "single_rack",
-            Self::Restrained(Restraint::Headroom) => "headroom",
-            Self::Restrained(Restraint::Reservation) => "reservation",
-            Self::Restrained(Restraint::LastAttempt) => "last_attempt",
-            Self::Restrained(Restraint::Quarantine) => "quarantine",
+            Self::Restrained(restraint) => restraint.name(),
             Self::RestrainedBySeveral => "several",
             Self::NoCapacity => "no_capacity",
         })
--- a/crates/yuccatack_dispatch/tests/idle_capacity.rs
+++ b/crates/yuccatack_dispatch/tests/idle_capacity.rs
@@ -5,8 +5,78 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use support::{TestCluster, run, starts, step};
-use yuccatack_runs::RunOutcome;
+use yuccatack_runs::{RunOutcome, StepSpec};
+
+/// Time within which a group must begin that most of the capacity is free for.
+const IDLE_LIMIT_MS: u64 = 3_000;
+
+const POLL_INTERVAL_MS: u64 = 300;
+
+impl TestCluster {
+    /// Runs passes until a task of `job` begins, and returns the time that it took.
+    fn wait_for(&mut self, worker_count: usize, job: &str, running: &[(usize, &str)]) -> u64 {
+        for waited_ms in (0..20_000).step_by(POLL_INTERVAL_MS as usize) {
+            if starts(&self.decide()).iter().any(|run| run.task.job.as_str() == job) {
+                return waited_ms;
+            }
+            self.advance(POLL_INTERVAL_MS);
+            for index in 0..worker_count {
+                let on_worker = running.iter().filter(|(worker, _)| *worker == index);
+                let percent = (waited_ms / 300 % 100) as u8;
+                let rows: Vec<_> = on_worker.map(|(_, job)| (run(job, 0, 1), percent)).collect();
+                self.observe(index, &rows, &[], &[]);
+            }
+        }
+        panic!("{job} never began");
+    }
+
+    /// Begins a task of one accelerator on each of the workers.
+    fn occupy(&mut self, workers: &[(usize, &'static str)]) {
+        for (index, job) in workers {
+            let rack = Some(Arc::from(format!("rack-{}", index / 2)));
+            let label = Some(Arc::from(format!("only-{index}")));
+            self.submit(job, 1, StepSpec { data_rack: rack, required_label: label, ..step(1, 1) });
+            self.decide();
+            assert_eq!(self.worker_of(&run(job, 0, 1)), *index);
+            self.report_begun(&run(job, 0, 1));
+        }
+    }
+}
+
+/// Creates a cluster of eight workers in four racks, each with a label of its own.
+fn labelled_cluster() -> TestCluster {
+    let mut cluster = TestCluster::new(8);
+    for index in 0..8 {
+        let mut state = support::state(index, 1);
+        state.labels.insert(0, Arc::from(format!("only-{index}")));
+        cluster.deliver(index, yuccatack_dispatch::AgentMessage::State(state));
+    }
+    cluster
+}
+
+#[test]
+fn fragmented_racks() {
+    let mut cluster = labelled_cluster();
+    let occupied = [(0, "a"), (2, "b"), (4, "c"), (6, "d")];
+    cluster.occupy(&occupied);
+    let gang = StepSpec { gang: true, rack_local: true, ..step(2, 8) };
+    cluster.submit("wide", 1, gang);
+    let waited_ms = cluster.wait_for(8, "wide", &occupied);
+    assert!(waited_ms < IDLE_LIMIT_MS, "the gang waited {waited_ms} ms for a whole rack");
+}
+
+#[test]
+fn busy_data_rack() {
+    let mut cluster = labelled_cluster();
+    let occupied = [(2, "a"), (3, "b")];
+    cluster.occupy(&occupied);
+    cluster.submit("near", 1, StepSpec { data_rack: Some(Arc::from("rack-1")), ..step(1, 8) });
+    let waited_ms = cluster.wait_for(8, "near", &occupied);
+    assert!(waited_ms < IDLE_LIMIT_MS, "the task waited {waited_ms} ms for its data rack");
+}
 
 #[test]
 fn last_attempt_not_blocking() {
