Quarantine at most a quarter of a service's workers at once

Callers saw sound jobs wait beside free capacity while hopeless jobs failed. Cause: two failures in a row quarantine a worker for 4 to 16 s, whoever causes them, and nothing bounded how many workers that takes: two jobs that fail everywhere took all of them.

When more than a quarter fails (one worker at least), those whose quarantine ends first are released: failures that common are more likely to come from the jobs than from the workers.

--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -1,5 +1,6 @@
 //! Free capacity of each worker.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -8,6 +9,9 @@
 
 use crate::session::{OrderState, Session};
 
+/// Part of the workers of a service that may be quarantined at once, at least one.
+const MAX_QUARANTINED_PERCENT: usize = 25;
+
 /// State of a worker during one scheduling pass.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerSnapshot {
@@ -83,9 +87,35 @@
         }
         worker.runs.push(run.clone());
     }
+    limit_quarantine(&mut workers, sessions);
     workers
 }
 
+/// Releases the workers whose quarantine ends first until only a part of each service's workers is
+/// quarantined. When more fail than that, the cause is likely to be in the jobs.
+fn limit_quarantine(workers: &mut [WorkerSnapshot], sessions: &BTreeMap<NodeName, Session>) {
+    let mut counts: BTreeMap<ServiceName, usize> = BTreeMap::new();
+    for worker in workers.iter() {
+        *counts.entry(worker.service.clone()).or_default() += 1;
+    }
+    let mut quarantined: Vec<usize> =
+        (0..workers.len()).filter(|index| workers[*index].quarantined).collect();
+    let ends_at = |index: &usize| {
+        let session = sessions.get(&workers[*index].node);
+        session.and_then(|session| session.health.quarantined_until())
+    };
+    quarantined.sort_by_key(|index| Reverse(ends_at(index)));
+    let mut limits: BTreeMap<ServiceName, usize> = counts
+        .into_iter()
+        .map(|(service, count)| (service, (count * MAX_QUARANTINED_PERCENT / 100).max(1)))
+        .collect();
+    for index in quarantined {
+        let limit = limits.entry(workers[index].service.clone()).or_default();
+        workers[index].quarantined = *limit > 0;
+        *limit = limit.saturating_sub(1);
+    }
+}
+
 /// Subtracts each resource, saturating at zero.
 pub(crate) fn subtract(from: Resources, used: Resources) -> Resources {
     Resources {
--- a/crates/yuccatack_dispatch/src/health.rs
+++ b/crates/yuccatack_dispatch/src/health.rs
@@ -57,6 +57,11 @@
         self.quarantined_until.is_none_or(|until| now >= until)
     }
 
+    /// Returns the end of the quarantine, which may be over.
+    pub fn quarantined_until(&self) -> Option<TimestampMs> {
+        self.quarantined_until
+    }
+
     /// Returns `true` if no run failed recently, so that the worker may get a task's last attempt.
     pub fn is_reliable(&self, now: TimestampMs) -> bool {
         self.failed_at.is_none_or(|failed_at| now.since(failed_at) >= RELIABILITY_RECOVERY_MS)
--- a/crates/yuccatack_dispatch/tests/idle_capacity.rs
+++ b/crates/yuccatack_dispatch/tests/idle_capacity.rs
@@ -78,6 +78,25 @@
     assert!(waited_ms < IDLE_LIMIT_MS, "the task waited {waited_ms} ms for its data rack");
 }
 
+#[test]
+fn all_workers_quarantined() {
+    let mut cluster = TestCluster::new(4);
+    for number in 0..2 {
+        let job = ["hopeless-a", "hopeless-b"][number];
+        cluster.submit(job, 1, step(4, 8));
+        cluster.decide();
+        for index in 0..4 {
+            cluster.report_begun(&run(job, index, 1));
+            let worker = cluster.worker_of(&run(job, index, 1));
+            cluster.observe(worker, &[], &[(run(job, index, 1), RunOutcome::Failed)], &[]);
+        }
+        cluster.table.cancel(&run(job, 0, 1).task.job, cluster.now.get());
+    }
+    cluster.submit("sound", 1, step(1, 8));
+    let waited_ms = cluster.wait_for(4, "sound", &[]);
+    assert_eq!(waited_ms, 0, "hopeless jobs kept all workers from other work");
+}
+
 #[test]
 fn last_attempt_not_blocking() {
     let mut cluster = TestCluster::new(1);
