Prefer other workers to one that does not carry out a start

Callers saw a job wait while a worker refused its start again and again. Cause: placement takes the first of the workers that fit best, and a refused or unanswered start left no trace on the worker, so that the group was placed there again about once a second for as long as the refusals lasted; one refusing member keeps a whole gang from running. Evidence: refusing_worker_avoided, in which 99 placements in a row went to the worker that refuses, with an empty one beside it.

After such a start the worker comes after all others for 1 s, doubled each time up to 8 s, until a run completes there. It is not excluded: where it alone has room, it is tried again at once, as start_orders requires.

--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -29,6 +29,10 @@
     pub reliable: bool,
     /// Gets no runs for now, since runs on the worker failed or stalled.
     pub quarantined: bool,
+    /// Did not carry out a start recently, so that other workers are preferred.
+    pub backing_off: bool,
+    /// Number of failures of any kind since the last completed task.
+    pub failure_count: u32,
     /// Reserved for a group that is more urgent than those placed later in the pass.
     pub reserved: bool,
     /// Headroom for urgent groups that may arrive soon.
@@ -67,6 +71,8 @@
                 total: state.capacity,
                 reliable: session.health.is_reliable(now),
                 quarantined: !session.health.is_usable(now),
+                backing_off: session.health.is_backing_off(now),
+                failure_count: session.health.failure_count(),
                 reserved: false,
                 held_for_urgent: false,
                 runs: Vec::new(),
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -137,7 +137,7 @@
                 self.on_observation(node, observation, table, now)
             }
             AgentMessage::Start(run, result) => {
-                self.on_start_result(node, run, result);
+                self.on_start_result(node, run, result, now);
                 Vec::new()
             }
             AgentMessage::Left(incarnation) => {
@@ -176,7 +176,13 @@
         lost_run_ends(table, |other| other.node == incarnation.node && *other != incarnation)
     }
 
-    fn on_start_result(&mut self, node: &NodeName, run: RunId, result: StartResult) {
+    fn on_start_result(
+        &mut self,
+        node: &NodeName,
+        run: RunId,
+        result: StartResult,
+        now: TimestampMs,
+    ) {
         let Some(session) = self.sessions.get_mut(node) else { return };
         let Some(order) = session.orders.get_mut(&run) else { return };
         if !matches!(order, OrderState::Starting { .. } | OrderState::Unknown { .. }) {
@@ -189,6 +195,7 @@
                 "start not confirmed; the run is barred, or observed if the result is unknown"
             );
         }
+        session.health.on_start_result(result, now);
         *order = match result {
             StartResult::Begun => OrderState::Active { missing_count: 0 },
             StartResult::Unknown => OrderState::Unknown { missing_count: 0 },
--- a/crates/yuccatack_dispatch/src/health.rs
+++ b/crates/yuccatack_dispatch/src/health.rs
@@ -3,7 +3,7 @@
 use yuccatack_core::{DurationMs, FastHashMap, TimestampMs};
 use yuccatack_runs::{RunId, RunOutcome};
 
-use crate::protocol::RunningRun;
+use crate::protocol::{RunningRun, StartResult};
 
 /// Number of consecutive failures, without a completed task in between, after which a worker is
 /// quarantined. A single failure is as likely to be caused by the task.
@@ -15,6 +15,13 @@
 /// Upper bound on the length of a quarantine.
 const MAX_QUARANTINE_MS: DurationMs = DurationMs::new(16_000);
 
+/// Time for which other workers are preferred to one that did not carry out a start; doubled each
+/// time until a run completes there. Without it, the same group is placed there again at once.
+const INITIAL_BACKOFF_MS: DurationMs = DurationMs::new(1_000);
+
+/// Upper bound on that time.
+const MAX_BACKOFF_MS: DurationMs = DurationMs::new(8_000);
+
 /// Time after a failure until a worker gets last attempts again. Without this limit, jobs that fail
 /// everywhere would leave no worker for the last attempt of any task.
 const RELIABILITY_RECOVERY_MS: DurationMs = DurationMs::new(4_000);
@@ -46,6 +53,9 @@
     consecutive_failures: u32,
     consecutive_quarantines: u32,
     quarantined_until: Option<TimestampMs>,
+    /// Starts that were not carried out since the last completed task.
+    backoff_count: u32,
+    backs_off_until: Option<TimestampMs>,
     /// Time of the last failure; `None` if no run has failed since the last completed task.
     failed_at: Option<TimestampMs>,
     progress: FastHashMap<RunId, ProgressSamples>,
@@ -62,6 +72,29 @@
         self.quarantined_until
     }
 
+    /// Returns `true` for a time after a start that was not carried out.
+    pub fn is_backing_off(&self, now: TimestampMs) -> bool {
+        self.backs_off_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the number of failures of any kind since the last completed task.
+    pub fn failure_count(&self) -> u32 {
+        self.consecutive_failures + self.backoff_count
+    }
+
+    pub fn on_start_result(&mut self, result: StartResult, now: TimestampMs) {
+        match result {
+            StartResult::Begun => {}
+            StartResult::NoRoom | StartResult::Refused | StartResult::Unknown => self.back_off(now),
+        }
+    }
+
+    fn back_off(&mut self, now: TimestampMs) {
+        let doubled_ms = INITIAL_BACKOFF_MS.get() << self.backoff_count.min(8);
+        self.backoff_count += 1;
+        self.backs_off_until = Some(now + DurationMs::new(doubled_ms.min(MAX_BACKOFF_MS.get())));
+    }
+
     /// Returns `true` if no run failed recently, so that the worker may get a task's last attempt.
     pub fn is_reliable(&self, now: TimestampMs) -> bool {
         self.failed_at.is_none_or(|failed_at| now.since(failed_at) >= RELIABILITY_RECOVERY_MS)
@@ -96,6 +129,8 @@
                 self.consecutive_quarantines = 0;
                 self.quarantined_until = None;
                 self.failed_at = None;
+                self.backoff_count = 0;
+                self.backs_off_until = None;
             }
             RunOutcome::Failed => {
                 self.consecutive_failures += 1;
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -103,7 +103,8 @@
     place_in(group, workers, set, kind, Waivers::NONE.with(Restraint::Reservation)).is_some()
 }
 
-/// Places the group on the set of workers with the fewest accelerators left over.
+/// Places the group on the set of workers with the fewest accelerators left over, if possible without
+/// workers that back off.
 pub(crate) fn place(
     group: &TaskGroup<'_>,
     workers: &[WorkerSnapshot],
@@ -112,14 +113,21 @@
 ) -> Option<Placement> {
     let sets = candidate_sets(group, workers, waivers);
     let placements = sets.iter().filter_map(|set| place_in(group, workers, set, kind, waivers));
-    placements.min_by_key(|placement| leftover(placement, workers, kind))
+    placements.min_by_key(|placement| placement_cost(placement, workers, kind))
 }
 
-/// Returns the accelerators that are free on the chosen workers before the placement. Placements
-/// with small leftovers keep other workers empty for large groups.
-fn leftover(placement: &Placement, workers: &[WorkerSnapshot], kind: CapacityKind) -> u32 {
+/// Returns the number of chosen workers that back off, and the accelerators that are free on the
+/// chosen workers before the placement. Placements with small leftovers keep other workers empty for
+/// large groups.
+fn placement_cost(
+    placement: &Placement,
+    workers: &[WorkerSnapshot],
+    kind: CapacityKind,
+) -> (usize, u32) {
     let chosen: BTreeSet<usize> = placement.iter().copied().collect();
-    chosen.into_iter().map(|index| kind.of(&workers[index]).accelerator_count).sum()
+    let backing_off = chosen.iter().filter(|index| workers[**index].backing_off).count();
+    let leftover = chosen.iter().map(|index| kind.of(&workers[*index]).accelerator_count).sum();
+    (backing_off, leftover)
 }
 
 /// Returns the reason why a group has no placement on free capacity.
@@ -167,8 +175,15 @@
             })
             .min_by_key(|index| {
                 let remaining = free[index].0;
-                let quarantined = workers[**index].quarantined;
-                (quarantined, remaining.accelerator_count, remaining.cores_milli, **index)
+                let worker = &workers[**index];
+                (
+                    worker.quarantined,
+                    worker.backing_off,
+                    remaining.accelerator_count,
+                    remaining.cores_milli,
+                    worker.failure_count,
+                    **index,
+                )
             })?;
         if let Some((remaining, allowed)) = free.get_mut(best) {
             *remaining = subtract(*remaining, need);
--- a/crates/yuccatack_dispatch/tests/idle_capacity.rs
+++ b/crates/yuccatack_dispatch/tests/idle_capacity.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use support::{TestCluster, run, starts, step};
+use yuccatack_dispatch::StartResult;
 use yuccatack_runs::{RunOutcome, StepSpec};
 
 /// Time within which a group must begin that most of the capacity is free for.
@@ -97,6 +98,30 @@
     assert_eq!(waited_ms, 0, "hopeless jobs kept all workers from other work");
 }
 
+#[test]
+fn refusing_worker_avoided() {
+    let mut cluster = TestCluster::new(2);
+    cluster.submit("a", 1, step(1, 8));
+    let mut refused = None;
+    let begins_at = cluster.now;
+    for number in 1..100 {
+        let run = run("a", 0, number);
+        while starts(&cluster.decide()).is_empty() {
+            cluster.advance(50);
+            let stopped = if number > 1 { vec![support::run("a", 0, number - 1)] } else { vec![] };
+            (0..2).for_each(|index| cluster.observe(index, &[], &[], &stopped));
+        }
+        let worker = cluster.worker_of(&run);
+        if *refused.get_or_insert(worker) != worker {
+            let waited_ms = cluster.now.since(begins_at).get();
+            assert!(waited_ms < IDLE_LIMIT_MS, "the task waited {waited_ms} ms");
+            return;
+        }
+        cluster.start_result(&run, StartResult::Refused);
+    }
+    panic!("the task was placed again and again on the worker that refuses it");
+}
+
 #[test]
 fn last_attempt_not_blocking() {
     let mut cluster = TestCluster::new(1);
