Keep the health of a worker that restarts without leaving

Callers saw gangs that never completed beside sound workers while others crashed and came back. Cause: the leader forgot a worker's failures with its incarnation, so that a worker that had just crashed was as good as any other, and the first in order.

Such a restart now counts like a start that was not carried out: other workers come first for a time. An announced departure does not.

--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -29,7 +29,7 @@
     pub reliable: bool,
     /// Gets no runs for now, since runs on the worker failed or stalled.
     pub quarantined: bool,
-    /// Did not carry out a start recently, so that other workers are preferred.
+    /// Did not carry out a start recently, or restarted, so that other workers are preferred.
     pub backing_off: bool,
     /// Number of failures of any kind since the last completed task.
     pub failure_count: u32,
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -132,7 +132,7 @@
         now: TimestampMs,
     ) -> Vec<TableChange> {
         match message {
-            AgentMessage::State(state) => self.on_state(node, state, table),
+            AgentMessage::State(state) => self.on_state(node, state, table, now),
             AgentMessage::Observed(observation) => {
                 self.on_observation(node, observation, table, now)
             }
@@ -160,6 +160,7 @@
         node: &NodeName,
         state: WorkerState,
         table: &JobTable,
+        now: TimestampMs,
     ) -> Vec<TableChange> {
         let session = self.sessions.entry(node.clone()).or_default();
         let incarnation = state.incarnation.clone();
@@ -172,7 +173,7 @@
             draining = state.draining;
             "the worker announced itself; runs of its other incarnations are lost"
         );
-        session.begin_incarnation(state);
+        session.begin_incarnation(state, now);
         lost_run_ends(table, |other| other.node == incarnation.node && *other != incarnation)
     }
 
--- a/crates/yuccatack_dispatch/src/health.rs
+++ b/crates/yuccatack_dispatch/src/health.rs
@@ -15,8 +15,9 @@
 /// Upper bound on the length of a quarantine.
 const MAX_QUARANTINE_MS: DurationMs = DurationMs::new(16_000);
 
-/// Time for which other workers are preferred to one that did not carry out a start; doubled each
-/// time until a run completes there. Without it, the same group is placed there again at once.
+/// Time for which other workers are preferred to one that did not carry out a start, or that
+/// restarted; doubled each time until a run completes there. Without it, the same group is placed
+/// there again at once.
 const INITIAL_BACKOFF_MS: DurationMs = DurationMs::new(1_000);
 
 /// Upper bound on that time.
@@ -53,7 +54,7 @@
     consecutive_failures: u32,
     consecutive_quarantines: u32,
     quarantined_until: Option<TimestampMs>,
-    /// Starts that were not carried out since the last completed task.
+    /// Starts that were not carried out, and restarts, since the last completed task.
     backoff_count: u32,
     backs_off_until: Option<TimestampMs>,
     /// Time of the last failure; `None` if no run has failed since the last completed task.
@@ -72,7 +73,7 @@
         self.quarantined_until
     }
 
-    /// Returns `true` for a time after a start that was not carried out.
+    /// Returns `true` for a time after a restart or a start that was not carried out.
     pub fn is_backing_off(&self, now: TimestampMs) -> bool {
         self.backs_off_until.is_some_and(|until| now < until)
     }
@@ -89,6 +90,12 @@
         }
     }
 
+    /// Keeps the record of the worker's earlier incarnation, which ended without an announcement.
+    pub fn on_restart(&mut self, now: TimestampMs) {
+        self.progress.clear();
+        self.back_off(now);
+    }
+
     fn back_off(&mut self, now: TimestampMs) {
         let doubled_ms = INITIAL_BACKOFF_MS.get() << self.backoff_count.min(8);
         self.backoff_count += 1;
--- a/crates/yuccatack_dispatch/src/session.rs
+++ b/crates/yuccatack_dispatch/src/session.rs
@@ -61,9 +61,15 @@
             && self.confirmed_reading.as_ref().is_some_and(is_recent)
     }
 
-    /// Discards the state of the previous incarnation.
-    pub fn begin_incarnation(&mut self, state: WorkerState) {
-        *self = Self { connected: self.connected, state: Some(state), ..Self::default() };
+    /// Discards the state of the previous incarnation, except for its health if it ended without an
+    /// announcement.
+    pub fn begin_incarnation(&mut self, state: WorkerState, now: TimestampMs) {
+        let mut health = Health::default();
+        if self.state.is_some() {
+            health = std::mem::take(&mut self.health);
+            health.on_restart(now);
+        }
+        *self = Self { connected: self.connected, state: Some(state), health, ..Self::default() };
     }
 
     /// Marks the agent as connected. Orders sent on an earlier stream may have been lost, so starts
--- a/crates/yuccatack_dispatch/tests/idle_capacity.rs
+++ b/crates/yuccatack_dispatch/tests/idle_capacity.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use support::{TestCluster, run, starts, step};
-use yuccatack_dispatch::StartResult;
+use yuccatack_dispatch::{AgentMessage, Observation, StartResult};
 use yuccatack_runs::{RunOutcome, StepSpec};
 
 /// Time within which a group must begin that most of the capacity is free for.
@@ -53,7 +53,7 @@
     for index in 0..8 {
         let mut state = support::state(index, 1);
         state.labels.insert(0, Arc::from(format!("only-{index}")));
-        cluster.deliver(index, yuccatack_dispatch::AgentMessage::State(state));
+        cluster.deliver(index, AgentMessage::State(state));
     }
     cluster
 }
@@ -122,6 +122,30 @@
     panic!("the task was placed again and again on the worker that refuses it");
 }
 
+#[test]
+fn restarting_worker_avoided() {
+    let mut cluster = TestCluster::new(2);
+    cluster.submit("a", 1, step(1, 8));
+    cluster.decide();
+    let crashed = cluster.worker_of(&run("a", 0, 1));
+    cluster.deliver(crashed, AgentMessage::State(support::state(crashed, 2)));
+    let observation = Observation {
+        incarnation: support::incarnation(crashed, 2),
+        clock_ms: cluster.clock_ms(),
+        running: Vec::new(),
+        ended: Vec::new(),
+        stopped: Vec::new(),
+    };
+    cluster.deliver(crashed, AgentMessage::Observed(observation));
+    cluster.dispatcher.confirm_leadership(cluster.now);
+    cluster.decide();
+    assert_ne!(
+        cluster.worker_of(&run("a", 0, 2)),
+        crashed,
+        "the task was placed again on the worker that had just crashed"
+    );
+}
+
 #[test]
 fn last_attempt_not_blocking() {
     let mut cluster = TestCluster::new(1);
--- a/crates/yuccatack_dispatch/tests/simulated_days/main.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/main.rs
@@ -58,6 +58,11 @@
     play(|_| DayPlan { worker_count: 11, rack_size: 3, fault_count: 3, ..DayPlan::default() });
 }
 
+#[test]
+fn lasting_faults() {
+    play(|_| DayPlan { lasting_fault_count: 2, ..DayPlan::default() });
+}
+
 #[test]
 fn lost_leaders() {
     play(|_| DayPlan { leader_change_count: 4, fault_count: 3, ..DayPlan::default() });
