Prefer a rack only for its workers that do not keep failing

Callers saw gangs that never completed: a rack that could hold a gang when empty kept it, although some of its workers crashed or stalled again and again, while the other racks had room. A rack now counts only if its other workers could hold the group.

--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -12,6 +12,10 @@
 /// Part of the workers of a service that may be quarantined at once, at least one.
 const MAX_QUARANTINED_PERCENT: usize = 25;
 
+/// Number of failures in a row from which a worker is taken to fail again. Fewer are likely to be
+/// caused by the task, or by a restart.
+const REPEATED_FAILURE_COUNT: u32 = 3;
+
 /// State of a worker during one scheduling pass.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerSnapshot {
@@ -41,6 +45,13 @@
     pub runs: Vec<RunId>,
 }
 
+impl WorkerSnapshot {
+    /// Returns `true` if the worker has failed several times and is likely to fail again.
+    pub fn keeps_failing(&self) -> bool {
+        self.backing_off && self.failure_count >= REPEATED_FAILURE_COUNT
+    }
+}
+
 /// Returns the resources that one task of a step occupies on a worker. Tasks that only use idle CPU
 /// time occupy no cores.
 pub(crate) fn footprint(step: &StepSpec) -> Resources {
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -59,8 +59,8 @@
 /// Returns the sets of workers on which the group may be placed.
 ///
 /// Prefers the rack that holds the step's data, then single racks for rack-local gangs. A rack
-/// counts only if it could hold the whole group when empty. Otherwise all eligible workers form one
-/// set.
+/// counts only if its workers that do not keep failing could hold the whole group when empty.
+/// Otherwise all eligible workers form one set.
 pub(crate) fn candidate_sets(
     group: &TaskGroup<'_>,
     workers: &[WorkerSnapshot],
@@ -77,16 +77,13 @@
         && !waivers.contains(Restraint::DataRack)
     {
         let data_rack_workers = in_rack(&Some(data_rack.clone()));
-        if fits(group, workers, &data_rack_workers, CapacityKind::Total) {
+        if could_hold(group, workers, &data_rack_workers) {
             return vec![data_rack_workers];
         }
     }
     if group.spec.rack_local && group.tasks.len() > 1 && !waivers.contains(Restraint::SingleRack) {
-        let sets: Vec<Vec<usize>> = racks
-            .iter()
-            .map(in_rack)
-            .filter(|set| fits(group, workers, set, CapacityKind::Total))
-            .collect();
+        let sets: Vec<Vec<usize>> =
+            racks.iter().map(in_rack).filter(|set| could_hold(group, workers, set)).collect();
         if !sets.is_empty() {
             return sets;
         }
@@ -94,13 +91,12 @@
     vec![eligible]
 }
 
-fn fits(
-    group: &TaskGroup<'_>,
-    workers: &[WorkerSnapshot],
-    set: &[usize],
-    kind: CapacityKind,
-) -> bool {
-    place_in(group, workers, set, kind, Waivers::NONE.with(Restraint::Reservation)).is_some()
+/// Returns `true` if the workers of the set that do not keep failing hold the group when empty.
+fn could_hold(group: &TaskGroup<'_>, workers: &[WorkerSnapshot], set: &[usize]) -> bool {
+    let dependable: Vec<usize> =
+        set.iter().copied().filter(|index| !workers[*index].keeps_failing()).collect();
+    let waivers = Waivers::NONE.with(Restraint::Reservation);
+    place_in(group, workers, &dependable, CapacityKind::Total, waivers).is_some()
 }
 
 /// Places the group on the set of workers with the fewest accelerators left over, if possible without
