--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -1,5 +1,6 @@
 //! Free capacity of each worker.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -8,6 +9,13 @@
 
 use crate::session::{OrderState, Session};
 
+/// Part of the workers of a service that may be quarantined at once, at least one.
+const MAX_QUARANTINED_PERCENT: usize = 25;
+
+/// Number of failures in a row from which a worker is taken to fail again. Fewer are likely to be
+/// caused by the task, or by a restart.
+const REPEATED_FAILURE_COUNT: u32 = 3;
+
 /// State of a worker during one scheduling pass.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerSnapshot {
@@ -23,6 +31,12 @@
     pub total: Resources,
     /// `true` if no run failed here recently, so that the worker may get a task's last attempt.
     pub reliable: bool,
+    /// Gets no runs for now, since runs on the worker failed or stalled.
+    pub quarantined: bool,
+    /// Did not carry out a start recently, or restarted, so that other workers are preferred.
+    pub backing_off: bool,
+    /// Number of failures of any kind since the last completed task.
+    pub failure_count: u32,
     /// Reserved for a group that is more urgent than those placed later in the pass.
     pub reserved: bool,
     /// Headroom for urgent groups that may arrive soon.
@@ -31,6 +45,13 @@
     pub runs: Vec<RunId>,
 }
 
+impl WorkerSnapshot {
+    /// Returns `true` if the worker has failed several times and is likely to fail again.
+    pub fn keeps_failing(&self) -> bool {
+        self.backing_off && self.failure_count >= REPEATED_FAILURE_COUNT
+    }
+}
+
 /// Returns the resources that one task of a step occupies on a worker. Tasks that only use idle CPU
 /// time occupy no cores.
 pub(crate) fn footprint(step: &StepSpec) -> Resources {
@@ -38,7 +59,8 @@
     Resources { cores_milli, ..step.demand }
 }
 
-/// Returns the workers that may get new runs, with the capacity that open runs leave free.
+/// Returns the workers that can take new runs, quarantined ones included, with the capacity that open
+/// runs leave free.
 pub(crate) fn available_workers(
     sessions: &BTreeMap<NodeName, Session>,
     table: &JobTable,
@@ -59,6 +81,9 @@
                 free_after_stops: state.capacity,
                 total: state.capacity,
                 reliable: session.health.is_reliable(now),
+                quarantined: !session.health.is_usable(now),
+                backing_off: session.health.is_backing_off(now),
+                failure_count: session.health.failure_count(),
                 reserved: false,
                 held_for_urgent: false,
                 runs: Vec::new(),
@@ -79,9 +104,35 @@
         }
         worker.runs.push(run.clone());
     }
+    limit_quarantine(&mut workers, sessions);
     workers
 }
 
+/// Releases the workers whose quarantine ends first until only a part of each service's workers is
+/// quarantined. When more fail than that, the cause is likely to be in the jobs.
+fn limit_quarantine(workers: &mut [WorkerSnapshot], sessions: &BTreeMap<NodeName, Session>) {
+    let mut counts: BTreeMap<ServiceName, usize> = BTreeMap::new();
+    for worker in workers.iter() {
+        *counts.entry(worker.service.clone()).or_default() += 1;
+    }
+    let mut quarantined: Vec<usize> =
+        (0..workers.len()).filter(|index| workers[*index].quarantined).collect();
+    let ends_at = |index: &usize| {
+        let session = sessions.get(&workers[*index].node);
+        session.and_then(|session| session.health.quarantined_until())
+    };
+    quarantined.sort_by_key(|index| Reverse(ends_at(index)));
+    let mut limits: BTreeMap<ServiceName, usize> = counts
+        .into_iter()
+        .map(|(service, count)| (service, (count * MAX_QUARANTINED_PERCENT / 100).max(1)))
+        .collect();
+    for index in quarantined {
+        let limit = limits.entry(workers[index].service.clone()).or_default();
+        workers[index].quarantined = *limit > 0;
+        *limit = limit.saturating_sub(1);
+    }
+}
+
 /// Subtracts each resource, saturating at zero.
 pub(crate) fn subtract(from: Resources, used: Resources) -> Resources {
     Resources {
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use yuccatack_core::{FastHashSet, NodeName, TimestampMs};
+use yuccatack_core::{DurationMs, FastHashSet, NodeName, TimestampMs};
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{JobTable, RunEnd, RunId, RunOutcome, RunStart, WorkerIncarnation};
 
@@ -15,17 +15,22 @@
 use crate::placement::{CapacityKind, occupy, place};
 use crate::protocol::{AgentMessage, Orders, StartResult, WorkerState};
 use crate::reconcile::Reconciliation;
+use crate::restraint::Waivers;
 use crate::run_time::RunTimes;
 use crate::session::{OrderState, Session};
 use crate::settings::DispatchSettings;
 use crate::share::MinimumShares;
 use crate::summary::PassSummary;
+use crate::waiting::{UnusedServices, WaitingSteps};
 
 /// Number of tasks for which one scheduling pass searches for runs to evict. A group is searched as
 /// a whole, so the last one may exceed the limit. A search visits every run for every task, so a
 /// burst of urgent jobs would otherwise delay the leader's heartbeats.
 const EVICTION_SEARCH_TASK_COUNT: usize = 32;
 
+/// Interval of the summaries of what waits for capacity.
+const SUMMARY_INTERVAL: DurationMs = DurationMs::new(1_000);
+
 /// Change of the replicated table that the leader proposes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum TableChange {
@@ -48,9 +53,11 @@
     pub(crate) evicted: FastHashSet<RunId>,
     headroom: Headroom,
     pub(crate) run_times: RunTimes,
+    waiting_steps: WaitingSteps,
     /// Number of evictions since the last call of [`Self::take_eviction_count`].
     pub(crate) eviction_count: u64,
     summary: Option<PassSummary>,
+    summarized_at: TimestampMs,
 }
 
 impl Dispatcher {
@@ -65,8 +72,10 @@
             evicted: FastHashSet::default(),
             headroom: Headroom::default(),
             run_times: RunTimes::default(),
+            waiting_steps: WaitingSteps::default(),
             eviction_count: 0,
             summary: None,
+            summarized_at: TimestampMs::default(),
         }
     }
 
@@ -97,9 +106,10 @@
         std::mem::take(&mut self.eviction_count)
     }
 
-    /// Returns the summary of the last pass; `None` if it began every ready task.
-    pub fn pass_summary(&self) -> Option<&PassSummary> {
-        self.summary.as_ref()
+    /// Takes the summary of the last pass. Passes are summarized once a second while ready tasks
+    /// wait.
+    pub fn take_summary(&mut self) -> Option<PassSummary> {
+        self.summary.take()
     }
 
     /// Records that a heartbeat round which began at `began_at` confirmed leadership. Leases may
@@ -122,12 +132,12 @@
         now: TimestampMs,
     ) -> Vec<TableChange> {
         match message {
-            AgentMessage::State(state) => self.on_state(node, state, table),
+            AgentMessage::State(state) => self.on_state(node, state, table, now),
             AgentMessage::Observed(observation) => {
                 self.on_observation(node, observation, table, now)
             }
             AgentMessage::Start(run, result) => {
-                self.on_start_result(node, run, result);
+                self.on_start_result(node, run, result, now);
                 Vec::new()
             }
             AgentMessage::Left(incarnation) => {
@@ -150,6 +160,7 @@
         node: &NodeName,
         state: WorkerState,
         table: &JobTable,
+        now: TimestampMs,
     ) -> Vec<TableChange> {
         let session = self.sessions.entry(node.clone()).or_default();
         let incarnation = state.incarnation.clone();
@@ -162,11 +173,17 @@
             draining = state.draining;
             "the worker announced itself; runs of its other incarnations are lost"
         );
-        session.begin_incarnation(state);
+        session.begin_incarnation(state, now);
         lost_run_ends(table, |other| other.node == incarnation.node && *other != incarnation)
     }
 
-    fn on_start_result(&mut self, node: &NodeName, run: RunId, result: StartResult) {
+    fn on_start_result(
+        &mut self,
+        node: &NodeName,
+        run: RunId,
+        result: StartResult,
+        now: TimestampMs,
+    ) {
         let Some(session) = self.sessions.get_mut(node) else { return };
         let Some(order) = session.orders.get_mut(&run) else { return };
         if !matches!(order, OrderState::Starting { .. } | OrderState::Unknown { .. }) {
@@ -179,6 +196,7 @@
                 "start not confirmed; the run is barred, or observed if the result is unknown"
             );
         }
+        session.health.on_start_result(result, now);
         *order = match result {
             StartResult::Begun => OrderState::Active { missing_count: 0 },
             StartResult::Unknown => OrderState::Unknown { missing_count: 0 },
@@ -202,15 +220,15 @@
         let mut groups =
             ready_task_groups(table, configuration, &urgent_demand, &self.run_times, unix_ms);
         share_headroom(&mut groups);
-        self.summary = None;
         if groups.is_empty() {
+            self.waiting_steps = WaitingSteps::default();
             return changes;
         }
         let mut workers = available_workers(&self.sessions, table, now);
         let mut shares = MinimumShares::new(&groups, &workers, table, &self.stopping_runs());
         shares.promote(&mut groups);
         let mut remaining_search_tasks = EVICTION_SEARCH_TASK_COUNT;
-        // All tasks of a step are equal: once one does not fit, the others do not either.
+        // Tasks of a step with as many attempts left are equal: once one does not fit, the others do not either.
         let mut blocked_steps = FastHashSet::default();
         let mut headroom_reserved = false;
         let mut waiting = Vec::new();
@@ -219,10 +237,12 @@
                 headroom_reserved = true;
                 self.headroom.reserve(&mut workers);
             }
-            let step = (group.job.order, group.occurrence, group.step);
-            if !blocked_steps.contains(&step)
-                && let Some(placement) = place(group, &workers, CapacityKind::Free, false)
-            {
+            let step = (group.job.order, group.occurrence, group.step, group.last_attempt);
+            let placement = (!blocked_steps.contains(&step)).then(|| {
+                place(group, &workers, CapacityKind::Free, Waivers::NONE)
+                    .or_else(|| self.waiting_steps.place_waiting(group, &workers, now))
+            });
+            if let Some(placement) = placement.flatten() {
                 changes.push(TableChange::Begin(occupy(group, &placement, &mut workers)));
                 continue;
             }
@@ -247,7 +267,10 @@
             }
             blocked_steps.insert(step);
         }
-        if !waiting.is_empty() {
+        let services = UnusedServices::new(&self.sessions, table);
+        self.waiting_steps.update(&waiting, &services, now);
+        if !waiting.is_empty() && now.since(self.summarized_at) >= SUMMARY_INTERVAL {
+            self.summarized_at = now;
             self.summary = Some(PassSummary::new(&waiting, &workers, table));
         }
         changes
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -17,11 +17,13 @@
 mod protocol;
 mod reclaim;
 mod reconcile;
+mod restraint;
 mod run_time;
 mod session;
 mod settings;
 mod share;
 mod summary;
+mod waiting;
 
 pub use dispatcher::{Dispatcher, TableChange};
 pub use lease::ClockReading;
@@ -29,4 +31,4 @@
     AgentMessage, EndedRun, Observation, Orders, RunningRun, StartOrder, StartResult, WorkerState,
 };
 pub use settings::DispatchSettings;
-pub use summary::{ByPriority, PassSummary};
+pub use summary::{ByPriority, PassSummary, WaitingGroup};
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -8,6 +8,7 @@
 
 use crate::capacity::{WorkerSnapshot, footprint, subtract};
 use crate::demand::TaskGroup;
+use crate::restraint::{Restraint, WaitCause, Waivers};
 
 /// Worker of each task of a group, as an index into the list of workers.
 pub(crate) type Placement = Vec<usize>;
@@ -34,12 +35,13 @@
 }
 
 /// Returns `true` if a worker may run tasks of the group, regardless of its free capacity.
-pub(crate) fn is_eligible(group: &TaskGroup<'_>, worker: &WorkerSnapshot) -> bool {
+fn is_eligible(group: &TaskGroup<'_>, worker: &WorkerSnapshot, waivers: Waivers) -> bool {
     let has_label =
         group.spec.required_label.as_ref().is_none_or(|label| worker.labels.contains(label));
     has_label
         && worker.service == group.job.submission.service
-        && (worker.reliable || !group.last_attempt)
+        && (worker.reliable || !group.last_attempt || waivers.contains(Restraint::LastAttempt))
+        && (!worker.quarantined || waivers.contains(Restraint::Quarantine))
 }
 
 /// Returns the number of further tasks of the group's step that its limit per worker allows.
@@ -57,28 +59,31 @@
 /// Returns the sets of workers on which the group may be placed.
 ///
 /// Prefers the rack that holds the step's data, then single racks for rack-local gangs. A rack
-/// counts only if it could hold the whole group when empty. Otherwise all eligible workers form one
-/// set.
-pub(crate) fn candidate_sets(group: &TaskGroup<'_>, workers: &[WorkerSnapshot]) -> Vec<Vec<usize>> {
+/// counts only if its workers that do not keep failing could hold the whole group when empty.
+/// Otherwise all eligible workers form one set.
+pub(crate) fn candidate_sets(
+    group: &TaskGroup<'_>,
+    workers: &[WorkerSnapshot],
+    waivers: Waivers,
+) -> Vec<Vec<usize>> {
     let eligible: Vec<usize> =
-        (0..workers.len()).filter(|index| is_eligible(group, &workers[*index])).collect();
+        (0..workers.len()).filter(|index| is_eligible(group, &workers[*index], waivers)).collect();
     let racks: BTreeSet<Option<Arc<str>>> =
         eligible.iter().map(|index| workers[*index].rack.clone()).collect();
     let in_rack = |rack: &Option<Arc<str>>| -> Vec<usize> {
         eligible.iter().copied().filter(|index| workers[*index].rack == *rack).collect()
     };
-    if let Some(data_rack) = &group.spec.data_rack {
+    if let Some(data_rack) = &group.spec.data_rack
+        && !waivers.contains(Restraint::DataRack)
+    {
         let data_rack_workers = in_rack(&Some(data_rack.clone()));
-        if fits(group, workers, &data_rack_workers, CapacityKind::Total) {
+        if could_hold(group, workers, &data_rack_workers) {
             return vec![data_rack_workers];
         }
     }
-    if group.spec.rack_local && group.tasks.len() > 1 {
-        let sets: Vec<Vec<usize>> = racks
-            .iter()
-            .map(in_rack)
-            .filter(|set| fits(group, workers, set, CapacityKind::Total))
-            .collect();
+    if group.spec.rack_local && group.tasks.len() > 1 && !waivers.contains(Restraint::SingleRack) {
+        let sets: Vec<Vec<usize>> =
+            racks.iter().map(in_rack).filter(|set| could_hold(group, workers, set)).collect();
         if !sets.is_empty() {
             return sets;
         }
@@ -86,50 +91,70 @@
     vec![eligible]
 }
 
-fn fits(
-    group: &TaskGroup<'_>,
-    workers: &[WorkerSnapshot],
-    set: &[usize],
-    kind: CapacityKind,
-) -> bool {
-    place_in(group, workers, set, kind, true).is_some()
+/// Returns `true` if the workers of the set that do not keep failing hold the group when empty.
+fn could_hold(group: &TaskGroup<'_>, workers: &[WorkerSnapshot], set: &[usize]) -> bool {
+    let dependable: Vec<usize> =
+        set.iter().copied().filter(|index| !workers[*index].keeps_failing()).collect();
+    let waivers = Waivers::NONE.with(Restraint::Reservation);
+    place_in(group, workers, &dependable, CapacityKind::Total, waivers).is_some()
 }
 
-/// Places the group on the set of workers with the fewest accelerators left over.
+/// Places the group on the set of workers with the fewest accelerators left over, if possible without
+/// workers that back off.
 pub(crate) fn place(
     group: &TaskGroup<'_>,
     workers: &[WorkerSnapshot],
     kind: CapacityKind,
-    with_reserved: bool,
+    waivers: Waivers,
 ) -> Option<Placement> {
-    let sets = candidate_sets(group, workers);
-    let placements =
-        sets.iter().filter_map(|set| place_in(group, workers, set, kind, with_reserved));
-    placements.min_by_key(|placement| leftover(placement, workers, kind))
+    let sets = candidate_sets(group, workers, waivers);
+    let placements = sets.iter().filter_map(|set| place_in(group, workers, set, kind, waivers));
+    placements.min_by_key(|placement| placement_cost(placement, workers, kind))
 }
 
-/// Returns the accelerators that are free on the chosen workers before the placement. Placements
-/// with small leftovers keep other workers empty for large groups.
-fn leftover(placement: &Placement, workers: &[WorkerSnapshot], kind: CapacityKind) -> u32 {
+/// Returns the number of chosen workers that back off, and the accelerators that are free on the
+/// chosen workers before the placement. Placements with small leftovers keep other workers empty for
+/// large groups.
+fn placement_cost(
+    placement: &Placement,
+    workers: &[WorkerSnapshot],
+    kind: CapacityKind,
+) -> (usize, u32) {
     let chosen: BTreeSet<usize> = placement.iter().copied().collect();
-    chosen.into_iter().map(|index| kind.of(&workers[index]).accelerator_count).sum()
+    let backing_off = chosen.iter().filter(|index| workers[**index].backing_off).count();
+    let leftover = chosen.iter().map(|index| kind.of(&workers[*index]).accelerator_count).sum();
+    (backing_off, leftover)
+}
+
+/// Returns the reason why a group has no placement on free capacity.
+pub(crate) fn wait_cause(group: &TaskGroup<'_>, workers: &[WorkerSnapshot]) -> WaitCause {
+    let fits_with = |waivers| place(group, workers, CapacityKind::Free, waivers).is_some();
+    let single =
+        Restraint::ALL.into_iter().find(|restraint| fits_with(Waivers::NONE.with(*restraint)));
+    match single {
+        Some(restraint) => WaitCause::Restrained(restraint),
+        None if fits_with(Waivers::all()) => WaitCause::RestrainedBySeveral,
+        None => WaitCause::NoCapacity,
+    }
 }
 
 /// Places each task on the worker of the set with the least free capacity that still fits it.
-pub(crate) fn place_in(
+fn place_in(
     group: &TaskGroup<'_>,
     workers: &[WorkerSnapshot],
     set: &[usize],
     kind: CapacityKind,
-    with_reserved: bool,
+    waivers: Waivers,
 ) -> Option<Placement> {
     let need = footprint(group.spec);
     let mut free: FastHashMap<usize, (Resources, u32)> = FastHashMap::default();
     for index in set {
         let held_back = kind != CapacityKind::Total
             && workers[*index].held_for_urgent
-            && !group.may_use_headroom;
-        if !held_back && (with_reserved || !workers[*index].reserved) {
+            && !group.may_use_headroom
+            && !waivers.contains(Restraint::Headroom);
+        let reserved = workers[*index].reserved && !waivers.contains(Restraint::Reservation);
+        if !held_back && !reserved {
             free.insert(
                 *index,
                 (kind.of(&workers[*index]), step_allowance(group, &workers[*index])),
@@ -146,7 +171,15 @@
             })
             .min_by_key(|index| {
                 let remaining = free[index].0;
-                (remaining.accelerator_count, remaining.cores_milli, **index)
+                let worker = &workers[**index];
+                (
+                    worker.quarantined,
+                    worker.backing_off,
+                    remaining.accelerator_count,
+                    remaining.cores_milli,
+                    worker.failure_count,
+                    **index,
+                )
             })?;
         if let Some((remaining, allowed)) = free.get_mut(best) {
             *remaining = subtract(*remaining, need);
--- a/crates/yuccatack_dispatch/src/session.rs
+++ b/crates/yuccatack_dispatch/src/session.rs
@@ -51,20 +51,25 @@
         self.state.as_ref().map(|state| &state.incarnation)
     }
 
-    /// Returns `true` if the worker may get new runs: its agent is connected, its clock reading is
-    /// recent, and it is neither draining nor quarantined.
+    /// Returns `true` if the worker can take new runs: its agent is connected, its clock reading is
+    /// recent, and it is not draining.
     pub fn is_available(&self, now: TimestampMs) -> bool {
         let is_recent =
             |reading: &ClockReading| now.since(reading.received_at) <= MAX_READING_AGE_MS;
         self.connected
             && self.state.as_ref().is_some_and(|state| !state.draining)
             && self.confirmed_reading.as_ref().is_some_and(is_recent)
-            && self.health.is_usable(now)
     }
 
-    /// Discards the state of the previous incarnation.
-    pub fn begin_incarnation(&mut self, state: WorkerState) {
-        *self = Self { connected: self.connected, state: Some(state), ..Self::default() };
+    /// Discards the state of the previous incarnation, except for its health if it ended without an
+    /// announcement.
+    pub fn begin_incarnation(&mut self, state: WorkerState, now: TimestampMs) {
+        let mut health = Health::default();
+        if self.state.is_some() {
+            health = std::mem::take(&mut self.health);
+            health.on_restart(now);
+        }
+        *self = Self { connected: self.connected, state: Some(state), health, ..Self::default() };
     }
 
     /// Marks the agent as connected. Orders sent on an earlier stream may have been lost, so starts
