Keep reported run ends until the batch with them is committed

Callers could see a job that never ran again while capacity was free, or a completed task that ran a second time. A proposal can fail while the leader stays: on_propose refuses it during a leadership transfer, and the transfer can time out. The control actor then dropped the batch, but the sessions counted its run ends as reported (Session::proposed_end). Such a run stayed open for as long as that leader led. The next batch also acknowledged the lost ends, so that the worker dropped them: no later leader got them either, and a task that was done was stopped as never begun and ran again.

PendingChanges keeps the reported changes, in their order, until a batch with them is committed; decided changes are dropped with a failed batch, since the next decision builds on the table as it is by then. A session still handles each end once, so failures count once.

In lost_batches, failed_batch_repeated, acknowledgement_after_ends and failure_counts_once fail if on_failed drops the batch.

--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod lease;
 mod loss;
 mod observation;
+mod pending;
 mod placement;
 mod protocol;
 mod reclaim;
@@ -26,6 +27,7 @@
 
 pub use dispatcher::{Dispatcher, TableChange};
 pub use lease::ClockReading;
+pub use pending::PendingChanges;
 pub use protocol::{
     AgentMessage, EndedRun, Observation, Orders, RunningRun, StartOrder, StartResult, WorkerState,
 };
--- a/crates/yuccatack_dispatch/src/session.rs
+++ b/crates/yuccatack_dispatch/src/session.rs
@@ -36,7 +36,8 @@
     pub lease_until_clock_ms: u64,
     /// Reading from which the lease was last renewed, so that each reading renews it once.
     pub lease_reading: Option<ClockReading>,
-    /// Highest number of a run end that was proposed to the table.
+    /// Highest number of a run end that was reported for the table. `PendingChanges` keeps the end
+    /// until the table holds it.
     pub proposed_end: u64,
     /// Highest acknowledged end that was sent to the agent.
     pub sent_acknowledged_end: u64,
--- /dev/null
+++ b/crates/yuccatack_dispatch/tests/lost_batches.rs
@@ -0,0 +1,124 @@
+//! Guards against run ends that the table never holds because the batch with them failed while the
+//! leader stayed: the run stayed open, and its task never began again or ran twice.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use support::{TestCluster, incarnation, node, run, starts, step};
+use yuccatack_core::JobName;
+use yuccatack_dispatch::{AgentMessage, EndedRun, Observation, PendingChanges};
+use yuccatack_runs::{JobPhase, RunId, RunOutcome, StepSpec};
+
+/// Reports an observation of worker 0 that lists these ends.
+fn report_ends(cluster: &mut TestCluster, pending: &mut PendingChanges, ended: &[EndedRun]) {
+    cluster.advance(300);
+    let observation = Observation {
+        incarnation: incarnation(0, 1),
+        clock_ms: cluster.clock_ms(),
+        running: Vec::new(),
+        ended: ended.to_vec(),
+        stopped: Vec::new(),
+    };
+    let message = AgentMessage::Observed(observation);
+    let changes = cluster.dispatcher.on_message(&node(0), message, &cluster.table, cluster.now);
+    cluster.dispatcher.confirm_leadership(cluster.now);
+    pending.report(changes);
+}
+
+fn ended(number: u64, run: &RunId, outcome: RunOutcome) -> EndedRun {
+    EndedRun { number, run: run.clone(), outcome, checkpoint: None }
+}
+
+fn commit(cluster: &mut TestCluster, pending: &mut PendingChanges) {
+    if let Some(changes) = pending.next_batch(Vec::new()) {
+        cluster.apply(changes);
+        pending.on_committed();
+    }
+}
+
+fn fail(pending: &mut PendingChanges) {
+    assert!(pending.next_batch(Vec::new()).is_some(), "there is nothing to propose");
+    pending.on_failed();
+}
+
+/// Begins these jobs of one task on the only worker.
+fn begin(cluster: &mut TestCluster, names: &[&str]) {
+    for name in names {
+        cluster.submit(name, 1, step(1, 2));
+    }
+    cluster.decide();
+    names.iter().for_each(|name| cluster.report_begun(&run(name, 0, 1)));
+}
+
+#[test]
+fn failed_batch_repeated() {
+    let mut cluster = TestCluster::new(1);
+    let mut pending = PendingChanges::default();
+    cluster.submit("a", 1, StepSpec { gang: true, ..step(2, 2) });
+    cluster.decide();
+    let members = [run("a", 0, 1), run("a", 1, 1)];
+    members.iter().for_each(|member| cluster.report_begun(member));
+    let ends =
+        [ended(1, &members[0], RunOutcome::Lapsed), ended(2, &members[1], RunOutcome::Broken)];
+    report_ends(&mut cluster, &mut pending, &ends);
+    fail(&mut pending);
+    for _ in 0..3 {
+        report_ends(&mut cluster, &mut pending, &ends);
+        commit(&mut cluster, &mut pending);
+    }
+    assert!(cluster.table.open_runs().is_empty(), "the ends of the failed batch were dropped");
+    assert_eq!(starts(&cluster.decide()), [run("a", 0, 2), run("a", 1, 2)]);
+}
+
+#[test]
+fn acknowledgement_after_ends() {
+    let mut cluster = TestCluster::new(1);
+    let mut pending = PendingChanges::default();
+    begin(&mut cluster, &["a", "b"]);
+    let first = ended(1, &run("a", 0, 1), RunOutcome::Done);
+    let second = ended(2, &run("b", 0, 1), RunOutcome::Done);
+    report_ends(&mut cluster, &mut pending, std::slice::from_ref(&first));
+    fail(&mut pending);
+    report_ends(&mut cluster, &mut pending, &[first, second]);
+    commit(&mut cluster, &mut pending);
+    assert_eq!(cluster.table.acknowledged_end(&incarnation(0, 1)), 2);
+    for name in ["a", "b"] {
+        let phase = cluster.table.job(&JobName::new(name).unwrap()).unwrap().phase;
+        assert_eq!(phase, JobPhase::Completed, "the worker dropped an end that was not stored");
+    }
+}
+
+#[test]
+fn reports_in_flight_kept() {
+    let mut cluster = TestCluster::new(1);
+    let mut pending = PendingChanges::default();
+    begin(&mut cluster, &["a", "b"]);
+    let first = ended(1, &run("a", 0, 1), RunOutcome::Done);
+    let second = ended(2, &run("b", 0, 1), RunOutcome::Done);
+    report_ends(&mut cluster, &mut pending, std::slice::from_ref(&first));
+    let batch = pending.next_batch(Vec::new()).unwrap();
+    report_ends(&mut cluster, &mut pending, &[first, second]);
+    cluster.apply(batch);
+    pending.on_committed();
+    assert_eq!(cluster.table.open_runs().len(), 1);
+    commit(&mut cluster, &mut pending);
+    assert!(cluster.table.open_runs().is_empty(), "an end reported beside a batch was dropped");
+    assert!(!pending.has_reported(), "a committed end is proposed again");
+}
+
+#[test]
+fn failure_counts_once() {
+    let mut cluster = TestCluster::new(1);
+    let mut pending = PendingChanges::default();
+    begin(&mut cluster, &["a"]);
+    let failed = ended(1, &run("a", 0, 1), RunOutcome::Failed);
+    for _ in 0..3 {
+        report_ends(&mut cluster, &mut pending, std::slice::from_ref(&failed));
+        fail(&mut pending);
+    }
+    commit(&mut cluster, &mut pending);
+    // Two failures would quarantine the worker.
+    cluster.submit("b", 1, step(1, 2));
+    assert_eq!(starts(&cluster.decide()), [run("b", 0, 1)], "one failure was counted repeatedly");
+}
--- a/crates/yuccatack_dispatch/tests/simulated_days/day.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/day.rs
@@ -7,8 +7,8 @@
 use rand_chacha::ChaCha8Rng;
 use yuccatack_core::{DurationMs, FastHashMap, JobName, NodeName, Resources, TimestampMs};
 use yuccatack_dispatch::{
-    AgentMessage, DispatchSettings, Dispatcher, Orders, StartOrder, StartResult, TableChange,
-    WorkerState,
+    AgentMessage, DispatchSettings, Dispatcher, Orders, PendingChanges, StartOrder, StartResult,
+    TableChange, WorkerState,
 };
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{JobTable, RunId, RunOutcome};
@@ -91,7 +91,7 @@
 
 struct Leader {
     dispatcher: Dispatcher,
-    pending: Vec<TableChange>,
+    pending: PendingChanges,
     /// Batch of changes that is being committed, and `false` if it fails.
     in_flight: Option<(TimestampMs, Vec<TableChange>, bool)>,
 }
@@ -381,7 +381,7 @@
                         let node = support::node(index);
                         let changes =
                             leader.dispatcher.on_message(&node, message, &self.table, now);
-                        leader.pending.extend(changes);
+                        leader.pending.report(changes);
                     }
                 }
                 Delivery::Order(index, orders) => self.carry_out(index, orders),
@@ -458,29 +458,34 @@
             self.token += 1;
             let settings = DispatchSettings::new(MAX_LEASE, DurationMs::new(400));
             let dispatcher = Dispatcher::new(settings, self.token, now);
-            self.leader = Some(Leader { dispatcher, pending: Vec::new(), in_flight: None });
+            self.leader =
+                Some(Leader { dispatcher, pending: PendingChanges::default(), in_flight: None });
             self.workers.iter_mut().for_each(|worker| worker.attached = false);
         }
         let Some(leader) = &mut self.leader else { return };
         if leader.in_flight.as_ref().is_some_and(|(at, ..)| *at <= now)
             && let Some((_, changes, succeeds)) = leader.in_flight.take()
-            && succeeds
         {
-            apply(&mut self.table, changes, now);
+            if succeeds {
+                apply(&mut self.table, changes, now);
+                leader.pending.on_committed();
+            } else {
+                leader.pending.on_failed();
+            }
         }
         leader.dispatcher.confirm_leadership(TimestampMs::new(now.get() - TICK.get()));
         if leader.in_flight.is_none() {
-            let mut changes = std::mem::take(&mut leader.pending);
-            if changes.is_empty() {
+            let mut decided = Vec::new();
+            if !leader.pending.has_reported() {
                 let unix_ms = now.get();
-                changes = leader.dispatcher.decide(&self.table, &self.configuration, now, unix_ms);
+                decided = leader.dispatcher.decide(&self.table, &self.configuration, now, unix_ms);
                 let summary = leader.dispatcher.take_summary();
                 if let Some(longest) = summary.and_then(|summary| summary.longest_waiting) {
                     let cause = longest.cause().to_string();
                     self.checks.wait_causes.insert(longest.job, cause);
                 }
             }
-            if !changes.is_empty() {
+            if let Some(changes) = leader.pending.next_batch(decided) {
                 let succeeds = !draw(self.plan.failed_proposal_percent, &mut self.random);
                 leader.in_flight = Some((now + TICK, changes, succeeds));
             }
--- a/crates/yuccatack_dispatch/tests/simulated_days/main.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/main.rs
@@ -62,3 +62,8 @@
 fn lost_leaders() {
     play(|_| DayPlan { leader_change_count: 4, fault_count: 3, ..DayPlan::default() });
 }
+
+#[test]
+fn failed_proposals() {
+    play(|_| DayPlan { failed_proposal_percent: 10, ..DayPlan::default() });
+}
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -7,7 +7,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::{mpsc, oneshot};
 use yuccatack_core::{DurationMs, FastHashMap, TimestampMs};
-use yuccatack_dispatch::{AgentMessage, DispatchSettings, Dispatcher, TableChange};
+use yuccatack_dispatch::{AgentMessage, DispatchSettings, Dispatcher, PendingChanges};
 use yuccatack_queue_client::protocol::{LeaderFrame, LeaderHint, Request, Response};
 use yuccatack_replication::{
     Committed, Leadership, LogIndex, ProposalFailure, ProposalId, ReadFailure, ReadId, ReplicaId,
@@ -71,10 +71,8 @@
     pub(crate) reads: FastHashMap<ReadId, PendingRead>,
     /// Last ID given to a proposal or a read.
     pub(crate) last_id: u64,
-    /// Table changes that follow from agents' reports and are not proposed yet.
-    pub(crate) pending_changes: Vec<TableChange>,
-    /// `true` while a [`PendingProposal::Changes`] is in flight.
-    pub(crate) changes_in_flight: bool,
+    /// Table changes of the current leadership that are not known to be committed.
+    pub(crate) pending_changes: PendingChanges,
     pub(crate) schedule_requested: bool,
     /// `true` if the job table or a worker changed since the last scheduling pass.
     pub(crate) changed_since_pass: bool,
@@ -114,8 +112,7 @@
             proposals: FastHashMap::default(),
             reads: FastHashMap::default(),
             last_id: 0,
-            pending_changes: Vec::new(),
-            changes_in_flight: false,
+            pending_changes: PendingChanges::default(),
             schedule_requested: false,
             changed_since_pass: false,
             scheduled_at: TimestampMs::default(),
@@ -164,7 +161,7 @@
                     let changes =
                         dispatcher.on_message(&node, message, &state.queue_state.jobs, now);
                     state.changed_since_pass |= !is_observation || !changes.is_empty();
-                    state.pending_changes.extend(changes);
+                    state.pending_changes.report(changes);
                 }
             }
             ControlMessage::AgentDisconnected { stream, node } => {
@@ -263,8 +260,8 @@
     }
 
     fn on_leadership(&mut self, leadership: Leadership) {
-        self.pending_changes.clear();
-        self.changes_in_flight = false;
+        // The next dispatcher returns the ends again that the table does not hold by then.
+        self.pending_changes = PendingChanges::default();
         self.lease_read_pending = false;
         match leadership {
             Leadership::Leader { term } => {
@@ -314,7 +311,7 @@
         self.changed_since_pass = true;
         match proposal.and_then(|proposal| self.proposals.remove(&proposal)) {
             Some(PendingProposal::Call(reply)) => respond(reply, response_for(applied)),
-            Some(PendingProposal::Changes) => self.changes_in_flight = false,
+            Some(PendingProposal::Changes) => self.pending_changes.on_committed(),
             Some(PendingProposal::Housekeeping) | None => {}
         }
         Ok(())
@@ -334,7 +331,7 @@
                 };
                 respond(reply, response);
             }
-            Some(PendingProposal::Changes) => self.changes_in_flight = false,
+            Some(PendingProposal::Changes) => self.pending_changes.on_failed(),
             Some(PendingProposal::Housekeeping) | None => {}
         }
     }
--- a/crates/yuccatack_queue_control/src/schedule.rs
+++ b/crates/yuccatack_queue_control/src/schedule.rs
@@ -40,21 +40,20 @@
         self.changed_since_pass = false;
         self.scheduled_at = now;
         let Some(dispatcher) = &mut self.dispatcher else { return Ok(()) };
-        if !self.changes_in_flight {
+        if !self.pending_changes.is_in_flight() {
             let jobs = &self.queue_state.jobs;
             let now_unix_ms = unix_now_ms();
-            let mut changes = std::mem::take(&mut self.pending_changes);
-            if changes.is_empty() {
+            let mut decided = Vec::new();
+            if !self.pending_changes.has_reported() {
                 // The dispatcher requires a table without changes in flight.
-                changes =
+                decided =
                     dispatcher.decide(jobs, &self.queue_state.configuration, now, now_unix_ms);
                 self.metrics.queues.count_evictions(dispatcher.take_eviction_count());
                 if let Some(summary) = dispatcher.take_summary() {
                     log_summary(&summary);
                 }
             }
-            if !changes.is_empty() {
-                self.changes_in_flight = true;
+            if let Some(changes) = self.pending_changes.next_batch(decided) {
                 let command = Command::Change { changes, now_unix_ms };
                 self.propose(&command, PendingProposal::Changes)?;
             }
