Match completions of batches by their proposal

The flag for a batch in flight had no identity. A proposal that the control actor sends before it handles the notice of a lost leadership can reach the replica after it leads again; it is then accepted and commits in the new term. Its commit, or a late failure, reset the flag while a newer batch was in flight: the next batch was decided on a table without the newer one and could put two groups on the same free capacity. Since reported changes are kept until their batch completes, it would also drop ends that the table lacks.

PendingChanges now remembers the proposal in flight and ignores the completion of any other. The order of events follows from on_propose (no term), fail_pending and deliver; it was not played with replicas. late_completions_ignored fails without the comparison.

--- a/crates/yuccatack_dispatch/src/pending.rs
+++ b/crates/yuccatack_dispatch/src/pending.rs
@@ -2,21 +2,36 @@
 
 use crate::dispatcher::TableChange;
 
-/// Changes of the table that are not known to be committed.
+/// Changes of the table that are not known to be committed. `Proposal` identifies a proposed batch.
 ///
 /// The dispatcher returns the end of a run from only one of the reports that list it, so a reported
 /// change stays here until a batch with it is committed. The order is kept too: after an
 /// acknowledgement that is committed without the ends before it, the worker drops ends that the
 /// table does not hold.
-#[derive(Debug, Default)]
-pub struct PendingChanges {
+#[derive(Debug)]
+pub struct PendingChanges<Proposal> {
     /// Changes that follow from agents' reports, in the order of their arrival.
     reported: Vec<TableChange>,
-    /// Number of reported changes in the batch in flight; `None` if no batch is in flight.
-    in_flight_count: Option<usize>,
+    in_flight: Option<Batch<Proposal>>,
 }
 
-impl PendingChanges {
+/// Batch that was proposed and has neither been committed nor failed.
+#[derive(Debug)]
+struct Batch<Proposal> {
+    proposal: Proposal,
+    /// Number of reported changes in the batch.
+    reported_count: usize,
+}
+
+impl<Proposal> PendingChanges<Proposal>
+where
+    Proposal: PartialEq,
+{
+    /// Creates an instance without any changes, for a dispatcher that has reported none.
+    pub fn new() -> Self {
+        Self { reported: Vec::new(), in_flight: None }
+    }
+
     /// Adds changes that follow from an agent's report.
     pub fn report(&mut self, changes: Vec<TableChange>) {
         self.reported.extend(changes);
@@ -29,7 +44,7 @@
 
     /// Returns `true` while a batch is in flight.
     pub fn is_in_flight(&self) -> bool {
-        self.in_flight_count.is_some()
+        self.in_flight.is_some()
     }
 
     /// Returns the next batch, which is in flight from now on; `None` if there is nothing to
@@ -37,23 +52,42 @@
     ///
     /// `decided` follows from the current table and is dropped if the batch fails: the next
     /// decision builds on the table as it is by then.
-    pub fn next_batch(&mut self, decided: Vec<TableChange>) -> Option<Vec<TableChange>> {
+    pub fn next_batch(
+        &mut self,
+        proposal: Proposal,
+        decided: Vec<TableChange>,
+    ) -> Option<Vec<TableChange>> {
         if self.reported.is_empty() && decided.is_empty() {
             return None;
         }
-        self.in_flight_count = Some(self.reported.len());
+        self.in_flight = Some(Batch { proposal, reported_count: self.reported.len() });
         Some(self.reported.iter().cloned().chain(decided).collect())
     }
 
-    /// Removes the changes of the batch in flight, which the table holds now.
-    pub fn on_committed(&mut self) {
-        if let Some(count) = self.in_flight_count.take() {
-            self.reported.drain(..count);
+    /// Removes the changes of a batch, which the table holds now. Ignores all other proposals than
+    /// the one in flight: a batch of an earlier leadership may complete late.
+    pub fn on_committed(&mut self, proposal: &Proposal) {
+        if let Some(batch) = self.take_batch(proposal) {
+            self.reported.drain(..batch.reported_count);
         }
     }
 
-    /// Keeps the reported changes of the batch in flight for the next batch.
-    pub fn on_failed(&mut self) {
-        self.in_flight_count = None;
+    /// Keeps the reported changes of a batch for the next one. Ignores all other proposals than the
+    /// one in flight.
+    pub fn on_failed(&mut self, proposal: &Proposal) {
+        self.take_batch(proposal);
+    }
+
+    fn take_batch(&mut self, proposal: &Proposal) -> Option<Batch<Proposal>> {
+        self.in_flight.take_if(|batch| batch.proposal == *proposal)
+    }
+}
+
+impl<Proposal> Default for PendingChanges<Proposal>
+where
+    Proposal: PartialEq,
+{
+    fn default() -> Self {
+        Self::new()
     }
 }
--- a/crates/yuccatack_dispatch/tests/lost_batches.rs
+++ b/crates/yuccatack_dispatch/tests/lost_batches.rs
@@ -10,8 +10,10 @@
 use yuccatack_dispatch::{AgentMessage, EndedRun, Observation, PendingChanges};
 use yuccatack_runs::{JobPhase, RunId, RunOutcome, StepSpec};
 
+const PROPOSAL: u64 = 1;
+
 /// Reports an observation of worker 0 that lists these ends.
-fn report_ends(cluster: &mut TestCluster, pending: &mut PendingChanges, ended: &[EndedRun]) {
+fn report_ends(cluster: &mut TestCluster, pending: &mut PendingChanges<u64>, ended: &[EndedRun]) {
     cluster.advance(300);
     let observation = Observation {
         incarnation: incarnation(0, 1),
@@ -30,16 +32,16 @@
     EndedRun { number, run: run.clone(), outcome, checkpoint: None }
 }
 
-fn commit(cluster: &mut TestCluster, pending: &mut PendingChanges) {
-    if let Some(changes) = pending.next_batch(Vec::new()) {
+fn commit(cluster: &mut TestCluster, pending: &mut PendingChanges<u64>) {
+    if let Some(changes) = pending.next_batch(PROPOSAL, Vec::new()) {
         cluster.apply(changes);
-        pending.on_committed();
+        pending.on_committed(&PROPOSAL);
     }
 }
 
-fn fail(pending: &mut PendingChanges) {
-    assert!(pending.next_batch(Vec::new()).is_some(), "there is nothing to propose");
-    pending.on_failed();
+fn fail(pending: &mut PendingChanges<u64>) {
+    assert!(pending.next_batch(PROPOSAL, Vec::new()).is_some(), "there is nothing to propose");
+    pending.on_failed(&PROPOSAL);
 }
 
 /// Begins these jobs of one task on the only worker.
@@ -54,7 +56,7 @@
 #[test]
 fn failed_batch_repeated() {
     let mut cluster = TestCluster::new(1);
-    let mut pending = PendingChanges::default();
+    let mut pending = PendingChanges::new();
     cluster.submit("a", 1, StepSpec { gang: true, ..step(2, 2) });
     cluster.decide();
     let members = [run("a", 0, 1), run("a", 1, 1)];
@@ -74,7 +76,7 @@
 #[test]
 fn acknowledgement_after_ends() {
     let mut cluster = TestCluster::new(1);
-    let mut pending = PendingChanges::default();
+    let mut pending = PendingChanges::new();
     begin(&mut cluster, &["a", "b"]);
     let first = ended(1, &run("a", 0, 1), RunOutcome::Done);
     let second = ended(2, &run("b", 0, 1), RunOutcome::Done);
@@ -92,15 +94,15 @@
 #[test]
 fn reports_in_flight_kept() {
     let mut cluster = TestCluster::new(1);
-    let mut pending = PendingChanges::default();
+    let mut pending = PendingChanges::new();
     begin(&mut cluster, &["a", "b"]);
     let first = ended(1, &run("a", 0, 1), RunOutcome::Done);
     let second = ended(2, &run("b", 0, 1), RunOutcome::Done);
     report_ends(&mut cluster, &mut pending, std::slice::from_ref(&first));
-    let batch = pending.next_batch(Vec::new()).unwrap();
+    let batch = pending.next_batch(PROPOSAL, Vec::new()).unwrap();
     report_ends(&mut cluster, &mut pending, &[first, second]);
     cluster.apply(batch);
-    pending.on_committed();
+    pending.on_committed(&PROPOSAL);
     assert_eq!(cluster.table.open_runs().len(), 1);
     commit(&mut cluster, &mut pending);
     assert!(cluster.table.open_runs().is_empty(), "an end reported beside a batch was dropped");
@@ -110,7 +112,7 @@
 #[test]
 fn failure_counts_once() {
     let mut cluster = TestCluster::new(1);
-    let mut pending = PendingChanges::default();
+    let mut pending = PendingChanges::new();
     begin(&mut cluster, &["a"]);
     let failed = ended(1, &run("a", 0, 1), RunOutcome::Failed);
     for _ in 0..3 {
@@ -122,3 +124,20 @@
     cluster.submit("b", 1, step(1, 2));
     assert_eq!(starts(&cluster.decide()), [run("b", 0, 1)], "one failure was counted repeatedly");
 }
+
+#[test]
+fn late_completions_ignored() {
+    let mut cluster = TestCluster::new(1);
+    let mut pending = PendingChanges::new();
+    begin(&mut cluster, &["a"]);
+    let ends = [ended(1, &run("a", 0, 1), RunOutcome::Done)];
+    report_ends(&mut cluster, &mut pending, &ends);
+    let (stale, newer) = (PROPOSAL, PROPOSAL + 1);
+    assert!(pending.next_batch(newer, Vec::new()).is_some());
+    // A batch of an earlier leadership completes while the newer one is in flight.
+    pending.on_failed(&stale);
+    assert!(pending.is_in_flight(), "a second batch would be decided on an outdated table");
+    pending.on_committed(&stale);
+    assert!(pending.is_in_flight(), "a second batch would be decided on an outdated table");
+    assert!(pending.has_reported(), "an end was dropped before the table held it");
+}
--- a/crates/yuccatack_dispatch/tests/simulated_days/day.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/day.rs
@@ -91,7 +91,7 @@
 
 struct Leader {
     dispatcher: Dispatcher,
-    pending: PendingChanges,
+    pending: PendingChanges<TimestampMs>,
     /// Batch of changes that is being committed, and `false` if it fails.
     in_flight: Option<(TimestampMs, Vec<TableChange>, bool)>,
 }
@@ -459,18 +459,18 @@
             let settings = DispatchSettings::new(MAX_LEASE, DurationMs::new(400));
             let dispatcher = Dispatcher::new(settings, self.token, now);
             self.leader =
-                Some(Leader { dispatcher, pending: PendingChanges::default(), in_flight: None });
+                Some(Leader { dispatcher, pending: PendingChanges::new(), in_flight: None });
             self.workers.iter_mut().for_each(|worker| worker.attached = false);
         }
         let Some(leader) = &mut self.leader else { return };
         if leader.in_flight.as_ref().is_some_and(|(at, ..)| *at <= now)
-            && let Some((_, changes, succeeds)) = leader.in_flight.take()
+            && let Some((at, changes, succeeds)) = leader.in_flight.take()
         {
             if succeeds {
                 apply(&mut self.table, changes, now);
-                leader.pending.on_committed();
+                leader.pending.on_committed(&at);
             } else {
-                leader.pending.on_failed();
+                leader.pending.on_failed(&at);
             }
         }
         leader.dispatcher.confirm_leadership(TimestampMs::new(now.get() - TICK.get()));
@@ -485,9 +485,10 @@
                     self.checks.wait_causes.insert(longest.job, cause);
                 }
             }
-            if let Some(changes) = leader.pending.next_batch(decided) {
+            let committed_at = now + TICK;
+            if let Some(changes) = leader.pending.next_batch(committed_at, decided) {
                 let succeeds = !draw(self.plan.failed_proposal_percent, &mut self.random);
-                leader.in_flight = Some((now + TICK, changes, succeeds));
+                leader.in_flight = Some((committed_at, changes, succeeds));
             }
         }
         for (node, orders) in leader.dispatcher.orders(&self.table, now) {
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -72,7 +72,7 @@
     /// Last ID given to a proposal or a read.
     pub(crate) last_id: u64,
     /// Table changes of the current leadership that are not known to be committed.
-    pub(crate) pending_changes: PendingChanges,
+    pub(crate) pending_changes: PendingChanges<ProposalId>,
     pub(crate) schedule_requested: bool,
     /// `true` if the job table or a worker changed since the last scheduling pass.
     pub(crate) changed_since_pass: bool,
@@ -112,7 +112,7 @@
             proposals: FastHashMap::default(),
             reads: FastHashMap::default(),
             last_id: 0,
-            pending_changes: PendingChanges::default(),
+            pending_changes: PendingChanges::new(),
             schedule_requested: false,
             changed_since_pass: false,
             scheduled_at: TimestampMs::default(),
@@ -261,7 +261,7 @@
 
     fn on_leadership(&mut self, leadership: Leadership) {
         // The next dispatcher returns the ends again that the table does not hold by then.
-        self.pending_changes = PendingChanges::default();
+        self.pending_changes = PendingChanges::new();
         self.lease_read_pending = false;
         match leadership {
             Leadership::Leader { term } => {
@@ -309,9 +309,10 @@
         }
         self.applied_index = index;
         self.changed_since_pass = true;
-        match proposal.and_then(|proposal| self.proposals.remove(&proposal)) {
+        let Some(proposal) = proposal else { return Ok(()) };
+        match self.proposals.remove(&proposal) {
             Some(PendingProposal::Call(reply)) => respond(reply, response_for(applied)),
-            Some(PendingProposal::Changes) => self.pending_changes.on_committed(),
+            Some(PendingProposal::Changes) => self.pending_changes.on_committed(&proposal),
             Some(PendingProposal::Housekeeping) | None => {}
         }
         Ok(())
@@ -331,7 +332,7 @@
                 };
                 respond(reply, response);
             }
-            Some(PendingProposal::Changes) => self.pending_changes.on_failed(),
+            Some(PendingProposal::Changes) => self.pending_changes.on_failed(&proposal),
             Some(PendingProposal::Housekeeping) | None => {}
         }
     }
@@ -364,6 +365,15 @@
         pending: PendingProposal,
     ) -> Result<(), ActorProcessingErr> {
         let proposal = ProposalId::new(self.next_id());
+        self.propose_as(proposal, command, pending)
+    }
+
+    pub(crate) fn propose_as(
+        &mut self,
+        proposal: ProposalId,
+        command: &Command,
+        pending: PendingProposal,
+    ) -> Result<(), ActorProcessingErr> {
         let payload = Bytes::from(encode(command)?);
         self.proposals.insert(proposal, pending);
         self.replication.propose(proposal, payload);
--- a/crates/yuccatack_queue_control/src/schedule.rs
+++ b/crates/yuccatack_queue_control/src/schedule.rs
@@ -3,7 +3,7 @@
 use ractor::ActorProcessingErr;
 use yuccatack_core::{DurationMs, TimestampMs};
 use yuccatack_dispatch::PassSummary;
-use yuccatack_replication::ReadId;
+use yuccatack_replication::{ProposalId, ReadId};
 
 use crate::actor::{ControlState, PendingProposal, PendingRead, unix_now_ms};
 use crate::command::Command;
@@ -53,9 +53,10 @@
                     log_summary(&summary);
                 }
             }
-            if let Some(changes) = self.pending_changes.next_batch(decided) {
+            let proposal = ProposalId::new(self.next_id());
+            if let Some(changes) = self.pending_changes.next_batch(proposal, decided) {
                 let command = Command::Change { changes, now_unix_ms };
-                self.propose(&command, PendingProposal::Changes)?;
+                self.propose_as(proposal, &command, PendingProposal::Changes)?;
             }
         }
         self.send_orders(now);
