Decide beside reported ends after at most 100 ms

Callers saw ready jobs wait longer for free capacity the more run ends the workers reported. A pass decided only if no reported change waited. While a batch of ends commits, the next ends arrive, so the leader proposed ends again and again and decided nothing.

A decision is now due at the latest 100 ms after the last one and goes into the batch behind the reported changes. It builds on the table without them, which only has less free capacity and fewer ready tasks. It waits for the ends up to the bound, since it may evict runs for capacity that a reported end frees.

--- a/crates/yuccatack_dispatch/tests/lost_batches.rs
+++ b/crates/yuccatack_dispatch/tests/lost_batches.rs
@@ -56,7 +56,7 @@
 #[test]
 fn failed_batch_repeated() {
     let mut cluster = TestCluster::new(1);
-    let mut pending = PendingChanges::new();
+    let mut pending = PendingChanges::new(cluster.now);
     cluster.submit("a", 1, StepSpec { gang: true, ..step(2, 2) });
     cluster.decide();
     let members = [run("a", 0, 1), run("a", 1, 1)];
@@ -76,7 +76,7 @@
 #[test]
 fn acknowledgement_after_ends() {
     let mut cluster = TestCluster::new(1);
-    let mut pending = PendingChanges::new();
+    let mut pending = PendingChanges::new(cluster.now);
     begin(&mut cluster, &["a", "b"]);
     let first = ended(1, &run("a", 0, 1), RunOutcome::Done);
     let second = ended(2, &run("b", 0, 1), RunOutcome::Done);
@@ -94,7 +94,7 @@
 #[test]
 fn reports_in_flight_kept() {
     let mut cluster = TestCluster::new(1);
-    let mut pending = PendingChanges::new();
+    let mut pending = PendingChanges::new(cluster.now);
     begin(&mut cluster, &["a", "b"]);
     let first = ended(1, &run("a", 0, 1), RunOutcome::Done);
     let second = ended(2, &run("b", 0, 1), RunOutcome::Done);
@@ -106,13 +106,14 @@
     assert_eq!(cluster.table.open_runs().len(), 1);
     commit(&mut cluster, &mut pending);
     assert!(cluster.table.open_runs().is_empty(), "an end reported beside a batch was dropped");
-    assert!(!pending.has_reported(), "a committed end is proposed again");
+    let next = pending.next_batch(PROPOSAL, Vec::new());
+    assert_eq!(next, None, "a committed end is proposed again");
 }
 
 #[test]
 fn failure_counts_once() {
     let mut cluster = TestCluster::new(1);
-    let mut pending = PendingChanges::new();
+    let mut pending = PendingChanges::new(cluster.now);
     begin(&mut cluster, &["a"]);
     let failed = ended(1, &run("a", 0, 1), RunOutcome::Failed);
     for _ in 0..3 {
@@ -128,7 +129,7 @@
 #[test]
 fn late_completions_ignored() {
     let mut cluster = TestCluster::new(1);
-    let mut pending = PendingChanges::new();
+    let mut pending = PendingChanges::new(cluster.now);
     begin(&mut cluster, &["a"]);
     let ends = [ended(1, &run("a", 0, 1), RunOutcome::Done)];
     report_ends(&mut cluster, &mut pending, &ends);
@@ -139,5 +140,7 @@
     assert!(pending.is_in_flight(), "a second batch would be decided on an outdated table");
     pending.on_committed(&stale);
     assert!(pending.is_in_flight(), "a second batch would be decided on an outdated table");
-    assert!(pending.has_reported(), "an end was dropped before the table held it");
+    pending.on_failed(&newer);
+    let next = pending.next_batch(newer + 1, Vec::new());
+    assert!(next.is_some(), "an end was dropped before the table held it");
 }
--- a/crates/yuccatack_dispatch/tests/simulated_days/day.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/day.rs
@@ -40,6 +40,9 @@
 /// Factor by which tasks take longer away from their data, and gangs that are spread over racks.
 const FAR_FACTOR: f64 = 3.0;
 
+/// Longest time between two scheduling decisions of a leader, beyond the time of a commit.
+const DECISION_LIMIT: DurationMs = DurationMs::new(300);
+
 /// Time after the end of the traffic at which unfinished jobs are asked for, less the time for
 /// which a job may be idle.
 const FINISH_DELAY: DurationMs = DurationMs::new(11_000);
@@ -60,6 +63,10 @@
     pub leader_change_count: usize,
     /// Percentage of the proposals that fail although the leader stays.
     pub failed_proposal_percent: u8,
+    /// Time that the commit of a proposal takes.
+    pub commit_ms: u64,
+    /// `true` if the polls of the workers are spread over the interval.
+    pub spread_polls: bool,
 }
 
 impl Default for DayPlan {
@@ -73,6 +80,8 @@
             fault_count: 0,
             leader_change_count: 0,
             failed_proposal_percent: 0,
+            commit_ms: TICK.get(),
+            spread_polls: false,
         }
     }
 }
@@ -94,6 +103,8 @@
     pending: PendingChanges<TimestampMs>,
     /// Batch of changes that is being committed, and `false` if it fails.
     in_flight: Option<(TimestampMs, Vec<TableChange>, bool)>,
+    /// Time of the last scheduling decision.
+    decided_at: TimestampMs,
 }
 
 pub struct Day {
@@ -122,12 +133,18 @@
         let traffic_begins_at = begins_at + DurationMs::new(2_000);
         let traffic_ends_at = traffic_begins_at + DurationMs::new(plan.traffic_ms);
         let speeds = [100, 100, 130];
-        let workers = (0..plan.worker_count)
+        let mut workers: Vec<SimulatedWorker> = (0..plan.worker_count)
             .map(|index| {
                 let speed_percent = speeds[random.random_range(0..speeds.len())];
                 SimulatedWorker::new(worker_state(index, plan.rack_size), speed_percent, begins_at)
             })
             .collect();
+        if plan.spread_polls {
+            for (index, worker) in (0u64..).zip(&mut workers) {
+                let delay_ms = index * TICK.get() % POLL_INTERVAL_MS;
+                worker.next_poll_at = begins_at + DurationMs::new(delay_ms);
+            }
+        }
         let faults = (0..plan.fault_count)
             .map(|_| draw_fault(plan.worker_count, traffic_begins_at, traffic_ends_at, &mut random))
             .collect();
@@ -458,8 +475,12 @@
             self.token += 1;
             let settings = DispatchSettings::new(MAX_LEASE, DurationMs::new(400));
             let dispatcher = Dispatcher::new(settings, self.token, now);
-            self.leader =
-                Some(Leader { dispatcher, pending: PendingChanges::new(), in_flight: None });
+            self.leader = Some(Leader {
+                dispatcher,
+                pending: PendingChanges::new(now),
+                in_flight: None,
+                decided_at: now,
+            });
             self.workers.iter_mut().for_each(|worker| worker.attached = false);
         }
         let Some(leader) = &mut self.leader else { return };
@@ -476,7 +497,13 @@
         leader.dispatcher.confirm_leadership(TimestampMs::new(now.get() - TICK.get()));
         if leader.in_flight.is_none() {
             let mut decided = Vec::new();
-            if !leader.pending.has_reported() {
+            if leader.pending.begin_decision(now) {
+                let gap_ms = now.since(leader.decided_at).get();
+                if gap_ms > DECISION_LIMIT.get() + self.plan.commit_ms {
+                    let violation = format!("no decision in the {gap_ms} ms before {now:?}");
+                    self.checks.violations.push(violation);
+                }
+                leader.decided_at = now;
                 let unix_ms = now.get();
                 decided = leader.dispatcher.decide(&self.table, &self.configuration, now, unix_ms);
                 let summary = leader.dispatcher.take_summary();
@@ -485,7 +512,7 @@
                     self.checks.wait_causes.insert(longest.job, cause);
                 }
             }
-            let committed_at = now + TICK;
+            let committed_at = now + DurationMs::new(self.plan.commit_ms);
             if let Some(changes) = leader.pending.next_batch(committed_at, decided) {
                 let succeeds = !draw(self.plan.failed_proposal_percent, &mut self.random);
                 leader.in_flight = Some((committed_at, changes, succeeds));
--- a/crates/yuccatack_dispatch/tests/simulated_days/main.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/main.rs
@@ -67,3 +67,13 @@
 fn failed_proposals() {
     play(|_| DayPlan { failed_proposal_percent: 10, ..DayPlan::default() });
 }
+
+#[test]
+fn slow_commits() {
+    play(|seed| DayPlan {
+        worker_count: 54,
+        commit_ms: 50 * (1 + seed % 4),
+        spread_polls: true,
+        ..DayPlan::default()
+    });
+}
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -112,7 +112,7 @@
             proposals: FastHashMap::default(),
             reads: FastHashMap::default(),
             last_id: 0,
-            pending_changes: PendingChanges::new(),
+            pending_changes: PendingChanges::new(TimestampMs::default()),
             schedule_requested: false,
             changed_since_pass: false,
             scheduled_at: TimestampMs::default(),
@@ -261,7 +261,7 @@
 
     fn on_leadership(&mut self, leadership: Leadership) {
         // The next dispatcher returns the ends again that the table does not hold by then.
-        self.pending_changes = PendingChanges::new();
+        self.pending_changes = PendingChanges::new(self.now());
         self.lease_read_pending = false;
         match leadership {
             Leadership::Leader { term } => {
--- a/crates/yuccatack_queue_control/src/schedule.rs
+++ b/crates/yuccatack_queue_control/src/schedule.rs
@@ -40,12 +40,12 @@
         self.changed_since_pass = false;
         self.scheduled_at = now;
         let Some(dispatcher) = &mut self.dispatcher else { return Ok(()) };
+        // The dispatcher requires a table without changes in flight.
         if !self.pending_changes.is_in_flight() {
             let jobs = &self.queue_state.jobs;
             let now_unix_ms = unix_now_ms();
             let mut decided = Vec::new();
-            if !self.pending_changes.has_reported() {
-                // The dispatcher requires a table without changes in flight.
+            if self.pending_changes.begin_decision(now) {
                 decided =
                     dispatcher.decide(jobs, &self.queue_state.configuration, now, now_unix_ms);
                 self.metrics.queues.count_evictions(dispatcher.take_eviction_count());
