Bound the pause after a scheduling pass

Callers could see no job begin for many seconds although the leader, its workers and free capacity were there. After a pass, the leader pauses for three times the pass's duration by the wall clock. A process that is suspended or starved of CPU during a pass measures the suspension as well: 5 s of it kept the leader from scheduling for 15 s, and a new leadership of the same process did not end the pause.

The pause is now at most 500 ms. A pass that takes longer than 167 ms thus uses more than a quarter of the time.

--- a/crates/yuccatack_queue_control/src/lib.rs
+++ b/crates/yuccatack_queue_control/src/lib.rs
@@ -20,3 +20,4 @@
 pub use identity::{ReplicaIdentity, replica_identity};
 pub use membership::{MembershipView, next_change};
 pub use process::{ControlConfig, run};
+pub use schedule::pause_after_pass;
--- a/crates/yuccatack_queue_control/src/schedule.rs
+++ b/crates/yuccatack_queue_control/src/schedule.rs
@@ -20,6 +20,15 @@
 /// deployment do not delay heartbeats and calls.
 const PASS_PAUSE_FACTOR: u64 = 3;
 
+/// Upper bound on the pause after a scheduling pass. A process that is suspended or slowed down
+/// during a pass measures a long one, and callers expect work to start within a second or so.
+const MAX_PASS_PAUSE: DurationMs = DurationMs::new(500);
+
+/// Returns the pause after a scheduling pass that took `elapsed`.
+pub fn pause_after_pass(elapsed: DurationMs) -> DurationMs {
+    MAX_PASS_PAUSE.min(DurationMs::new(elapsed.get().saturating_mul(PASS_PAUSE_FACTOR)))
+}
+
 impl ControlState {
     pub(crate) fn schedule_is_due(&self) -> bool {
         let now = self.now();
@@ -67,8 +76,8 @@
             self.reads.insert(read, PendingRead::Leases { began_at: now });
             self.replication.read(read);
         }
-        let elapsed_ms = self.now().since(now).get();
-        self.paused_until = self.now() + DurationMs::new(PASS_PAUSE_FACTOR * elapsed_ms);
+        let ended_at = self.now();
+        self.paused_until = ended_at + pause_after_pass(ended_at.since(now));
         Ok(())
     }
 
