Test a late acknowledgement of an earlier incarnation

It drops the number of the current incarnation (JobTable::acknowledge_ends). No end is lost: ends that the number covered are in the table, and the next end restores it.

--- a/crates/yuccatack_dispatch/tests/lost_batches.rs
+++ b/crates/yuccatack_dispatch/tests/lost_batches.rs
@@ -7,7 +7,7 @@
 
 use support::{TestCluster, incarnation, node, run, starts, step};
 use yuccatack_core::JobName;
-use yuccatack_dispatch::{AgentMessage, EndedRun, Observation, PendingChanges};
+use yuccatack_dispatch::{AgentMessage, EndedRun, Observation, PendingChanges, TableChange};
 use yuccatack_runs::{JobPhase, RunId, RunOutcome, StepSpec};
 
 const PROPOSAL: u64 = 1;
@@ -144,3 +144,24 @@
     let next = pending.next_batch(newer + 1, Vec::new());
     assert!(next.is_some(), "an end was dropped before the table held it");
 }
+
+/// An acknowledgement of an earlier incarnation drops the number of the current one.
+#[test]
+fn late_acknowledgement_repaired() {
+    let mut cluster = TestCluster::new(1);
+    let mut pending = PendingChanges::new(cluster.now);
+    begin(&mut cluster, &["a", "b"]);
+    let first = ended(1, &run("a", 0, 1), RunOutcome::Done);
+    let second = ended(2, &run("b", 0, 1), RunOutcome::Done);
+    report_ends(&mut cluster, &mut pending, std::slice::from_ref(&first));
+    commit(&mut cluster, &mut pending);
+    cluster.apply(vec![TableChange::AcknowledgeEnds(incarnation(0, 0), 7)]);
+    assert_eq!(cluster.table.acknowledged_end(&incarnation(0, 1)), 0);
+    // The next end restores the number, and no end is lost.
+    report_ends(&mut cluster, &mut pending, &[first, second]);
+    commit(&mut cluster, &mut pending);
+    assert_eq!(cluster.table.acknowledged_end(&incarnation(0, 1)), 2);
+    assert!(cluster.table.open_runs().is_empty());
+    let orders = cluster.decide();
+    assert_eq!(orders[0].1.acknowledged_end, 2, "the worker lists stored ends for ever");
+}
