Keep the deadline of a leadership transfer when another is requested

A second request replaced the transfer in progress and its deadline, so that the first caller waited, and the leader refused proposals, for as long as requests came. A further request now joins the transfer in progress.

The simulation checks after each random run that no proposal, read, change or transfer is left without an answer, and that no change gets a second one.

--- a/crates/yuccatack_replication/src/state/leader.rs
+++ b/crates/yuccatack_replication/src/state/leader.rs
@@ -272,7 +272,11 @@
     pub(super) fn on_transfer_request(&mut self) {
         let deadline = self.now + self.settings.election_timeout;
         let Some((target, _)) = self.most_up_to_date_voter() else { return };
-        if let Role::Leader(leader) = &mut self.role {
+        // A further request joins the transfer in progress. A new deadline would let its requesters
+        // wait, and proposals be refused, for as long as requests come.
+        if let Role::Leader(leader) = &mut self.role
+            && leader.transfer.is_none()
+        {
             leader.transfer = Some(LeadershipTransfer { target, deadline, requested: false });
             self.continue_transfer();
         }
--- a/crates/yuccatack_replication/tests/simulation/clients.rs
+++ b/crates/yuccatack_replication/tests/simulation/clients.rs
@@ -77,6 +77,22 @@
         self.input(id, Input::Read { read });
     }
 
+    /// Checks that every request to a running process has been answered, which a client would
+    /// otherwise wait for without end.
+    pub fn check_nothing_pending(&self) {
+        for (id, node) in &self.nodes {
+            let Some(process) = &node.process else { continue };
+            let proposals = &process.open_proposals;
+            assert!(proposals.is_empty(), "replica {id} has not answered {proposals:?}");
+            let reads = &process.open_reads;
+            assert!(reads.is_empty(), "replica {id} has not answered {reads:?}");
+            let changes = &process.open_changes;
+            assert!(changes.is_empty(), "replica {id} has not answered {changes:?}");
+            let transfers = process.replica.view().transferring_leadership;
+            assert!(!transfers, "replica {id} has not ended its leadership transfer");
+        }
+    }
+
     /// Returns one line per replica with its state, for the message of a failed run.
     pub fn describe(&self) -> String {
         let line = |(id, node): (&ReplicaId, &Node)| {
--- a/crates/yuccatack_replication/tests/simulation/faults.rs
+++ b/crates/yuccatack_replication/tests/simulation/faults.rs
@@ -273,5 +273,6 @@
             );
         }
     }
+    simulator.check_nothing_pending();
     simulator.history.check_rejected();
 }
--- a/crates/yuccatack_replication/tests/simulation/simulator.rs
+++ b/crates/yuccatack_replication/tests/simulation/simulator.rs
@@ -49,6 +49,7 @@
     tick_at: u64,
     pub open_proposals: BTreeSet<ProposalId>,
     pub open_reads: BTreeSet<ReadId>,
+    pub open_changes: BTreeSet<ChangeNumber>,
 }
 
 pub struct Node {
@@ -159,6 +160,7 @@
             tick_at: u64::MAX,
             open_proposals: BTreeSet::new(),
             open_reads: BTreeSet::new(),
+            open_changes: BTreeSet::new(),
         });
         self.input(id, Input::Tick);
     }
@@ -224,6 +226,9 @@
             process.backlog.push_back(input);
             return;
         }
+        if let Input::ChangeMembership { number, .. } = &input {
+            process.open_changes.insert(*number);
+        }
         process.replica.step(input, TimestampMs::new(now));
         if process.flush_scheduled {
             return;
@@ -313,6 +318,8 @@
             self.apply(id, item);
         }
         for (number, result) in changes {
+            let process = self.process_mut(id).unwrap();
+            assert!(process.open_changes.remove(&number), "a second result of change {number:?}");
             self.check_promotion((id, boot, number), result.is_ok());
             self.finished_changes.insert((id, boot, number), result);
         }
