Report only voters in force in the status of the replicas

`status` listed the voters of the newest membership in the leader's log, also while it was joint or not committed. An operator took a replacement for complete and stopped the leader; an election then needed a majority of the old voters, of which only one was left.

`ReplicationStatus::voters_in_force` holds the voters of the newest committed membership, the old ones while that is joint. `status` shows them as `voters`, and the new ones of a change in progress as `pending_voters`. `voters` of `ReplicationStatus` keeps the newest ones, from which the leaders of both control processes decide the next change and which leader hints name.

--- a/crates/yuccatack_control/src/membership.rs
+++ b/crates/yuccatack_control/src/membership.rs
@@ -1,14 +1,16 @@
-//! Reconciles the voters of the replicated log with the membership record.
+//! Members of the replicated log: reconciles them with the membership record and reports them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde_json::{Value, json};
 use tokio::sync::watch;
 use yuccatack_core::prelude::*;
 use yuccatack_records::{MembershipRecord, Record, RecordKey, RecordKind, RecordStore};
 use yuccatack_replication::{
-    ChangeError, MembershipChange, ReplicaId, ReplicationHandle, ReplicationStatus, RoleName,
+    ChangeError, LogIndex, MembershipChange, ReplicaId, ReplicationHandle, ReplicationStatus,
+    RoleName,
 };
 
 /// Desired voters; `None` while no membership record is in force.
@@ -65,6 +67,42 @@
     surplus.first().map(|&replica| MembershipChange::RemoveVoter { replica })
 }
 
+/// Returns the part of the operators' status that shows the replicas.
+///
+/// `voters` are those in force, so that an operator who finds a replacement there may lose the old
+/// voter and any minority of the new ones. `pending_voters` are those of a change that is not
+/// complete, and empty otherwise.
+pub fn replication_document(status: &ReplicationStatus) -> Value {
+    let learners: Vec<Value> = status
+        .learners
+        .iter()
+        .map(|(replica, learner)| {
+            json!({
+                "replica_id": replica.get(),
+                "address": learner.address,
+                "matched_index": learner.matched.map(LogIndex::get),
+            })
+        })
+        .collect();
+    json!({
+        "leader": status.leader.map(ReplicaId::get),
+        "voters": voter_list(&status.voters_in_force),
+        "pending_voters": status.pending_voters().map(voter_list).unwrap_or_default(),
+        "learners": learners,
+        "role": format!("{:?}", status.role),
+        "term": status.term.get(),
+        "commit_index": status.commit.get(),
+        "leader_address": status.leader_address.map(|address| address.to_string()),
+    })
+}
+
+fn voter_list(voters: &BTreeMap<ReplicaId, SocketAddr>) -> Vec<Value> {
+    let voters = voters
+        .iter()
+        .map(|(replica, address)| json!({"replica_id": replica.get(), "address": address}));
+    voters.collect()
+}
+
 /// Applies the changes one by one while this replica leads.
 pub async fn reconcile(desired: watch::Receiver<DesiredReplicas>, replication: ReplicationHandle) {
     let mut interval = tokio::time::interval(RECONCILE_INTERVAL);
--- a/crates/yuccatack_control/src/queries.rs
+++ b/crates/yuccatack_control/src/queries.rs
@@ -3,9 +3,10 @@
 use serde_json::{Value, json};
 use yuccatack_core::prelude::*;
 use yuccatack_leases::{JobStatus, LeaseTable, Scheduler, WaitReason, WorkerHealth};
-use yuccatack_replication::{LogIndex, ReplicaId, ReplicationStatus};
+use yuccatack_replication::ReplicationStatus;
 use yuccatack_view::{InForceStatus, MinionState, ViewPublisher};
 
+use crate::membership::replication_document;
 use crate::message::ChangeStatus;
 use crate::state::ControlState;
 
@@ -57,34 +58,6 @@
     nodes.iter().map(NodeName::as_str).collect()
 }
 
-fn replication_document(replication: &ReplicationStatus) -> Value {
-    let voters: Vec<Value> = replication
-        .voters
-        .iter()
-        .map(|(replica, address)| json!({"replica_id": replica.get(), "address": address}))
-        .collect();
-    let learners: Vec<Value> = replication
-        .learners
-        .iter()
-        .map(|(replica, learner)| {
-            json!({
-                "replica_id": replica.get(),
-                "address": learner.address,
-                "matched_index": learner.matched.map(LogIndex::get),
-            })
-        })
-        .collect();
-    json!({
-        "leader": replication.leader.map(ReplicaId::get),
-        "voters": voters,
-        "learners": learners,
-        "role": format!("{:?}", replication.role),
-        "term": replication.term.get(),
-        "commit_index": replication.commit.get(),
-        "leader_address": replication.leader_address.map(|address| address.to_string()),
-    })
-}
-
 fn minion_document(entry: &yuccatack_view::MinionEntry) -> Value {
     let state = match entry.status.state {
         MinionState::Ready => "ready",
--- a/crates/yuccatack_replication/src/handle.rs
+++ b/crates/yuccatack_replication/src/handle.rs
@@ -12,7 +12,7 @@
 use crate::committed::Committed;
 use crate::error::{ChangeError, ReplicaFailure, StartError};
 use crate::identifiers::{LogIndex, ProposalId, ReadId, ReplicaId, Term};
-use crate::membership::MembershipChange;
+use crate::membership::{Member, MembershipChange};
 use crate::state::{ReplicaView, RoleView};
 use crate::transport::{Inbound, ReplicationService};
 
@@ -60,9 +60,16 @@
     pub leader_address: Option<SocketAddr>,
     /// Index of the last entry known to be committed.
     pub commit: LogIndex,
-    /// Addresses of the voters; during a joint membership those of the new set.
+    /// Addresses of the voters of the newest membership in the log, committed or not; during a
+    /// joint membership those of the new set. The next change is decided from them.
     pub voters: BTreeMap<ReplicaId, SocketAddr>,
-    /// Learners by their number.
+    /// Addresses of the voters in force: those of the newest membership known to be committed, and
+    /// during a joint membership those of the old set, of which elections still need a majority.
+    ///
+    /// A replacement is complete, and the loss of a minority of the new voters survivable, only
+    /// once these equal `voters`.
+    pub voters_in_force: BTreeMap<ReplicaId, SocketAddr>,
+    /// Learners of the newest membership in the log by their number.
     pub learners: BTreeMap<ReplicaId, LearnerStatus>,
     /// Voters that have not responded for several election timeouts; empty unless this replica
     /// leads.
@@ -72,9 +79,9 @@
 }
 
 impl ReplicationStatus {
-    pub(crate) fn from_view(view: &ReplicaView<'_>) -> Self {
+    /// Returns the status of a running replica with the state `view`.
+    pub fn from_view(view: &ReplicaView<'_>) -> Self {
         let membership = view.membership;
-        let voters = membership.voters.iter().map(|(id, member)| (*id, member.address)).collect();
         let learners = membership.learners.iter().map(|(id, member)| {
             let matched = view.matched.get(id).copied();
             (*id, LearnerStatus { address: member.address, matched })
@@ -85,12 +92,22 @@
             leader: view.leader,
             leader_address: view.leader_address,
             commit: view.commit,
-            voters,
+            voters: addresses(&membership.voters),
+            voters_in_force: addresses(view.voters_in_force),
             learners: learners.collect(),
             silent_voters: view.silent_voters.clone(),
             failure: None,
         }
     }
+
+    /// Returns the new voters of a change in progress; `None` if the voters in force are the newest.
+    pub fn pending_voters(&self) -> Option<&BTreeMap<ReplicaId, SocketAddr>> {
+        (self.voters != self.voters_in_force).then_some(&self.voters)
+    }
+}
+
+fn addresses(voters: &BTreeMap<ReplicaId, Member>) -> BTreeMap<ReplicaId, SocketAddr> {
+    voters.iter().map(|(id, member)| (*id, member.address)).collect()
 }
 
 /// Sends requests to a replica's actor; clones are cheap.
--- a/crates/yuccatack_replication/src/membership.rs
+++ b/crates/yuccatack_replication/src/membership.rs
@@ -78,6 +78,13 @@
             .or_else(|| self.outgoing.as_ref().and_then(|outgoing| outgoing.get(&replica)))
     }
 
+    /// Returns the voters in force while this is the newest committed membership. Those of a joint
+    /// membership are the old ones: a majority of them is needed until the final membership is
+    /// committed.
+    pub fn voters_in_force(&self) -> &BTreeMap<ReplicaId, Member> {
+        self.outgoing.as_ref().unwrap_or(&self.voters)
+    }
+
     /// Returns `true` if `replica` is a voter with the data folder `incarnation`.
     pub fn is_voter(&self, replica: ReplicaId, incarnation: Incarnation) -> bool {
         self.voter(replica).is_some_and(|member| member.incarnation == incarnation)
--- a/crates/yuccatack_replication/src/state/mod.rs
+++ b/crates/yuccatack_replication/src/state/mod.rs
@@ -272,6 +272,13 @@
         self.memberships[self.memberships.len() - 1].0
     }
 
+    /// Returns the membership in effect after the entry at `index`, which must not be before the
+    /// snapshot.
+    fn membership_at(&self, index: LogIndex) -> &Membership {
+        let set_count = self.memberships.partition_point(|(set_at, _)| *set_at <= index);
+        &self.memberships[set_count.saturating_sub(1)].1
+    }
+
     fn is_leader(&self) -> bool {
         matches!(self.role, Role::Leader(_))
     }
--- a/crates/yuccatack_replication/src/state/snapshots.rs
+++ b/crates/yuccatack_replication/src/state/snapshots.rs
@@ -65,7 +65,7 @@
         assert!(index <= self.delivered, "snapshot at {index} includes undelivered entries");
         let Some(term) = self.log.term_at(index) else { return };
         let last = LogPosition { index, term };
-        let membership = self.membership_at(index);
+        let membership = self.membership_at(index).clone();
         let snapshot = StateSnapshot { last, membership, payload };
         self.operations.push(PersistOperation::Snapshot(snapshot.clone()));
         self.snapshot = Some(snapshot);
@@ -78,11 +78,6 @@
         self.reload_memberships();
     }
 
-    fn membership_at(&self, index: LogIndex) -> Membership {
-        let newest = self.memberships.iter().rev().find(|(set_at, _)| *set_at <= index);
-        newest.map_or_else(Membership::default, |(_, membership)| membership.clone())
-    }
-
     fn restart_stored_log(&mut self) {
         let entries = self.log.entries().to_vec();
         self.operations.push(PersistOperation::RestartLog { base: self.log.base(), entries });
--- a/crates/yuccatack_replication/src/state/view.rs
+++ b/crates/yuccatack_replication/src/state/view.rs
@@ -5,7 +5,7 @@
 
 use super::{Replica, Role};
 use crate::identifiers::{LogIndex, ReplicaId};
-use crate::membership::Membership;
+use crate::membership::{Member, Membership};
 use crate::persistence::HardState;
 
 /// Role of a replica, as reported to its user.
@@ -42,6 +42,9 @@
     pub last: LogIndex,
     /// Membership in effect, committed or not.
     pub membership: &'a Membership,
+    /// Voters of the newest membership known to be committed, the old ones if it is joint. Empty
+    /// while a replica that has no snapshot does not know what is committed.
+    pub voters_in_force: &'a BTreeMap<ReplicaId, Member>,
     /// `true` while a leader is transferring its leadership.
     pub transferring_leadership: bool,
     /// Last index that each other member is known to hold; empty unless this replica leads.
@@ -75,6 +78,7 @@
             delivered: self.delivered,
             last: self.log.last().index,
             membership: self.membership(),
+            voters_in_force: self.membership_at(self.commit).voters_in_force(),
             transferring_leadership: matches!(
                 &self.role, Role::Leader(leader) if leader.transfer.is_some()
             ),
--- a/crates/yuccatack_replication/tests/member_changes.rs
+++ b/crates/yuccatack_replication/tests/member_changes.rs
@@ -8,7 +8,9 @@
 use simulation::simulator::address;
 use simulation::{Simulator, SimulatorSettings};
 use yuccatack_replication::state::Input;
-use yuccatack_replication::{ChangeError, ChangeNumber, MembershipChange, ReplicaId};
+use yuccatack_replication::{
+    ChangeError, ChangeNumber, MembershipChange, ReplicaId, ReplicationStatus,
+};
 
 fn simulator_with_entries(seed: u64) -> (Simulator, ReplicaId) {
     let settings =
@@ -81,6 +83,98 @@
     });
 }
 
+/// Starts the replacement of a follower by replica 4, and returns the follower and the key of the
+/// promotion in `finished_changes`.
+fn begin_replacement(
+    simulator: &mut Simulator,
+    leader: ReplicaId,
+) -> (ReplicaId, (ReplicaId, u64, ChangeNumber)) {
+    let lost = simulator.nodes.keys().copied().find(|id| *id != leader).unwrap();
+    simulator.wipe(lost);
+    let replica = ReplicaId::new(4);
+    simulator.add_node(replica);
+    let add = MembershipChange::AddLearner { replica, address: address(replica) };
+    assert_eq!(request(simulator, leader, add, 500), Some(Ok(())));
+    let process = simulator.process(leader).unwrap();
+    let (boot, commit) = (process.boot, process.replica.view().commit);
+    let key = (leader, boot, ChangeNumber::new(simulator.next_number()));
+    simulator.promotions.insert(key, (replica, commit));
+    let change = MembershipChange::Promote { replica, replaces: Some(lost) };
+    simulator.input(leader, Input::ChangeMembership { number: key.2, change });
+    (lost, key)
+}
+
+/// Returns `true` if the status of `id` lists replica 4 as a voter in place of `lost`.
+fn reports_replacement(simulator: &Simulator, id: ReplicaId, lost: ReplicaId) -> bool {
+    let Some(process) = simulator.process(id) else { return false };
+    let status = ReplicationStatus::from_view(&process.replica.view());
+    status.voters_in_force.contains_key(&ReplicaId::new(4))
+        && !status.voters_in_force.contains_key(&lost)
+}
+
+/// Returns `true` if a majority of the new voters holds their final membership on disk.
+fn replacement_is_held(simulator: &Simulator, lost: ReplicaId) -> bool {
+    let new = ReplicaId::new(4);
+    let holds = |id: &ReplicaId| {
+        let membership = simulator.nodes[id].disk.membership();
+        membership.outgoing.is_none() && membership.voters.contains_key(&new)
+    };
+    simulator.nodes.keys().filter(|id| **id != lost && holds(id)).count() >= 2
+}
+
+/// Guards against a status that lists the new voters while their membership is joint or not
+/// committed. An operator who then stops the leader leaves too few of the old voters for an
+/// election.
+#[test]
+fn status_waits_for_commit() {
+    for_each_seed(40, |seed| {
+        let (mut simulator, leader) = simulator_with_entries(seed);
+        let (lost, change) = begin_replacement(&mut simulator, leader);
+        let deadline = simulator.now + 5_000;
+        while !simulator.finished_changes.contains_key(&change) {
+            assert!(simulator.now < deadline, "the change did not end");
+            simulator.run_for(1);
+            for id in simulator.nodes.keys().copied() {
+                assert!(
+                    !reports_replacement(&simulator, id, lost)
+                        || replacement_is_held(&simulator, lost),
+                    "replica {id} lists the new voters before their membership is committed"
+                );
+            }
+        }
+        assert_eq!(simulator.finished_changes[&change], Ok(()));
+        assert!(reports_replacement(&simulator, leader, lost), "complete, but not listed");
+        simulator.run_for(500);
+        for id in simulator.nodes.keys().copied().filter(|id| *id != lost) {
+            assert!(reports_replacement(&simulator, id, lost), "replica {id} lists old voters");
+        }
+    });
+}
+
+/// Guards against a cluster that elects no leader or commits nothing because a second voter was
+/// lost as soon as the leader's status listed the new voters.
+#[test]
+fn reported_replacement_survives_loss() {
+    for_each_seed(40, |seed| {
+        let (mut simulator, leader) = simulator_with_entries(seed);
+        let (lost, _) = begin_replacement(&mut simulator, leader);
+        let deadline = simulator.now + 5_000;
+        while !reports_replacement(&simulator, leader, lost) {
+            assert!(simulator.now < deadline, "the status never listed the new voters");
+            simulator.run_for(1);
+        }
+        let others = [leader, lost, ReplicaId::new(4)];
+        let follower = simulator.nodes.keys().copied().find(|id| !others.contains(id));
+        simulator.wipe(if seed % 2 == 0 { leader } else { follower.unwrap() });
+        let acknowledged = simulator.history.acknowledged_count;
+        simulator.run_for(5_000);
+        let successor = simulator.leader().expect("a leader among the two that are left");
+        simulator.propose(successor);
+        simulator.run_for(1_000);
+        assert!(simulator.history.acknowledged_count > acknowledged);
+    });
+}
+
 /// Guards against the promotion of a learner that does not hold the committed entries.
 #[test]
 fn silent_learner_is_not_promoted() {
