Skip rows of a worker's response that cannot be read

What callers saw: nothing runs on a worker as long as one row of its lists is odd: deeply nested, with a number too large, or of another type. Jobs wait beside free capacity.

Cause: all rows were decoded with the response, so one row failed the poll, and a worker without a poll for 1.2 s gets no work. A row with an unknown outcome was skipped, but not taken into account when the next poll was scheduled: a worker that lists an end responds at once, so the agent polled without a pause.

Ruled out: an end of the process, and stack exhaustion. serde_json skips unknown fields without recursion and bounds the depth of those that it keeps.

The leader takes a run that is listed nowhere for missing and stops it, and it acknowledges ends up to the highest number that it has seen, so a row of the worker's own must not be dropped because it was damaged once. Therefore: - A response with an unreadable row is read again, up to 3 times with 150 ms in between, and only then reported without the row. Until then nothing is reported, since a partial list would let the leader stop the run. It stays within the 1.2 s. - After that the row is skipped, and a later end acknowledges it. Holding back all later ends instead would keep them from the leader for good if another writer's row stays.

--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -35,6 +35,11 @@
 /// loop.
 const UNACKNOWLEDGED_ENDS_DELAY: Duration = Duration::from_millis(150);
 
+/// Number of times in a row that a response is read again because some of its rows cannot be read.
+/// A row that was damaged on its way is complete in the next response. Readings of the worker's
+/// clock count for 1.2 s, so this must take much less.
+const MAX_REREAD_COUNT: u32 = 3;
+
 /// Delay after a failed poll.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -96,6 +101,8 @@
     acknowledged_end: u64,
     /// Number of the last run end in the worker's latest response.
     listed_end: u64,
+    /// Number of responses in a row that were read again because of unreadable rows.
+    reread_count: u32,
     orders: OrderTracker,
 }
 
@@ -133,6 +140,7 @@
             lease_until_clock_ms: None,
             acknowledged_end: 0,
             listed_end: 0,
+            reread_count: 0,
             orders: OrderTracker::default(),
         };
         let mut checks = interval(CHECK_INTERVAL);
@@ -366,6 +374,7 @@
         self.lease_until_clock_ms = None;
         self.acknowledged_end = 0;
         self.listed_end = 0;
+        self.reread_count = 0;
         self.orders = OrderTracker::default();
         self.last_poll_failed = false;
     }
@@ -405,23 +414,23 @@
         match result {
             PollResult::Answered(response) if is_from_incarnation(&response, incarnation) => {
                 self.last_poll_failed = false;
-                self.listed_end = response.ended.iter().map(|end| end.number).max().unwrap_or(0);
-                if self.listed_end > self.acknowledged_end {
-                    self.next_poll_at = Instant::now() + UNACKNOWLEDGED_ENDS_DELAY;
-                }
-                let ended: Vec<RunId> = response.ended.iter().map(|end| end.run.clone()).collect();
-                let observation = Observation {
-                    incarnation: incarnation.clone(),
-                    clock_ms: response.clock_ms,
-                    running: response.running,
-                    ended: response.ended,
-                    stopped: stopped.clone(),
-                };
-                if self.report(AgentMessage::Observed(observation)) {
-                    self.orders.on_reported(&stopped, &ended);
+                self.reread_count = 0;
+                self.on_response(incarnation, response, stopped);
+            }
+            PollResult::AnsweredInPart(response) if is_from_incarnation(&response, incarnation) => {
+                self.last_poll_failed = false;
+                // The row stays listed, so the worker responds to the next poll at once.
+                self.next_poll_at = Instant::now() + UNACKNOWLEDGED_ENDS_DELAY;
+                if self.reread_count < MAX_REREAD_COUNT {
+                    self.reread_count += 1;
+                } else {
+                    self.on_response(incarnation, response, stopped);
                 }
             }
-            PollResult::Answered(_) | PollResult::OtherIncarnation | PollResult::Failed => {
+            PollResult::Answered(_)
+            | PollResult::AnsweredInPart(_)
+            | PollResult::OtherIncarnation
+            | PollResult::Failed => {
                 if !self.last_poll_failed {
                     log::warn!(
                         event = "worker_silent", life:% = incarnation;
@@ -434,6 +443,30 @@
         }
     }
 
+    /// Reports the worker's response to the leader.
+    fn on_response(
+        &mut self,
+        incarnation: &WorkerIncarnation,
+        response: PollResponse,
+        stopped: Vec<RunId>,
+    ) {
+        self.listed_end = response.ended.iter().map(|end| end.number).max().unwrap_or(0);
+        if self.listed_end > self.acknowledged_end {
+            self.next_poll_at = Instant::now() + UNACKNOWLEDGED_ENDS_DELAY;
+        }
+        let ended: Vec<RunId> = response.ended.iter().map(|end| end.run.clone()).collect();
+        let observation = Observation {
+            incarnation: incarnation.clone(),
+            clock_ms: response.clock_ms,
+            running: response.running,
+            ended: response.ended,
+            stopped: stopped.clone(),
+        };
+        if self.report(AgentMessage::Observed(observation)) {
+            self.orders.on_reported(&stopped, &ended);
+        }
+    }
+
     fn is_current(&self, incarnation: &WorkerIncarnation) -> bool {
         self.worker.as_ref().is_some_and(|worker| worker.incarnation == *incarnation)
     }
--- a/crates/yuccatack_worker_agent/src/port.rs
+++ b/crates/yuccatack_worker_agent/src/port.rs
@@ -81,6 +81,8 @@
 pub enum PollResult {
     /// The worker responded.
     Answered(PollResponse),
+    /// The worker responded, but some of the listed rows cannot be read; the response lacks them.
+    AnsweredInPart(PollResponse),
     /// Another incarnation of the worker responded.
     OtherIncarnation,
     /// The worker refused the call or did not respond.
--- /dev/null
+++ b/crates/yuccatack_worker_agent/tests/odd_entries.rs
@@ -0,0 +1,231 @@
+//! Guards against an agent that stops following its worker after one odd response or announcement:
+//! it reports nothing more, polls in a busy loop, reports a worker that does not exist, or misses
+//! that the worker drains.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep, timeout_at};
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_stream::{Stream, StreamExt};
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status, Streaming};
+use yuccatack_core::{DataCentreName, JobName, NodeName, Resources, ServiceName, WorkerName};
+use yuccatack_dispatch::{AgentMessage, EndedRun, Observation, StartResult, WorkerState};
+use yuccatack_lifecycle::{ShutdownTrigger, shutdown_channel};
+use yuccatack_queue_client::QueueClient;
+use yuccatack_queue_client::generated::queue_control::Envelope;
+use yuccatack_queue_client::generated::queue_control::queue_control_server::{
+    QueueControl, QueueControlServer,
+};
+use yuccatack_queue_client::protocol::{AgentFrame, LeaderFrame};
+use yuccatack_runs::{RunId, RunOutcome, TaskId, WorkerIncarnation};
+use yuccatack_worker_agent::{
+    Agent, AgentConfig, Announcement, PollCall, PollResponse, PollResult, StartCall, StopCall,
+    StopResult, WorkerPort,
+};
+
+const TOKEN: u64 = 3;
+
+/// Start of the worker's current incarnation.
+const START: u64 = 1_000;
+
+/// Leader that hands all reports to the test and never sends orders.
+struct Leader {
+    reports: mpsc::UnboundedSender<AgentMessage>,
+}
+
+#[tonic::async_trait]
+impl QueueControl for Leader {
+    async fn call(&self, _request: Request<Envelope>) -> Result<Response<Envelope>, Status> {
+        Err(Status::unavailable("only agents are served"))
+    }
+
+    type AttachStream = Pin<Box<dyn Stream<Item = Result<Envelope, Status>> + Send>>;
+
+    async fn attach(
+        &self,
+        request: Request<Streaming<Envelope>>,
+    ) -> Result<Response<Self::AttachStream>, Status> {
+        let mut frames = request.into_inner();
+        let reports = self.reports.clone();
+        tokio::spawn(async move {
+            while let Ok(Some(envelope)) = frames.message().await {
+                if let Ok(AgentFrame::Report(report)) = AgentFrame::try_from(envelope) {
+                    // The test may have ended.
+                    let _ = reports.send(report);
+                }
+            }
+        });
+        let (sender, heartbeats) = mpsc::channel(1);
+        tokio::spawn(async move {
+            while sender.send(LeaderFrame::Leading { token: TOKEN }).await.is_ok() {
+                sleep(Duration::from_millis(250)).await;
+            }
+        });
+        let heartbeats =
+            ReceiverStream::new(heartbeats).map(|frame| Ok(Envelope::try_from(&frame).unwrap()));
+        Ok(Response::new(Box::pin(heartbeats)))
+    }
+}
+
+/// Worker whose responses the test chooses, by the number of the poll and the time since the start.
+struct ScriptedWorker<Script> {
+    script: Script,
+    started_at: Instant,
+    polls: mpsc::UnboundedSender<PollCall>,
+    count: std::sync::atomic::AtomicUsize,
+    /// `true` if the worker lists an end, so that it responds without waiting for one.
+    responds_at_once: bool,
+}
+
+impl<Script> WorkerPort for ScriptedWorker<Script>
+where
+    Script: Fn(usize, u64) -> PollResult + Send + Sync + 'static,
+{
+    async fn start(&self, _call: StartCall) -> StartResult {
+        StartResult::Unknown
+    }
+
+    async fn stop(&self, _call: StopCall) -> StopResult {
+        StopResult::Unknown
+    }
+
+    async fn poll(&self, call: PollCall) -> PollResult {
+        let number = self.count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let wait = Duration::from(call.wait_ms);
+        let _ = self.polls.send(call);
+        if !self.responds_at_once {
+            sleep(wait).await;
+        }
+        let elapsed_ms = u64::try_from(self.started_at.elapsed().as_millis()).unwrap();
+        (self.script)(number, 5_000 + elapsed_ms)
+    }
+}
+
+/// Agent of a scripted worker, attached to a leader.
+struct Attached {
+    reports: mpsc::UnboundedReceiver<AgentMessage>,
+    polls: mpsc::UnboundedReceiver<PollCall>,
+    announcements: mpsc::Sender<Announcement>,
+    _trigger: ShutdownTrigger,
+}
+
+impl Attached {
+    async fn new<Script>(responds_at_once: bool, script: Script) -> Self
+    where
+        Script: Fn(usize, u64) -> PollResult + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (_, seeds) = watch::channel(vec![listener.local_addr().unwrap()]);
+        let (report_sender, reports) = mpsc::unbounded_channel();
+        let leader = Leader { reports: report_sender };
+        let server = Server::builder().add_service(QueueControlServer::new(leader));
+        tokio::spawn(server.serve_with_incoming(TcpIncoming::from(listener)));
+        let (poll_sender, polls) = mpsc::unbounded_channel();
+        let (announcements, announced) = mpsc::channel(8);
+        let (trigger, shutdown) = shutdown_channel();
+        let config = AgentConfig { node: NodeName::new("node").unwrap() };
+        let port = ScriptedWorker {
+            script,
+            started_at: Instant::now(),
+            polls: poll_sender,
+            count: Default::default(),
+            responds_at_once,
+        };
+        tokio::spawn(Agent::run(config, port, QueueClient::new(seeds), announced, shutdown));
+        let attached = Self { reports, polls, announcements, _trigger: trigger };
+        attached.announce(worker(START), 1).await;
+        attached
+    }
+
+    async fn announce(&self, state: WorkerState, sequence: u64) {
+        self.announcements.send(Announcement::Present { state, sequence }).await.unwrap();
+    }
+
+    /// Returns the reports of the next `duration`.
+    async fn reports_within(&mut self, duration: Duration) -> Vec<AgentMessage> {
+        let end = Instant::now() + duration;
+        let mut reports = Vec::new();
+        while let Ok(Some(report)) = timeout_at(end, self.reports.recv()).await {
+            reports.push(report);
+        }
+        reports
+    }
+}
+
+fn worker(started_at_unix_ms: u64) -> WorkerState {
+    let node = NodeName::new("node").unwrap();
+    let name = WorkerName::new("worker").unwrap();
+    WorkerState {
+        incarnation: WorkerIncarnation { node, worker: name, started_at_unix_ms },
+        service: ServiceName::new("pool").unwrap(),
+        data_centre: DataCentreName::new("here").unwrap(),
+        capacity: Resources::default(),
+        labels: Vec::new(),
+        rack: None,
+        draining: false,
+        remaining_ms: None,
+    }
+}
+
+fn end(number: u64) -> EndedRun {
+    let task = TaskId { job: JobName::new("job").unwrap(), occurrence: 0, step: 0, index: 0 };
+    let run = RunId { task, number: u32::try_from(number).unwrap() };
+    EndedRun { number, run, outcome: RunOutcome::Done, checkpoint: None }
+}
+
+fn response(clock_ms: u64, ended: Vec<EndedRun>) -> PollResponse {
+    PollResponse { started_at_unix_ms: Some(START), clock_ms, running: Vec::new(), ended }
+}
+
+fn observations(reports: &[AgentMessage]) -> Vec<&Observation> {
+    let mut observations = Vec::new();
+    for report in reports {
+        if let AgentMessage::Observed(observation) = report {
+            observations.push(observation);
+        }
+    }
+    observations
+}
+
+#[tokio::test]
+async fn damaged_row_read_again() {
+    // If the first end were taken for missing, the leader would stop its run and begin it again.
+    let mut attached = Attached::new(true, |number, clock_ms| {
+        if (2..4).contains(&number) {
+            PollResult::AnsweredInPart(response(clock_ms, vec![end(2)]))
+        } else {
+            PollResult::Answered(response(clock_ms, vec![end(1), end(2)]))
+        }
+    })
+    .await;
+    let reports = attached.reports_within(Duration::from_secs(2)).await;
+    let observations = observations(&reports);
+    assert!(observations.len() >= 3, "{} observations in 2 s", observations.len());
+    let complete = observations.iter().filter(|observation| observation.ended.len() == 2).count();
+    assert_eq!(complete, observations.len(), "an observation lacks an end that is listed again");
+}
+
+#[tokio::test]
+async fn lasting_odd_row() {
+    // The other rows must reach the leader within 1.2 s, or the worker gets no work. A worker that
+    // lists an end responds at once, so polls without a pause would take all processor time.
+    let mut attached = Attached::new(true, |_, clock_ms| {
+        PollResult::AnsweredInPart(response(clock_ms, Vec::new()))
+    })
+    .await;
+    let reports = attached.reports_within(Duration::from_millis(2_500)).await;
+    let mut poll_count = 0;
+    while attached.polls.try_recv().is_ok() {
+        poll_count += 1;
+    }
+    let observation_count = observations(&reports).len();
+    assert!(observation_count >= 5, "{observation_count} observations in 2.5 s");
+    assert!((6..=20).contains(&poll_count), "{poll_count} polls in 2.5 s");
+}
