Ignore implausible readings of a worker's clock

What callers saw: nothing yet. One reading that is too large costs a worker all of its work for as long as the incarnation lives.

Cause: the agent passed every reading on. The leader discards readings lower than an earlier one as out of order, so it ignored all later responses, and it adds the length of a lease to the reading, which overflows near 2^64. A reading that is a little too large is worse: the lease is granted by a clock time far ahead, so that the worker goes on after the leader has taken its runs for lost.

Fix: a reading counts if it follows the one before it: not lower, and not further ahead than the time between their arrivals, 2% of it and 1 s, about the time after which a poll is given up. A single odd one never counts, also not as the first. Readings that are ahead for good, as after a suspension of the agent, count from the second on. Readings beyond 100 years never count. The first polls of an incarnation ask for a response at once, so that the second reading delays no work.

--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -13,6 +13,7 @@
 use yuccatack_queue_client::{AgentStream, Backoff, QueueClient};
 use yuccatack_runs::{RunId, WorkerIncarnation};
 
+use crate::clock::ClockCheck;
 use crate::orders::{OrderTracker, StartAction};
 use crate::port::{
     Announcement, PollCall, PollResponse, PollResult, StartCall, StopCall, StopResult, WorkerPort,
@@ -103,6 +104,7 @@
     listed_end: u64,
     /// Number of responses in a row that were read again because of unreadable rows.
     reread_count: u32,
+    clock: ClockCheck,
     orders: OrderTracker,
 }
 
@@ -141,6 +143,7 @@
             acknowledged_end: 0,
             listed_end: 0,
             reread_count: 0,
+            clock: ClockCheck::default(),
             orders: OrderTracker::default(),
         };
         let mut checks = interval(CHECK_INTERVAL);
@@ -375,6 +378,7 @@
         self.acknowledged_end = 0;
         self.listed_end = 0;
         self.reread_count = 0;
+        self.clock = ClockCheck::default();
         self.orders = OrderTracker::default();
         self.last_poll_failed = false;
     }
@@ -391,7 +395,8 @@
             token,
             until_clock_ms: self.lease_until_clock_ms,
             acknowledged_end: self.acknowledged_end,
-            wait_ms: POLL_WAIT,
+            // A worker gets no work before its clock is known.
+            wait_ms: if self.clock.has_accepted() { POLL_WAIT } else { DurationMs::ZERO },
         };
         let stopped = self.orders.confirmed_stops();
         let (port, events) = (self.port.clone(), self.events.clone());
@@ -414,17 +419,21 @@
         match result {
             PollResult::Answered(response) if is_from_incarnation(&response, incarnation) => {
                 self.last_poll_failed = false;
-                self.reread_count = 0;
-                self.on_response(incarnation, response, stopped);
+                if self.accept_clock(&response) {
+                    self.reread_count = 0;
+                    self.on_response(incarnation, response, stopped);
+                }
             }
             PollResult::AnsweredInPart(response) if is_from_incarnation(&response, incarnation) => {
                 self.last_poll_failed = false;
-                // The row stays listed, so the worker responds to the next poll at once.
-                self.next_poll_at = Instant::now() + UNACKNOWLEDGED_ENDS_DELAY;
-                if self.reread_count < MAX_REREAD_COUNT {
-                    self.reread_count += 1;
-                } else {
-                    self.on_response(incarnation, response, stopped);
+                if self.accept_clock(&response) {
+                    // The row stays listed, so the worker responds to the next poll at once.
+                    self.next_poll_at = Instant::now() + UNACKNOWLEDGED_ENDS_DELAY;
+                    if self.reread_count < MAX_REREAD_COUNT {
+                        self.reread_count += 1;
+                    } else {
+                        self.on_response(incarnation, response, stopped);
+                    }
                 }
             }
             PollResult::Answered(_)
@@ -443,6 +452,22 @@
         }
     }
 
+    /// Returns `true` if the response's reading of the worker's clock counts. Leases are computed
+    /// from it, and the leader discards later responses with a lower one.
+    fn accept_clock(&mut self, response: &PollResponse) -> bool {
+        let now = Instant::now();
+        let is_first = self.clock.is_empty();
+        let accepted = self.clock.accept(response.clock_ms, now);
+        if !accepted && !is_first {
+            log::warn!(
+                event = "worker_clock_refused", clock_ms = response.clock_ms;
+                "ignoring a response of the worker, whose clock does not fit the previous reading"
+            );
+            self.next_poll_at = now + POLL_RETRY_DELAY;
+        }
+        accepted
+    }
+
     /// Reports the worker's response to the leader.
     fn on_response(
         &mut self,
--- a/crates/yuccatack_worker_agent/src/lib.rs
+++ b/crates/yuccatack_worker_agent/src/lib.rs
@@ -5,6 +5,7 @@
 //! abstracts the calls to the worker.
 
 mod agent;
+mod clock;
 mod orders;
 mod port;
 
--- a/crates/yuccatack_worker_agent/tests/odd_entries.rs
+++ b/crates/yuccatack_worker_agent/tests/odd_entries.rs
@@ -229,3 +229,61 @@
     assert!(observation_count >= 5, "{observation_count} observations in 2.5 s");
     assert!((6..=20).contains(&poll_count), "{poll_count} polls in 2.5 s");
 }
+
+#[tokio::test]
+async fn odd_clock_ignored() {
+    // The leader discards readings that are lower than an earlier one, so one that is too large
+    // would cost the worker all of its work.
+    let mut cases = Vec::new();
+    for odd_ms in [u64::MAX, 1 << 53, 500_000_000, 20_000, 0] {
+        cases.extend([0, 1, 3].map(|odd_poll| tokio::spawn(odd_clock_case(odd_ms, odd_poll))));
+    }
+    let mut failures = Vec::new();
+    for case in cases {
+        failures.extend(case.await.unwrap());
+    }
+    assert!(failures.is_empty(), "{} cases: {failures:?}", failures.len());
+}
+
+/// Returns what was wrong if one poll shows the clock at `odd_ms`.
+async fn odd_clock_case(odd_ms: u64, odd_poll: usize) -> Option<String> {
+    let mut attached = Attached::new(false, move |number, clock_ms| {
+        let clock_ms = if number == odd_poll { odd_ms } else { clock_ms };
+        PollResult::Answered(response(clock_ms, Vec::new()))
+    })
+    .await;
+    let reports = attached.reports_within(Duration::from_millis(2_000)).await;
+    let observations = observations(&reports).into_iter();
+    let clocks: Vec<u64> = observations.map(|observation| observation.clock_ms).collect();
+    let plausible = clocks.iter().all(|clock_ms| (5_000..9_000).contains(clock_ms));
+    (clocks.len() < 3 || !plausible)
+        .then(|| format!("{odd_ms} in poll {odd_poll}: readings {clocks:?}"))
+}
+
+#[tokio::test]
+async fn lasting_odd_clock() {
+    // Until a reading counts, polls ask for a response at once.
+    let mut attached =
+        Attached::new(false, |_, _| PollResult::Answered(response(u64::MAX, Vec::new()))).await;
+    let reports = attached.reports_within(Duration::from_millis(2_500)).await;
+    let mut poll_count = 0;
+    while attached.polls.try_recv().is_ok() {
+        poll_count += 1;
+    }
+    assert!(observations(&reports).is_empty(), "reported an implausible reading");
+    assert!((6..=20).contains(&poll_count), "{poll_count} polls in 2.5 s");
+}
+
+#[tokio::test]
+async fn lasting_jump_followed() {
+    // While the agent is suspended, its own clock stands still and that of the worker does not.
+    let mut attached = Attached::new(false, |number, clock_ms| {
+        let clock_ms = if number >= 4 { clock_ms + 60_000 } else { clock_ms };
+        PollResult::Answered(response(clock_ms, Vec::new()))
+    })
+    .await;
+    let reports = attached.reports_within(Duration::from_millis(2_500)).await;
+    let observations = observations(&reports);
+    let later = observations.iter().filter(|observation| observation.clock_ms > 60_000).count();
+    assert!(later >= 2, "{later} observations after the jump");
+}
