Check announcements against the worker's earlier ones and its polls

What callers saw: nothing yet. An announcement with plausible numbers of an incarnation that does not run makes the leader take all runs of the worker for lost and begin them elsewhere, while they run on.

Cause: a later start replaced the current incarnation at once, although polls went on to reach it. Within an incarnation, the highest sequence number won whatever the announcement said, and a pool, place or capacity could change.

Evidence, before the change: invented_incarnation_ignored (the invented one was reported), drain_after_odd_sequence (the drain was not reported) and contradiction_ignored failed. restart_followed and silent_restart_followed held before and after.

Fix: - A later incarnation replaces the current one once a poll that began after the announcement shows that the current one is gone: the poll fails, names the other start or names none. A poll is sent at once for that. It is dropped if the poll reaches the current incarnation. - A worker does not take back that it drains, so that is taken over whatever its sequence number. - Pool, place, capacity and labels stay with an incarnation. An announcement that differs counts if the next one says the same, since the first may have been the odd one.

Open: after a failed poll any announcement still replaces the incarnation.

--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -74,6 +74,13 @@
     },
 }
 
+/// Announcement of another incarnation while the current one seems to run.
+struct Candidate {
+    state: WorkerState,
+    sequence: u64,
+    announced_at: Instant,
+}
+
 /// Agent of one worker.
 pub struct Agent<Port> {
     config: AgentConfig,
@@ -92,9 +99,14 @@
     worker: Option<WorkerState>,
     /// Number of the newest announcement of the current incarnation.
     sequence: u64,
+    /// Last announcement of the current incarnation if it contradicts those before.
+    contradiction: Option<WorkerState>,
+    /// Later incarnation that replaces the current one unless the next poll reaches the current one.
+    candidate: Option<Candidate>,
     /// `true` if the last poll of the current incarnation failed.
     last_poll_failed: bool,
     poll_in_flight: bool,
+    poll_began_at: Instant,
     next_poll_at: Instant,
     /// End of the lease granted by the leader, by the worker's clock.
     lease_until_clock_ms: Option<u64>,
@@ -136,8 +148,11 @@
             token: None,
             worker: None,
             sequence: 0,
+            contradiction: None,
+            candidate: None,
             last_poll_failed: false,
             poll_in_flight: false,
+            poll_began_at: now,
             next_poll_at: now,
             lease_until_clock_ms: None,
             acknowledged_end: 0,
@@ -344,33 +359,97 @@
     }
 
     fn on_present(&mut self, state: WorkerState, sequence: u64) {
-        let replaces_current = match &self.worker {
+        match &self.worker {
             Some(worker) if worker.incarnation == state.incarnation => {
-                if sequence > self.sequence && *worker != state {
-                    self.worker = Some(state.clone());
-                    self.report(AgentMessage::State(state));
-                }
-                self.sequence = self.sequence.max(sequence);
+                self.on_current_present(state, sequence);
+            }
+            // The wall clock can go back, so an incarnation whose last poll failed is replaced in
+            // any case.
+            Some(_) if self.last_poll_failed => self.begin_incarnation(state, sequence),
+            // Runs of the current incarnation are lost for the leader once it is replaced, so the
+            // next poll must confirm that it is gone.
+            Some(worker)
+                if state.incarnation.started_at_unix_ms > worker.incarnation.started_at_unix_ms =>
+            {
+                let announced_at = Instant::now();
+                self.candidate = Some(Candidate { state, sequence, announced_at });
+                self.next_poll_at = announced_at;
+            }
+            // A late announcement of an earlier incarnation must not replace a later one.
+            Some(_) => {}
+            None => self.begin_incarnation(state, sequence),
+        }
+    }
+
+    /// Handles an announcement of the current incarnation.
+    fn on_current_present(&mut self, state: WorkerState, sequence: u64) {
+        let Some(worker) = &self.worker else { return };
+        // Pool, place and capacity of an incarnation stay the same. An announcement that differs is
+        // from another writer, unless the next one says the same.
+        if !is_same_worker(worker, &state) {
+            let confirmed =
+                self.contradiction.as_ref().is_some_and(|other| is_same_worker(other, &state));
+            if !confirmed {
+                log::warn!(
+                    event = "announcement_refused", life:% = state.incarnation;
+                    "ignoring an announcement that contradicts the earlier ones of the worker"
+                );
+                self.contradiction = Some(state);
                 return;
             }
-            // A late announcement of an earlier incarnation must not replace a later one. The wall
-            // clock can go back, so an incarnation whose last poll failed is replaced in any case.
-            Some(worker) => {
-                state.incarnation.started_at_unix_ms > worker.incarnation.started_at_unix_ms
-                    || self.last_poll_failed
+        }
+        self.contradiction = None;
+        // A worker does not take back that it drains, so a late announcement of that counts. It
+        // would be missed for good if an odd sequence number had been taken over.
+        let begins_to_drain = state.draining && !worker.draining;
+        if (sequence > self.sequence || begins_to_drain) && *worker != state {
+            self.worker = Some(state.clone());
+            self.report(AgentMessage::State(state));
+        }
+        self.sequence = self.sequence.max(sequence);
+    }
+
+    fn begin_incarnation(&mut self, state: WorkerState, sequence: u64) {
+        log::info!(
+            event = "worker_found", life:% = state.incarnation;
+            "the worker announced itself; reporting it to the leader"
+        );
+        self.reset_incarnation();
+        self.sequence = sequence;
+        self.worker = Some(state.clone());
+        self.report(AgentMessage::State(state));
+    }
+
+    /// Decides about another incarnation that was announced, once a poll has shown which one runs.
+    /// Returns `true` if it has replaced the current one.
+    fn settle_candidate(&mut self, result: &PollResult) -> bool {
+        let current = self.worker.as_ref().map(|worker| worker.incarnation.started_at_unix_ms);
+        let poll_began_at = self.poll_began_at;
+        let Some(candidate) = &self.candidate else { return false };
+        let start = candidate.state.incarnation.started_at_unix_ms;
+        let is_announced = match result {
+            PollResult::Answered(response) | PollResult::AnsweredInPart(response) => {
+                match response.started_at_unix_ms {
+                    // The current incarnation may have responded before the other one started.
+                    found if found == current && poll_began_at < candidate.announced_at => {
+                        return false;
+                    }
+                    Some(found) => found == start,
+                    None => true,
+                }
             }
-            None => true,
+            PollResult::OtherIncarnation | PollResult::Failed => true,
         };
-        if replaces_current {
-            log::info!(
-                event = "worker_found", life:% = state.incarnation;
-                "the worker announced itself; reporting it to the leader"
+        let Some(candidate) = self.candidate.take() else { return false };
+        if is_announced {
+            self.begin_incarnation(candidate.state, candidate.sequence);
+        } else {
+            log::warn!(
+                event = "announcement_refused", life:% = candidate.state.incarnation;
+                "ignoring the announcement; a poll showed that another incarnation runs"
             );
-            self.reset_incarnation();
-            self.sequence = sequence;
-            self.worker = Some(state.clone());
-            self.report(AgentMessage::State(state));
         }
+        is_announced
     }
 
     fn reset_incarnation(&mut self) {
@@ -380,6 +459,8 @@
         self.reread_count = 0;
         self.clock = ClockCheck::default();
         self.orders = OrderTracker::default();
+        self.contradiction = None;
+        self.candidate = None;
         self.last_poll_failed = false;
     }
 
@@ -389,6 +470,7 @@
             return;
         }
         self.poll_in_flight = true;
+        self.poll_began_at = Instant::now();
         let incarnation = worker.incarnation.clone();
         let call = PollCall {
             incarnation: incarnation.clone(),
@@ -416,6 +498,9 @@
         if !self.is_current(incarnation) {
             return;
         }
+        if self.settle_candidate(&result) {
+            return;
+        }
         match result {
             PollResult::Answered(response) if is_from_incarnation(&response, incarnation) => {
                 self.last_poll_failed = false;
@@ -517,6 +602,14 @@
     response.started_at_unix_ms.is_none_or(|started| started == incarnation.started_at_unix_ms)
 }
 
+/// Returns `true` if both announcements describe the same worker; its drain state may differ.
+fn is_same_worker(one: &WorkerState, other: &WorkerState) -> bool {
+    one.service == other.service
+        && one.data_centre == other.data_centre
+        && one.capacity == other.capacity
+        && one.labels == other.labels
+}
+
 async fn receive_frame(stream: &mut Option<AgentStream>) -> Option<LeaderFrame> {
     match stream {
         Some(stream) => stream.receive().await,
--- a/crates/yuccatack_worker_agent/tests/odd_entries.rs
+++ b/crates/yuccatack_worker_agent/tests/odd_entries.rs
@@ -194,6 +194,16 @@
     observations
 }
 
+fn states(reports: &[AgentMessage]) -> Vec<&WorkerState> {
+    let mut states = Vec::new();
+    for report in reports {
+        if let AgentMessage::State(state) = report {
+            states.push(state);
+        }
+    }
+    states
+}
+
 #[tokio::test]
 async fn damaged_row_read_again() {
     // If the first end were taken for missing, the leader would stop its run and begin it again.
@@ -287,3 +297,87 @@
     let later = observations.iter().filter(|observation| observation.clock_ms > 60_000).count();
     assert!(later >= 2, "{later} observations after the jump");
 }
+
+#[tokio::test]
+async fn invented_incarnation_ignored() {
+    // The leader takes the runs of the incarnation before for lost and begins them elsewhere, while
+    // they run on.
+    let mut attached =
+        Attached::new(false, |_, clock_ms| PollResult::Answered(response(clock_ms, Vec::new())))
+            .await;
+    attached.reports_within(Duration::from_secs(1)).await;
+    attached.announce(worker(START + 50_000), 1).await;
+    let reports = attached.reports_within(Duration::from_millis(1_500)).await;
+    assert_eq!(states(&reports), Vec::<&WorkerState>::new(), "reported a worker that does not run");
+    assert!(observations(&reports).len() >= 3, "stopped following the worker");
+    let draining = WorkerState { draining: true, ..worker(START) };
+    attached.announce(draining.clone(), 2).await;
+    let reports = attached.reports_within(Duration::from_millis(500)).await;
+    assert_eq!(states(&reports), vec![&draining]);
+}
+
+#[tokio::test]
+async fn restart_followed() {
+    // The response of the new incarnation shows at once that the announced one runs.
+    let mut attached = Attached::new(false, |number, clock_ms| {
+        let started_at_unix_ms = Some(if number < 4 { START } else { START + 1 });
+        let clock_ms = if number < 4 { clock_ms } else { clock_ms - 5_000 };
+        PollResult::Answered(PollResponse { started_at_unix_ms, ..response(clock_ms, Vec::new()) })
+    })
+    .await;
+    attached.reports_within(Duration::from_millis(900)).await;
+    attached.announce(worker(START + 1), 1).await;
+    let reports = attached.reports_within(Duration::from_millis(1_500)).await;
+    assert_eq!(states(&reports), vec![&worker(START + 1)]);
+    assert!(!observations(&reports).is_empty(), "no observation of the new incarnation");
+}
+
+#[tokio::test]
+async fn silent_restart_followed() {
+    // Workers that do not name their start in responses are replaced as announced.
+    let mut attached = Attached::new(false, |_, clock_ms| {
+        let response = response(clock_ms, Vec::new());
+        PollResult::Answered(PollResponse { started_at_unix_ms: None, ..response })
+    })
+    .await;
+    attached.reports_within(Duration::from_millis(900)).await;
+    attached.announce(worker(START + 1), 1).await;
+    let reports = attached.reports_within(Duration::from_millis(1_000)).await;
+    assert_eq!(states(&reports), vec![&worker(START + 1)]);
+}
+
+#[tokio::test]
+async fn drain_after_odd_sequence() {
+    // The sequence number of another writer must not hide that the worker drains.
+    let mut attached =
+        Attached::new(false, |_, clock_ms| PollResult::Answered(response(clock_ms, Vec::new())))
+            .await;
+    attached.announce(worker(START), u64::MAX).await;
+    attached.reports_within(Duration::from_millis(500)).await;
+    let draining = WorkerState { draining: true, ..worker(START) };
+    attached.announce(draining.clone(), 2).await;
+    let reports = attached.reports_within(Duration::from_millis(500)).await;
+    assert_eq!(states(&reports), vec![&draining], "the agent missed that the worker drains");
+    attached.announce(worker(START), 1).await;
+    let reports = attached.reports_within(Duration::from_millis(500)).await;
+    assert!(states(&reports).is_empty(), "a late announcement took the drain back");
+}
+
+#[tokio::test]
+async fn contradiction_ignored() {
+    // A worker in another pool gets no work. Its pool changes only with its incarnation.
+    let mut attached =
+        Attached::new(false, |_, clock_ms| PollResult::Answered(response(clock_ms, Vec::new())))
+            .await;
+    attached.reports_within(Duration::from_millis(500)).await;
+    let other = WorkerState { service: ServiceName::new("other").unwrap(), ..worker(START) };
+    attached.announce(other.clone(), 2).await;
+    attached.announce(worker(START), 3).await;
+    attached.announce(other.clone(), 4).await;
+    let reports = attached.reports_within(Duration::from_millis(500)).await;
+    assert!(states(&reports).is_empty(), "reported a contradicting announcement");
+    // The first announcement may have been the odd one.
+    attached.announce(other.clone(), 5).await;
+    let reports = attached.reports_within(Duration::from_millis(500)).await;
+    assert_eq!(states(&reports), vec![&other]);
+}
