Tell departures of incarnations of the same name apart

What callers saw: nothing yet. A late `DELETE /instances/ID` of an earlier incarnation removed the current one of the same `Id`; its runs were taken for lost while they ran on.

Evidence: late_departure_ignored failed before the change.

Fix: the body of the call, where there is one, names the start (`born`) as all that a worker says of itself does, and only that incarnation leaves. Without a body the two cannot be told apart, and the current incarnation leaves as before.

--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -344,8 +344,13 @@
     fn on_announcement(&mut self, announcement: Announcement) {
         match announcement {
             Announcement::Present { state, sequence } => self.on_present(state, sequence),
-            Announcement::Left(name) => {
-                let left = self.worker.take_if(|worker| worker.incarnation.worker == name);
+            Announcement::Left { worker, started_at_unix_ms } => {
+                let left = self.worker.take_if(|current| {
+                    let current = &current.incarnation;
+                    current.worker == worker
+                        && started_at_unix_ms
+                            .is_none_or(|start| start == current.started_at_unix_ms)
+                });
                 if let Some(worker) = left {
                     log::info!(
                         event = "worker_departed", life:% = worker.incarnation;
--- a/crates/yuccatack_worker_agent/src/port.rs
+++ b/crates/yuccatack_worker_agent/src/port.rs
@@ -19,7 +19,12 @@
         sequence: u64,
     },
     /// The worker shuts down.
-    Left(WorkerName),
+    Left {
+        /// Name of the worker, which its incarnations may share.
+        worker: WorkerName,
+        /// Start of the incarnation that leaves, if the worker sends it.
+        started_at_unix_ms: Option<u64>,
+    },
 }
 
 /// Call that starts a run.
--- a/crates/yuccatack_worker_agent/tests/odd_entries.rs
+++ b/crates/yuccatack_worker_agent/tests/odd_entries.rs
@@ -381,3 +381,20 @@
     let reports = attached.reports_within(Duration::from_millis(500)).await;
     assert_eq!(states(&reports), vec![&other]);
 }
+
+#[tokio::test]
+async fn late_departure_ignored() {
+    // Incarnations may share a name. The leader takes the runs of one that leaves for lost.
+    let mut attached =
+        Attached::new(false, |_, clock_ms| PollResult::Answered(response(clock_ms, Vec::new())))
+            .await;
+    attached.reports_within(Duration::from_millis(500)).await;
+    let name = WorkerName::new("worker").unwrap();
+    for (start, leaves) in [(Some(START - 1), false), (Some(START), true)] {
+        let left = Announcement::Left { worker: name.clone(), started_at_unix_ms: start };
+        attached.announcements.send(left).await.unwrap();
+        let reports = attached.reports_within(Duration::from_millis(500)).await;
+        let left = reports.iter().any(|report| matches!(report, AgentMessage::Left(_)));
+        assert_eq!(left, leaves, "departure of the incarnation started at {start:?}");
+    }
+}
