--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -13,6 +13,7 @@
 use yuccatack_queue_client::{AgentStream, Backoff, QueueClient};
 use yuccatack_runs::{RunId, WorkerIncarnation};
 
+use crate::clock::ClockCheck;
 use crate::orders::{OrderTracker, StartAction};
 use crate::port::{
     Announcement, PollCall, PollResponse, PollResult, StartCall, StopCall, StopResult, WorkerPort,
@@ -35,6 +36,11 @@
 /// loop.
 const UNACKNOWLEDGED_ENDS_DELAY: Duration = Duration::from_millis(150);
 
+/// Number of times in a row that a response is read again because some of its rows cannot be read.
+/// A row that was damaged on its way is complete in the next response. Readings of the worker's
+/// clock count for 1.2 s, so this must take much less.
+const MAX_REREAD_COUNT: u32 = 3;
+
 /// Delay after a failed poll.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -68,6 +74,13 @@
     },
 }
 
+/// Announcement of another incarnation while the current one seems to run.
+struct Candidate {
+    state: WorkerState,
+    sequence: u64,
+    announced_at: Instant,
+}
+
 /// Agent of one worker.
 pub struct Agent<Port> {
     config: AgentConfig,
@@ -86,9 +99,14 @@
     worker: Option<WorkerState>,
     /// Number of the newest announcement of the current incarnation.
     sequence: u64,
+    /// Last announcement of the current incarnation if it contradicts those before.
+    contradiction: Option<WorkerState>,
+    /// Later incarnation that replaces the current one unless the next poll reaches the current one.
+    candidate: Option<Candidate>,
     /// `true` if the last poll of the current incarnation failed.
     last_poll_failed: bool,
     poll_in_flight: bool,
+    poll_began_at: Instant,
     next_poll_at: Instant,
     /// End of the lease granted by the leader, by the worker's clock.
     lease_until_clock_ms: Option<u64>,
@@ -96,6 +114,9 @@
     acknowledged_end: u64,
     /// Number of the last run end in the worker's latest response.
     listed_end: u64,
+    /// Number of responses in a row that were read again because of unreadable rows.
+    reread_count: u32,
+    clock: ClockCheck,
     orders: OrderTracker,
 }
 
@@ -127,12 +148,17 @@
             token: None,
             worker: None,
             sequence: 0,
+            contradiction: None,
+            candidate: None,
             last_poll_failed: false,
             poll_in_flight: false,
+            poll_began_at: now,
             next_poll_at: now,
             lease_until_clock_ms: None,
             acknowledged_end: 0,
             listed_end: 0,
+            reread_count: 0,
+            clock: ClockCheck::default(),
             orders: OrderTracker::default(),
         };
         let mut checks = interval(CHECK_INTERVAL);
@@ -318,8 +344,13 @@
     fn on_announcement(&mut self, announcement: Announcement) {
         match announcement {
             Announcement::Present { state, sequence } => self.on_present(state, sequence),
-            Announcement::Left(name) => {
-                let left = self.worker.take_if(|worker| worker.incarnation.worker == name);
+            Announcement::Left { worker, started_at_unix_ms } => {
+                let left = self.worker.take_if(|current| {
+                    let current = &current.incarnation;
+                    current.worker == worker
+                        && started_at_unix_ms
+                            .is_none_or(|start| start == current.started_at_unix_ms)
+                });
                 if let Some(worker) = left {
                     log::info!(
                         event = "worker_departed", life:% = worker.incarnation;
@@ -333,40 +364,108 @@
     }
 
     fn on_present(&mut self, state: WorkerState, sequence: u64) {
-        let replaces_current = match &self.worker {
+        match &self.worker {
             Some(worker) if worker.incarnation == state.incarnation => {
-                if sequence > self.sequence && *worker != state {
-                    self.worker = Some(state.clone());
-                    self.report(AgentMessage::State(state));
-                }
-                self.sequence = self.sequence.max(sequence);
+                self.on_current_present(state, sequence);
+            }
+            // The wall clock can go back, so an incarnation whose last poll failed is replaced in
+            // any case.
+            Some(_) if self.last_poll_failed => self.begin_incarnation(state, sequence),
+            // Runs of the current incarnation are lost for the leader once it is replaced, so the
+            // next poll must confirm that it is gone.
+            Some(worker)
+                if state.incarnation.started_at_unix_ms > worker.incarnation.started_at_unix_ms =>
+            {
+                let announced_at = Instant::now();
+                self.candidate = Some(Candidate { state, sequence, announced_at });
+                self.next_poll_at = announced_at;
+            }
+            // A late announcement of an earlier incarnation must not replace a later one.
+            Some(_) => {}
+            None => self.begin_incarnation(state, sequence),
+        }
+    }
+
+    /// Handles an announcement of the current incarnation.
+    fn on_current_present(&mut self, state: WorkerState, sequence: u64) {
+        let Some(worker) = &self.worker else { return };
+        // Pool, place and capacity of an incarnation stay the same. An announcement that differs is
+        // from another writer, unless the next one says the same.
+        if !is_same_worker(worker, &state) {
+            let confirmed =
+                self.contradiction.as_ref().is_some_and(|other| is_same_worker(other, &state));
+            if !confirmed {
+                log::warn!(
+                    event = "announcement_refused", life:% = state.incarnation;
+                    "ignoring an announcement that contradicts the earlier ones of the worker"
+                );
+                self.contradiction = Some(state);
                 return;
             }
-            // A late announcement of an earlier incarnation must not replace a later one. The wall
-            // clock can go back, so an incarnation whose last poll failed is replaced in any case.
-            Some(worker) => {
-                state.incarnation.started_at_unix_ms > worker.incarnation.started_at_unix_ms
-                    || self.last_poll_failed
+        }
+        self.contradiction = None;
+        // A worker does not take back that it drains, so a late announcement of that counts. It
+        // would be missed for good if an odd sequence number had been taken over.
+        let begins_to_drain = state.draining && !worker.draining;
+        if (sequence > self.sequence || begins_to_drain) && *worker != state {
+            self.worker = Some(state.clone());
+            self.report(AgentMessage::State(state));
+        }
+        self.sequence = self.sequence.max(sequence);
+    }
+
+    fn begin_incarnation(&mut self, state: WorkerState, sequence: u64) {
+        log::info!(
+            event = "worker_found", life:% = state.incarnation;
+            "the worker announced itself; reporting it to the leader"
+        );
+        self.reset_incarnation();
+        self.sequence = sequence;
+        self.worker = Some(state.clone());
+        self.report(AgentMessage::State(state));
+    }
+
+    /// Decides about another incarnation that was announced, once a poll has shown which one runs.
+    /// Returns `true` if it has replaced the current one.
+    fn settle_candidate(&mut self, result: &PollResult) -> bool {
+        let current = self.worker.as_ref().map(|worker| worker.incarnation.started_at_unix_ms);
+        let poll_began_at = self.poll_began_at;
+        let Some(candidate) = &self.candidate else { return false };
+        let start = candidate.state.incarnation.started_at_unix_ms;
+        let is_announced = match result {
+            PollResult::Answered(response) | PollResult::AnsweredInPart(response) => {
+                match response.started_at_unix_ms {
+                    // The current incarnation may have responded before the other one started.
+                    found if found == current && poll_began_at < candidate.announced_at => {
+                        return false;
+                    }
+                    Some(found) => found == start,
+                    None => true,
+                }
             }
-            None => true,
+            PollResult::OtherIncarnation | PollResult::Failed => true,
         };
-        if replaces_current {
-            log::info!(
-                event = "worker_found", life:% = state.incarnation;
-                "the worker announced itself; reporting it to the leader"
+        let Some(candidate) = self.candidate.take() else { return false };
+        if is_announced {
+            self.begin_incarnation(candidate.state, candidate.sequence);
+        } else {
+            log::warn!(
+                event = "announcement_refused", life:% = candidate.state.incarnation;
+                "ignoring the announcement; a poll showed that another incarnation runs"
             );
-            self.reset_incarnation();
-            self.sequence = sequence;
-            self.worker = Some(state.clone());
-            self.report(AgentMessage::State(state));
         }
+        is_announced
     }
 
     fn reset_incarnation(&mut self) {
         self.lease_until_clock_ms = None;
         self.acknowledged_end = 0;
         self.listed_end = 0;
+        self.reread_count = 0;
+        self.clock = ClockCheck::default();
         self.orders = OrderTracker::default();
+        self.contradiction = None;
+        self.candidate = None;
         self.last_poll_failed = false;
     }
 
@@ -376,13 +475,15 @@
             return;
         }
         self.poll_in_flight = true;
+        self.poll_began_at = Instant::now();
         let incarnation = worker.incarnation.clone();
         let call = PollCall {
             incarnation: incarnation.clone(),
             token,
             until_clock_ms: self.lease_until_clock_ms,
             acknowledged_end: self.acknowledged_end,
-            wait_ms: POLL_WAIT,
+            // A worker gets no work before its clock is known.
+            wait_ms: if self.clock.has_accepted() { POLL_WAIT } else { DurationMs::ZERO },
         };
         let stopped = self.orders.confirmed_stops();
         let (port, events) = (self.port.clone(), self.events.clone());
@@ -402,26 +503,33 @@
         if !self.is_current(incarnation) {
             return;
         }
+        if self.settle_candidate(&result) {
+            return;
+        }
         match result {
             PollResult::Answered(response) if is_from_incarnation(&response, incarnation) => {
                 self.last_poll_failed = false;
-                self.listed_end = response.ended.iter().map(|end| end.number).max().unwrap_or(0);
-                if self.listed_end > self.acknowledged_end {
-                    self.next_poll_at = Instant::now() + UNACKNOWLEDGED_ENDS_DELAY;
+                if self.accept_clock(&response) {
+                    self.reread_count = 0;
+                    self.on_response(incarnation, response, stopped);
                 }
-                let ended: Vec<RunId> = response.ended.iter().map(|end| end.run.clone()).collect();
-                let observation = Observation {
-                    incarnation: incarnation.clone(),
-                    clock_ms: response.clock_ms,
-                    running: response.running,
-                    ended: response.ended,
-                    stopped: stopped.clone(),
-                };
-                if self.report(AgentMessage::Observed(observation)) {
-                    self.orders.on_reported(&stopped, &ended);
+            }
+            PollResult::AnsweredInPart(response) if is_from_incarnation(&response, incarnation) => {
+                self.last_poll_failed = false;
+                if self.accept_clock(&response) {
+                    // The row stays listed, so the worker responds to the next poll at once.
+                    self.next_poll_at = Instant::now() + UNACKNOWLEDGED_ENDS_DELAY;
+                    if self.reread_count < MAX_REREAD_COUNT {
+                        self.reread_count += 1;
+                    } else {
+                        self.on_response(incarnation, response, stopped);
+                    }
                 }
             }
-            PollResult::Answered(_) | PollResult::OtherIncarnation | PollResult::Failed => {
+            PollResult::Answered(_)
+            | PollResult::AnsweredInPart(_)
+            | PollResult::OtherIncarnation
+            | PollResult::Failed => {
                 if !self.last_poll_failed {
                     log::warn!(
                         event = "worker_silent", life:% = incarnation;
@@ -434,6 +542,46 @@
         }
     }
 
+    /// Returns `true` if the response's reading of the worker's clock counts. Leases are computed
+    /// from it, and the leader discards later responses with a lower one.
+    fn accept_clock(&mut self, response: &PollResponse) -> bool {
+        let now = Instant::now();
+        let is_first = self.clock.is_empty();
+        let accepted = self.clock.accept(response.clock_ms, now);
+        if !accepted && !is_first {
+            log::warn!(
+                event = "worker_clock_refused", clock_ms = response.clock_ms;
+                "ignoring a response of the worker, whose clock does not fit the previous reading"
+            );
+            self.next_poll_at = now + POLL_RETRY_DELAY;
+        }
+        accepted
+    }
+
+    /// Reports the worker's response to the leader.
+    fn on_response(
+        &mut self,
+        incarnation: &WorkerIncarnation,
+        response: PollResponse,
+        stopped: Vec<RunId>,
+    ) {
+        self.listed_end = response.ended.iter().map(|end| end.number).max().unwrap_or(0);
+        if self.listed_end > self.acknowledged_end {
+            self.next_poll_at = Instant::now() + UNACKNOWLEDGED_ENDS_DELAY;
+        }
+        let ended: Vec<RunId> = response.ended.iter().map(|end| end.run.clone()).collect();
+        let observation = Observation {
+            incarnation: incarnation.clone(),
+            clock_ms: response.clock_ms,
+            running: response.running,
+            ended: response.ended,
+            stopped: stopped.clone(),
+        };
+        if self.report(AgentMessage::Observed(observation)) {
+            self.orders.on_reported(&stopped, &ended);
+        }
+    }
+
     fn is_current(&self, incarnation: &WorkerIncarnation) -> bool {
         self.worker.as_ref().is_some_and(|worker| worker.incarnation == *incarnation)
     }
@@ -459,6 +607,14 @@
     response.started_at_unix_ms.is_none_or(|started| started == incarnation.started_at_unix_ms)
 }
 
+/// Returns `true` if both announcements describe the same worker; its drain state may differ.
+fn is_same_worker(one: &WorkerState, other: &WorkerState) -> bool {
+    one.service == other.service
+        && one.data_centre == other.data_centre
+        && one.capacity == other.capacity
+        && one.labels == other.labels
+}
+
 async fn receive_frame(stream: &mut Option<AgentStream>) -> Option<LeaderFrame> {
     match stream {
         Some(stream) => stream.receive().await,
--- a/crates/yuccatack_worker_agent/src/port.rs
+++ b/crates/yuccatack_worker_agent/src/port.rs
@@ -19,7 +19,12 @@
         sequence: u64,
     },
     /// The worker shuts down.
-    Left(WorkerName),
+    Left {
+        /// Name of the worker, which its incarnations may share.
+        worker: WorkerName,
+        /// Start of the incarnation that leaves, if the worker sends it.
+        started_at_unix_ms: Option<u64>,
+    },
 }
 
 /// Call that starts a run.
@@ -81,6 +86,8 @@
 pub enum PollResult {
     /// The worker responded.
     Answered(PollResponse),
+    /// The worker responded, but some of the listed rows cannot be read; the response lacks them.
+    AnsweredInPart(PollResponse),
     /// Another incarnation of the worker responded.
     OtherIncarnation,
     /// The worker refused the call or did not respond.
