--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -268,7 +268,7 @@
             blocked_steps.insert(step);
         }
         let services = UnusedServices::new(&self.sessions, table);
-        self.waiting_steps.update(&waiting, &services, now);
+        self.waiting_steps.update(&groups, &waiting, &services, now);
         if !waiting.is_empty() && now.since(self.summarized_at) >= SUMMARY_INTERVAL {
             self.summarized_at = now;
             self.summary = Some(PassSummary::new(&waiting, &workers, table));
--- a/crates/yuccatack_dispatch/src/waiting.rs
+++ b/crates/yuccatack_dispatch/src/waiting.rs
@@ -18,6 +18,10 @@
 /// users allow 3 s; the rest is for the start itself.
 const RESTRAINT_LIMIT_MS: DurationMs = DurationMs::new(2_000);
 
+/// Time for which the capacity may be in use without ending the wait of a group: short runs that
+/// fail at once fill it for moments only.
+const MAX_USED_SPELL_MS: DurationMs = DurationMs::new(1_000);
+
 /// Part of a service's capacity below which it counts as mostly unused. The users draw the line at
 /// half of the capacity that runs use; open runs also include those that begin or end.
 const MOSTLY_UNUSED_PERCENT: u64 = 60;
@@ -34,10 +38,18 @@
 /// Step of an occurrence of a job, by the order of the job.
 type StepKey = (u64, u32, u32);
 
+/// Wait of a group while most of the capacity of its service is unused.
+#[derive(Clone, Copy, Debug)]
+struct Wait {
+    began_at: TimestampMs,
+    /// Last time at which most of the capacity was unused.
+    unused_at: TimestampMs,
+}
+
 /// Steps with a group that waits while most of the capacity of its service is unused.
 #[derive(Debug, Default)]
 pub(crate) struct WaitingSteps {
-    since: FastHashMap<StepKey, TimestampMs>,
+    waits: FastHashMap<StepKey, Wait>,
 }
 
 impl WaitingSteps {
@@ -48,8 +60,8 @@
         workers: &[WorkerSnapshot],
         now: TimestampMs,
     ) -> Option<Placement> {
-        let since = self.since.get(&step_key(group))?;
-        if now.since(*since) < RESTRAINT_LIMIT_MS {
+        let wait = self.waits.get(&step_key(group))?;
+        if now.since(wait.began_at) < RESTRAINT_LIMIT_MS {
             return None;
         }
         WAIVER_STEPS.into_iter().find_map(|waivers| {
@@ -57,25 +69,34 @@
             log::info!(
                 event = "restraint_waived", job = group.job.submission.name.as_str(),
                 step = group.step, waived:% = waivers;
-                "the group has waited while most of the capacity is unused; placing it regardless of these rules"
+                "the group waits while most of the capacity is unused; these rules do not apply to it"
             );
             Some(placement)
         })
     }
 
-    /// Records the groups that a scheduling pass left waiting.
+    /// Records the groups that a scheduling pass left waiting. Keeps the waits of the other ready
+    /// groups: the batch with their starts may fail.
     pub fn update(
         &mut self,
+        ready: &[TaskGroup<'_>],
         waiting: &[&TaskGroup<'_>],
         services: &UnusedServices,
         now: TimestampMs,
     ) {
-        let unused = |group: &&&TaskGroup<'_>| services.contains(&group.job.submission.service);
-        let entry = |group: &&TaskGroup<'_>| {
-            let key = step_key(group);
-            (key, self.since.get(&key).copied().unwrap_or(now))
+        let earlier = |group: &TaskGroup<'_>| {
+            let wait = self.waits.get(&step_key(group)).copied();
+            wait.filter(|wait| now.since(wait.unused_at) <= MAX_USED_SPELL_MS)
         };
-        self.since = waiting.iter().filter(unused).map(entry).collect();
+        let kept = ready.iter().filter_map(|group| Some((step_key(group), earlier(group)?)));
+        let mut waits: FastHashMap<StepKey, Wait> = kept.collect();
+        let is_unused = |group: &&&TaskGroup<'_>| services.contains(&group.job.submission.service);
+        for group in waiting.iter().filter(is_unused) {
+            let wait =
+                waits.entry(step_key(group)).or_insert(Wait { began_at: now, unused_at: now });
+            wait.unused_at = now;
+        }
+        self.waits = waits;
     }
 }
 
--- a/crates/yuccatack_dispatch/tests/simulated_days/checks.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/checks.rs
@@ -28,6 +28,7 @@
 impl Checks {
     /// Checks that no other run of the task executes, and that the task has not completed.
     pub fn on_begin(&mut self, run: &RunId, workers: &[SimulatedWorker], table: &JobTable) {
+        self.idle_since.remove(&run.task.job);
         let twice = workers.iter().filter(|worker| worker.is_up()).any(|worker| {
             worker.running.keys().any(|other| other.task == run.task && other != run)
         });
@@ -39,7 +40,8 @@
         }
     }
 
-    /// Checks that each unfinished job executes something, unless capacity is short.
+    /// Checks that each unfinished job executes something, unless capacity is short, or a worker with a
+    /// fault may still carry out a start of it: the task must not begin elsewhere until that is known.
     pub fn check_idle_jobs(
         &mut self,
         workers: &[SimulatedWorker],
@@ -50,6 +52,13 @@
             .iter()
             .filter(|worker| worker.is_up())
             .flat_map(|worker| worker.running.keys().map(|run| &run.task.job))
+            .chain(table.open_runs().iter().filter_map(|(run, open)| {
+                let worker =
+                    workers.iter().find(|worker| worker.state.incarnation == open.incarnation);
+                worker
+                    .is_some_and(|worker| worker.conduct != Conduct::Sound)
+                    .then_some(&run.task.job)
+            }))
             .collect();
         let mostly_free = most_capacity_is_free(workers, table);
         for job in table.jobs().filter(|job| !job.phase.is_final()) {
