--- a/crates/yuccatack_dispatch/tests/simulated_days/day.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/day.rs
@@ -7,8 +7,8 @@
 use rand_chacha::ChaCha8Rng;
 use yuccatack_core::{DurationMs, FastHashMap, JobName, NodeName, Resources, TimestampMs};
 use yuccatack_dispatch::{
-    AgentMessage, DispatchSettings, Dispatcher, Orders, StartOrder, StartResult, TableChange,
-    WorkerState,
+    AgentMessage, DispatchSettings, Dispatcher, Orders, PendingChanges, StartOrder, StartResult,
+    TableChange, WorkerState,
 };
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{JobTable, RunId, RunOutcome};
@@ -40,6 +40,12 @@
 /// Factor by which tasks take longer away from their data, and gangs that are spread over racks.
 const FAR_FACTOR: f64 = 3.0;
 
+/// Longest time between two scheduling decisions of a leader, beyond the time of a commit.
+const DECISION_LIMIT: DurationMs = DurationMs::new(300);
+
+/// Interval of the checks for jobs that could run, well below the time that they may be idle.
+const CHECK_INTERVAL_MS: u64 = 200;
+
 /// Time after the end of the traffic at which unfinished jobs are asked for, less the time for
 /// which a job may be idle.
 const FINISH_DELAY: DurationMs = DurationMs::new(11_000);
@@ -63,6 +69,10 @@
     pub leader_change_count: usize,
     /// Percentage of the proposals that fail although the leader stays.
     pub failed_proposal_percent: u8,
+    /// Time that the commit of a proposal takes.
+    pub commit_ms: u64,
+    /// `true` if the polls of the workers are spread over the interval.
+    pub spread_polls: bool,
 }
 
 impl Default for DayPlan {
@@ -77,6 +87,8 @@
             lasting_fault_count: 0,
             leader_change_count: 0,
             failed_proposal_percent: 0,
+            commit_ms: TICK.get(),
+            spread_polls: false,
         }
     }
 }
@@ -95,9 +107,11 @@
 
 struct Leader {
     dispatcher: Dispatcher,
-    pending: Vec<TableChange>,
+    pending: PendingChanges<TimestampMs>,
     /// Batch of changes that is being committed, and `false` if it fails.
     in_flight: Option<(TimestampMs, Vec<TableChange>, bool)>,
+    /// Time of the last scheduling decision.
+    decided_at: TimestampMs,
 }
 
 pub struct Day {
@@ -126,12 +140,18 @@
         let traffic_begins_at = begins_at + DurationMs::new(2_000);
         let traffic_ends_at = traffic_begins_at + DurationMs::new(plan.traffic_ms);
         let speeds = [100, 100, 130];
-        let workers = (0..plan.worker_count)
+        let mut workers: Vec<SimulatedWorker> = (0..plan.worker_count)
             .map(|index| {
                 let speed_percent = speeds[random.random_range(0..speeds.len())];
                 SimulatedWorker::new(worker_state(index, plan.rack_size), speed_percent, begins_at)
             })
             .collect();
+        if plan.spread_polls {
+            for (index, worker) in (0u64..).zip(&mut workers) {
+                let delay_ms = index * TICK.get() % POLL_INTERVAL_MS;
+                worker.next_poll_at = begins_at + DurationMs::new(delay_ms);
+            }
+        }
         let mut fault =
             || draw_fault(plan.worker_count, traffic_begins_at, traffic_ends_at, &mut random);
         let mut faults: Vec<WorkerFault> = (0..plan.fault_count).map(|_| fault()).collect();
@@ -174,7 +194,8 @@
             self.run_agents();
             self.deliver();
             self.run_leader();
-            if self.now >= traffic_ends_at + FINISH_DELAY {
+            let is_check_due = self.now.get().is_multiple_of(CHECK_INTERVAL_MS);
+            if self.now >= traffic_ends_at + FINISH_DELAY && is_check_due {
                 self.checks.check_idle_jobs(&self.workers, &self.table, self.now);
                 if self.table.jobs().all(|job| job.phase.is_final()) {
                     return self.checks.violations;
@@ -406,7 +427,7 @@
                         let node = support::node(index);
                         let changes =
                             leader.dispatcher.on_message(&node, message, &self.table, now);
-                        leader.pending.extend(changes);
+                        leader.pending.report(changes);
                     }
                 }
                 Delivery::Order(index, orders) => self.carry_out(index, orders),
@@ -467,10 +488,13 @@
             }
             _ => {}
         }
-        self.checks.on_begin(&start.run, &self.workers, &self.table);
         let room = free(&self.workers[index], &self.table);
         let need = demand(&start.run, &self.table);
-        (self.workers[index].start(start, token, room, need, now, random), answer)
+        let result = self.workers[index].start(start, token, room, need, now, random);
+        if result == StartResult::Begun {
+            self.checks.on_begin(&start.run, &self.workers, &self.table);
+        }
+        (result, answer)
     }
 
     fn run_leader(&mut self) {
@@ -483,31 +507,47 @@
             self.token += 1;
             let settings = DispatchSettings::new(MAX_LEASE, DurationMs::new(400));
             let dispatcher = Dispatcher::new(settings, self.token, now);
-            self.leader = Some(Leader { dispatcher, pending: Vec::new(), in_flight: None });
+            self.leader = Some(Leader {
+                dispatcher,
+                pending: PendingChanges::new(now),
+                in_flight: None,
+                decided_at: now,
+            });
             self.workers.iter_mut().for_each(|worker| worker.attached = false);
         }
         let Some(leader) = &mut self.leader else { return };
         if leader.in_flight.as_ref().is_some_and(|(at, ..)| *at <= now)
-            && let Some((_, changes, succeeds)) = leader.in_flight.take()
-            && succeeds
+            && let Some((at, changes, succeeds)) = leader.in_flight.take()
         {
-            apply(&mut self.table, changes, now);
+            if succeeds {
+                apply(&mut self.table, changes, now);
+                leader.pending.on_committed(&at);
+            } else {
+                leader.pending.on_failed(&at);
+            }
         }
         leader.dispatcher.confirm_leadership(TimestampMs::new(now.get() - TICK.get()));
         if leader.in_flight.is_none() {
-            let mut changes = std::mem::take(&mut leader.pending);
-            if changes.is_empty() {
+            let mut decided = Vec::new();
+            if leader.pending.begin_decision(now) {
+                let gap_ms = now.since(leader.decided_at).get();
+                if gap_ms > DECISION_LIMIT.get() + self.plan.commit_ms {
+                    let violation = format!("no decision in the {gap_ms} ms before {now:?}");
+                    self.checks.violations.push(violation);
+                }
+                leader.decided_at = now;
                 let unix_ms = now.get();
-                changes = leader.dispatcher.decide(&self.table, &self.configuration, now, unix_ms);
+                decided = leader.dispatcher.decide(&self.table, &self.configuration, now, unix_ms);
                 let summary = leader.dispatcher.take_summary();
                 if let Some(longest) = summary.and_then(|summary| summary.longest_waiting) {
                     let cause = longest.cause().to_string();
                     self.checks.wait_causes.insert(longest.job, cause);
                 }
             }
-            if !changes.is_empty() {
+            let committed_at = now + DurationMs::new(self.plan.commit_ms);
+            if let Some(changes) = leader.pending.next_batch(committed_at, decided) {
                 let succeeds = !draw(self.plan.failed_proposal_percent, &mut self.random);
-                leader.in_flight = Some((now + TICK, changes, succeeds));
+                leader.in_flight = Some((committed_at, changes, succeeds));
             }
         }
         for (node, orders) in leader.dispatcher.orders(&self.table, now) {
--- a/crates/yuccatack_dispatch/tests/simulated_days/main.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/main.rs
@@ -39,10 +39,13 @@
 }
 
 /// Plays a day for each seed and reports the violations of all of them.
-fn play(plan: &DayPlan, seeds: &[u64]) {
+fn play<Plan>(plan: Plan, seeds: &[u64])
+where
+    Plan: Fn(u64) -> DayPlan,
+{
     let mut violations = Vec::new();
     for seed in seeds {
-        let found = Day::new(plan.clone(), *seed).play();
+        let found = Day::new(plan(*seed), *seed).play();
         violations.extend(found.into_iter().map(|violation| format!("seed {seed}: {violation}")));
     }
     assert!(violations.is_empty(), "{} violations:\n{}", violations.len(), violations.join("\n"));
@@ -50,34 +53,47 @@
 
 #[test]
 fn calm_days() {
-    play(&DayPlan::default(), &seeds(&[]));
+    play(|_| DayPlan::default(), &seeds(&[]));
 }
 
 #[test]
 fn mixed_faults() {
-    play(&DayPlan { fault_count: 6, hopeless_percent: 3, ..DayPlan::default() }, &seeds(&[]));
+    let plan = DayPlan { fault_count: 6, hopeless_percent: 3, ..DayPlan::default() };
+    play(|_| plan.clone(), &seeds(&[]));
 }
 
 #[test]
 fn hopeless_jobs() {
-    play(&DayPlan { hopeless_percent: 30, ..DayPlan::default() }, &seeds(&[]));
+    let plan = DayPlan { hopeless_percent: 30, ..DayPlan::default() };
+    play(|_| plan.clone(), &seeds(&[]));
 }
 
 #[test]
 fn small_pools() {
-    play(
-        &DayPlan { worker_count: 11, rack_size: 3, fault_count: 3, ..DayPlan::default() },
-        &seeds(&[]),
-    );
+    let plan = DayPlan { worker_count: 11, rack_size: 3, fault_count: 3, ..DayPlan::default() };
+    play(|_| plan.clone(), &seeds(&[]));
 }
 
 #[test]
 fn lasting_faults() {
     let plan = DayPlan { lasting_fault_count: 2, ..DayPlan::default() };
-    play(&plan, &seeds(&FAILING_RACK_SEEDS));
+    play(|_| plan.clone(), &seeds(&FAILING_RACK_SEEDS));
 }
 
 #[test]
 fn lost_leaders() {
-    play(&DayPlan { leader_change_count: 4, fault_count: 3, ..DayPlan::default() }, &seeds(&[]));
+    let plan = DayPlan { leader_change_count: 4, fault_count: 3, ..DayPlan::default() };
+    play(|_| plan.clone(), &seeds(&[]));
+}
+
+#[test]
+fn failed_proposals() {
+    let plan = DayPlan { failed_proposal_percent: 10, ..DayPlan::default() };
+    play(|_| plan.clone(), &seeds(&[]));
+}
+
+#[test]
+fn slow_commits() {
+    let plan = DayPlan { worker_count: 54, spread_polls: true, ..DayPlan::default() };
+    play(|seed| DayPlan { commit_ms: 50 * (1 + seed % 4), ..plan.clone() }, &seeds(&[]));
 }
--- a/crates/yuccatack_queue_control/src/schedule.rs
+++ b/crates/yuccatack_queue_control/src/schedule.rs
@@ -3,7 +3,7 @@
 use ractor::ActorProcessingErr;
 use yuccatack_core::{DurationMs, TimestampMs};
 use yuccatack_dispatch::PassSummary;
-use yuccatack_replication::ReadId;
+use yuccatack_replication::{ProposalId, ReadId};
 
 use crate::actor::{ControlState, PendingProposal, PendingRead, unix_now_ms};
 use crate::command::Command;
@@ -20,6 +20,15 @@
 /// deployment do not delay heartbeats and calls.
 const PASS_PAUSE_FACTOR: u64 = 3;
 
+/// Upper bound on the pause after a scheduling pass. A process that is suspended or slowed down
+/// during a pass measures a long one, and callers expect work to start within a second or so.
+const MAX_PASS_PAUSE: DurationMs = DurationMs::new(500);
+
+/// Returns the pause after a scheduling pass that took `elapsed`.
+pub fn pause_after_pass(elapsed: DurationMs) -> DurationMs {
+    MAX_PASS_PAUSE.min(DurationMs::new(elapsed.get().saturating_mul(PASS_PAUSE_FACTOR)))
+}
+
 impl ControlState {
     pub(crate) fn schedule_is_due(&self) -> bool {
         let now = self.now();
@@ -40,23 +49,23 @@
         self.changed_since_pass = false;
         self.scheduled_at = now;
         let Some(dispatcher) = &mut self.dispatcher else { return Ok(()) };
-        if !self.changes_in_flight {
+        // The dispatcher requires a table without changes in flight.
+        if !self.pending_changes.is_in_flight() {
             let jobs = &self.queue_state.jobs;
             let now_unix_ms = unix_now_ms();
-            let mut changes = std::mem::take(&mut self.pending_changes);
-            if changes.is_empty() {
-                // The dispatcher requires a table without changes in flight.
-                changes =
+            let mut decided = Vec::new();
+            if self.pending_changes.begin_decision(now) {
+                decided =
                     dispatcher.decide(jobs, &self.queue_state.configuration, now, now_unix_ms);
                 self.metrics.queues.count_evictions(dispatcher.take_eviction_count());
                 if let Some(summary) = dispatcher.take_summary() {
                     log_summary(&summary);
                 }
             }
-            if !changes.is_empty() {
-                self.changes_in_flight = true;
+            let proposal = ProposalId::new(self.next_id());
+            if let Some(changes) = self.pending_changes.next_batch(proposal, decided) {
                 let command = Command::Change { changes, now_unix_ms };
-                self.propose(&command, PendingProposal::Changes)?;
+                self.propose_as(proposal, &command, PendingProposal::Changes)?;
             }
         }
         self.send_orders(now);
@@ -67,8 +76,8 @@
             self.reads.insert(read, PendingRead::Leases { began_at: now });
             self.replication.read(read);
         }
-        let elapsed_ms = self.now().since(now).get();
-        self.paused_until = self.now() + DurationMs::new(PASS_PAUSE_FACTOR * elapsed_ms);
+        let ended_at = self.now();
+        self.paused_until = ended_at + pause_after_pass(ended_at.since(now));
         Ok(())
     }
 
