Ask further replicas while the known leader is silent

What callers saw: for the first call of each node after the leader froze, an operator's configuration took 0.42 s instead of 0.014 s, although another leader had been elected seconds before.

Cause: the client asked one replica at a time and began with the leader of its last successful call. A client of a control replica is idle between the calls of operators, so it kept the replaced leader, and waited 400 ms for its confirmation, or 800 ms for a read, before it asked any other replica. The client of the new leader's own process did the same.

Fix: a search asks the next replica after 100 ms of silence, at once after a refusal, and two at once if the leader has not responded for 1 s. The first replica that responds as the leader wins, and a hint is followed at once. A request with effects still goes to one replica at a time, only after its confirmation. A hint of a replica that lags no longer replaces a leader that has just confirmed its leadership.

--- a/crates/yuccatack_queue_client/src/client.rs
+++ b/crates/yuccatack_queue_client/src/client.rs
@@ -4,16 +4,16 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::{Code, Status, Streaming};
+use tonic::Streaming;
 
-use crate::backoff::Backoff;
-use crate::directory::{CallOutcome, Candidate, Directory};
+use crate::attempt::{AttemptError, call_replica, evaluate_result, replica_client};
+use crate::directory::{CallOutcome, Contact, Directory};
 use crate::error::CallError;
 use crate::generated::queue_control::Envelope;
-use crate::generated::queue_control::queue_control_client::QueueControlClient;
 use crate::protocol::{AgentFrame, LeaderFrame, Request, Response};
+use crate::search::Search;
 
 /// Timeout of a call to one replica. A commit takes a few round trips and syncs: tens of
 /// milliseconds on healthy machines, some hundreds with a slow disk.
@@ -23,18 +23,9 @@
 /// disk access.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Initial delay after all replicas were tried. An election takes several times as long.
-const INITIAL_ROUND_DELAY: Duration = Duration::from_millis(60);
-
-/// Longest delay after all replicas were tried.
-const MAX_ROUND_DELAY: Duration = Duration::from_millis(250);
-
 /// Number of frames that may be queued in an agent's stream.
 const STREAM_QUEUE_LENGTH: usize = 64;
 
-/// Largest message; a whole configuration must fit into one.
-const MESSAGE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
-
 /// Calls the leader. Clones are cheap and share the connections.
 #[derive(Clone, Debug)]
 pub struct QueueClient {
@@ -52,14 +43,6 @@
     is_leader: bool,
 }
 
-/// Failure of an attempt to get a response of the leader.
-enum AttemptError {
-    /// The request has not taken effect and cannot do so any more.
-    NotDone,
-    /// The request may have taken effect or may do so later.
-    Unknown,
-}
-
 impl QueueClient {
     /// Creates a client that searches for the leader among `seeds`, whose addresses may change
     /// later.
@@ -68,99 +51,43 @@
     }
 
     /// Calls the leader; on failure searches for another one until `timeout` is over.
+    ///
+    /// A request without effects is sent to further replicas while earlier ones are silent. A
+    /// request with effects is sent to one replica at a time, shortly after that replica has
+    /// confirmed its leadership: from a replica that is partitioned or down, the caller would never
+    /// learn the outcome.
     pub async fn call(&self, request: &Request, timeout: Duration) -> Result<Response, CallError> {
         let deadline = Instant::now() + timeout;
-        let envelope = Envelope::try_from(request).map_err(|error| {
-            log::error!(event = "call_not_encoded"; "the request was not sent: {error}");
-            CallError::NotDone
-        })?;
-        let mut tried = Vec::new();
-        let mut may_have_taken_effect = false;
-        let mut backoff = Backoff::new(INITIAL_ROUND_DELAY, MAX_ROUND_DELAY);
-        while Instant::now() < deadline {
-            let Some(candidate) = self.directory.next(&tried).await else {
-                tried.clear();
-                sleep(backoff.delay().min(deadline - Instant::now())).await;
-                continue;
-            };
-            let address = candidate.address;
-            match self.attempt(request, &envelope, candidate, deadline).await {
-                Ok(response) => return Ok(response),
-                Err(AttemptError::NotDone) => {}
-                Err(AttemptError::Unknown) => may_have_taken_effect |= request.has_effects(),
-            }
-            tried.push(address);
-        }
-        Err(if may_have_taken_effect { CallError::Unknown } else { CallError::NotDone })
-    }
-
-    /// Calls one replica.
-    ///
-    /// A request with effects is only sent shortly after the replica has confirmed its leadership:
-    /// from a replica that is partitioned or down, the caller would never learn the outcome.
-    async fn attempt(
-        &self,
-        request: &Request,
-        envelope: &Envelope,
-        candidate: Candidate,
-        deadline: Instant,
-    ) -> Result<Response, AttemptError> {
-        let Candidate { address, channel, confirmed } = candidate;
-        let mut client = replica_client(channel);
-        if request.has_effects() && !confirmed {
-            let ping = Envelope::try_from(&Request::Ping).map_err(|error| {
-                log::error!(event = "call_not_encoded"; "the ping was not sent: {error}");
-                AttemptError::NotDone
-            })?;
-            let attempt_deadline = deadline.min(Instant::now() + CONFIRMATION_TIMEOUT);
-            let result = timeout_at(attempt_deadline, client.call(ping)).await;
-            self.evaluate_result(address, result).await.map_err(|_| AttemptError::NotDone)?;
+        let envelope = encode_request(request)?;
+        if !request.has_effects() {
+            let mut search = Search::new(self.directory.clone(), envelope, ATTEMPT_TIMEOUT);
+            let leader = search.find(deadline).await.ok_or(CallError::NotDone)?;
+            return Ok(leader.response);
         }
-        let attempt_deadline = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
-        let result = timeout_at(attempt_deadline, client.call(envelope.clone())).await;
-        self.evaluate_result(address, result).await
-    }
-
-    /// Records the result of a call in the directory and converts it to a response of the leader.
-    async fn evaluate_result(
-        &self,
-        address: SocketAddr,
-        result: Result<Result<tonic::Response<Envelope>, Status>, tokio::time::error::Elapsed>,
-    ) -> Result<Response, AttemptError> {
-        let envelope = match result {
-            Ok(Ok(response)) => response.into_inner(),
-            Ok(Err(status)) => {
-                self.directory.record(address, CallOutcome::Unresponsive).await;
-                return Err(match status.code() {
-                    // A replica only returns these codes before it handles the request.
-                    Code::FailedPrecondition | Code::ResourceExhausted => AttemptError::NotDone,
-                    _ if is_connect_failure(&status) => AttemptError::NotDone,
-                    _ => AttemptError::Unknown,
-                });
-            }
-            Err(_) => {
-                self.directory.record(address, CallOutcome::Unresponsive).await;
-                return Err(AttemptError::Unknown);
+        let ping = encode_request(&Request::Ping)?;
+        let mut search = Search::new(self.directory.clone(), ping, CONFIRMATION_TIMEOUT);
+        let mut may_have_taken_effect = false;
+        let mut leader = match self.directory.next(&[]).await {
+            Some(candidate) if candidate.contact == Contact::Confirmed => {
+                search.skip(candidate.address);
+                Some((candidate.address, candidate.channel))
             }
+            _ => None,
         };
-        match Response::try_from(envelope) {
-            Ok(Response::NotLeader(hint)) => {
-                self.directory.record(address, CallOutcome::NotLeader(hint)).await;
-                Err(AttemptError::NotDone)
-            }
-            Ok(Response::Unknown) => Err(AttemptError::Unknown),
-            Ok(response) => {
-                self.directory.record(address, CallOutcome::ConfirmedLeader).await;
-                Ok(response)
+        loop {
+            if leader.is_none() {
+                leader = search.find(deadline).await.map(|found| (found.address, found.channel));
             }
-            Err(error) => {
-                log::error!(
-                    event = "answer_not_decoded", address:% = address;
-                    "ignoring the replica's response, which cannot be decoded: {error}"
-                );
-                Err(AttemptError::Unknown)
+            let Some((address, channel)) = leader.take() else { break };
+            let attempt_deadline = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
+            let result = call_replica(channel, envelope.clone(), attempt_deadline).await;
+            match evaluate_result(&self.directory, address, result).await {
+                Ok(response) => return Ok(response),
+                Err(AttemptError::NotDone) => {}
+                Err(AttemptError::Unknown) => may_have_taken_effect = true,
             }
         }
+        Err(if may_have_taken_effect { CallError::Unknown } else { CallError::NotDone })
     }
 
     /// Opens an agent's stream to a replica that may lead and is not in `tried`.
@@ -248,22 +175,9 @@
     }
 }
 
-fn replica_client(
-    channel: tonic::transport::Channel,
-) -> QueueControlClient<tonic::transport::Channel> {
-    QueueControlClient::new(channel)
-        .max_decoding_message_size(MESSAGE_LIMIT_BYTES)
-        .max_encoding_message_size(MESSAGE_LIMIT_BYTES)
-}
-
-/// Returns `true` if the connection could not be opened, so that nothing was sent.
-fn is_connect_failure(status: &Status) -> bool {
-    let mut cause = std::error::Error::source(status);
-    while let Some(error) = cause {
-        if error.is::<tonic::ConnectError>() {
-            return true;
-        }
-        cause = error.source();
-    }
-    false
+fn encode_request(request: &Request) -> Result<Envelope, CallError> {
+    Envelope::try_from(request).map_err(|error| {
+        log::error!(event = "call_not_encoded"; "the request was not sent: {error}");
+        CallError::NotDone
+    })
 }
--- a/crates/yuccatack_queue_client/src/directory.rs
+++ b/crates/yuccatack_queue_client/src/directory.rs
@@ -16,6 +16,10 @@
 /// leaves calls with an unknown outcome; a shorter time costs more round trips.
 const CONFIRMATION_VALIDITY: Duration = Duration::from_millis(150);
 
+/// Time after which a leader that was not called may have been replaced. A group whose leader fails
+/// elects another one in about a second.
+const LEADER_VALIDITY: Duration = Duration::from_secs(1);
+
 /// Number of messages that may be queued for the task.
 const QUEUE_LENGTH: usize = 64;
 
@@ -27,8 +31,18 @@
 pub(crate) struct Candidate {
     pub address: SocketAddr,
     pub channel: Channel,
-    /// `true` if the replica confirmed its leadership within [`CONFIRMATION_VALIDITY`].
-    pub confirmed: bool,
+    pub contact: Contact,
+}
+
+/// Evidence that a candidate leads.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Contact {
+    /// The replica confirmed its leadership within [`CONFIRMATION_VALIDITY`].
+    Confirmed,
+    /// The replica confirmed its leadership within [`LEADER_VALIDITY`].
+    Recent,
+    /// The replica confirmed its leadership longer ago, or never.
+    Stale,
 }
 
 /// Outcome of a call to a replica, from which the directory updates its view of the leader.
@@ -119,9 +133,17 @@
         let address = self.leader.as_ref().filter(untried).copied();
         let address = address.or_else(|| others.first().copied())?;
         let channel = self.channels.entry(address).or_insert_with(|| open_channel(address));
-        let is_recent = self.confirmed_at.is_some_and(|at| at.elapsed() <= CONFIRMATION_VALIDITY);
-        let confirmed = is_recent && self.leader == Some(address);
-        Some(Candidate { address, channel: channel.clone(), confirmed })
+        let channel = channel.clone();
+        Some(Candidate { address, channel, contact: self.contact(address) })
+    }
+
+    fn contact(&self, address: SocketAddr) -> Contact {
+        let confirmed_at = self.confirmed_at.filter(|_| self.leader == Some(address));
+        match confirmed_at.map(|at| at.elapsed()) {
+            Some(age) if age <= CONFIRMATION_VALIDITY => Contact::Confirmed,
+            Some(age) if age <= LEADER_VALIDITY => Contact::Recent,
+            _ => Contact::Stale,
+        }
     }
 
     fn set_leader(&mut self, address: SocketAddr) {
@@ -143,8 +165,15 @@
                 self.confirmed_at = Some(Instant::now());
             }
             CallOutcome::NotLeader(hint) => {
-                self.leader = hint.leader.filter(|leader| *leader != address);
-                self.confirmed_at = None;
+                // A replica that lags behind may name an earlier leader than one that has just
+                // confirmed its leadership.
+                let names_earlier_leader = self.leader.is_some_and(|leader| {
+                    leader != address && self.contact(leader) == Contact::Confirmed
+                });
+                if !names_earlier_leader {
+                    self.leader = hint.leader.filter(|leader| *leader != address);
+                    self.confirmed_at = None;
+                }
                 for member in hint.members.into_iter().take(HINTED_REPLICA_LIMIT_COUNT) {
                     if !self.hinted.contains(&member) {
                         self.hinted.push(member);
--- a/crates/yuccatack_queue_client/src/lib.rs
+++ b/crates/yuccatack_queue_client/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`QueueClient`] finds the leader, follows hints to it and reports for each failed call whether
 //! it may have taken effect. [`protocol`] defines the messages of calls and of the agents' streams.
 
+mod attempt;
 mod backoff;
 mod client;
 mod directory;
@@ -10,6 +11,7 @@
 mod limits;
 pub mod protocol;
 mod readiness;
+mod search;
 mod wire;
 
 pub use backoff::Backoff;
