Saturate sums over values of callers and workers, and bound schedules

A job with a huge estimate, or a worker with a huge clock, overflowed the leader's arithmetic: a panic in builds with overflow checks, and wrong deadlines and leases without. Evidence: huge_run_time and huge_clock panic on the code before (demand.rs, reconcile.rs); huge_demand passed. A schedule of 4,294,967,295 occurrences with a period of 0 made each pass collect all of them; by reading, it exhausts the leader's memory. A job now has at most 1,000,000 tasks over all occurrences and is refused otherwise.

--- a/crates/yuccatack_dispatch/src/demand.rs
+++ b/crates/yuccatack_dispatch/src/demand.rs
@@ -193,14 +193,16 @@
     let Timing { since_unix_ms, chains_ms } = timing;
     let submission = &job.submission;
     let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
-    // The product is far below 2^53, so the float holds whole milliseconds exactly.
+    // The conversion saturates. Below 2^53, the float holds whole milliseconds exactly.
     let stretched_ms = (chain_ms as f64 * submission.stretch.max(1.0)) as u64;
-    let objective_ms = stretched_ms + submission.allowance_ms.get();
+    let objective_ms = stretched_ms.saturating_add(submission.allowance_ms.get());
     let remaining_ms = chains_ms.get(step as usize).copied().unwrap_or(0);
-    let latest_begin_unix_ms = (since_unix_ms + objective_ms).saturating_sub(remaining_ms);
-    let margin_ms = remaining_ms * LATE_MARGIN_PERCENT / 100;
-    let late = unix_ms > latest_begin_unix_ms + margin_ms;
-    let overdue = unix_ms > since_unix_ms + OVERDUE_FACTOR * objective_ms;
+    let latest_begin_unix_ms =
+        since_unix_ms.saturating_add(objective_ms).saturating_sub(remaining_ms);
+    let margin_ms = remaining_ms.saturating_mul(LATE_MARGIN_PERCENT) / 100;
+    let late = unix_ms > latest_begin_unix_ms.saturating_add(margin_ms);
+    let overdue_after_ms = objective_ms.saturating_mul(OVERDUE_FACTOR);
+    let overdue = unix_ms > since_unix_ms.saturating_add(overdue_after_ms);
     let tier = if guaranteed {
         Tier::Guaranteed
     } else if overdue {
--- a/crates/yuccatack_dispatch/src/loss.rs
+++ b/crates/yuccatack_dispatch/src/loss.rs
@@ -27,21 +27,24 @@
     let Some(job) = table.job(&run.task.job) else { return 0 };
     let Some(spec) = job.step_spec(run.task.step) else { return 0 };
     let percent = u64::from(progress.get(run).copied().unwrap_or(0));
-    let completed_ms = spec.estimated_run_ms.get() * percent / 100;
+    let completed_ms = spec.estimated_run_ms.get().saturating_mul(percent) / 100;
     let lost_ms = if spec.checkpointing { completed_ms.min(RESUME_LOSS_MS) } else { completed_ms };
     let member_count = if spec.gang { u64::from(spec.task_count) } else { 1 };
     let urgent = job.submission.priority == 0;
-    let lateness_penalty = if urgent { URGENT_LOSS_FACTOR * task_work(spec) } else { 0 };
-    (weighted_cores_milli(spec) * (lost_ms + RESTART_LOSS_MS) / 1000 + lateness_penalty)
-        * member_count
+    let lateness_penalty =
+        if urgent { task_work(spec).saturating_mul(URGENT_LOSS_FACTOR) } else { 0 };
+    let lost_work =
+        weighted_cores_milli(spec).saturating_mul(lost_ms.saturating_add(RESTART_LOSS_MS)) / 1000;
+    lost_work.saturating_add(lateness_penalty).saturating_mul(member_count)
 }
 
 /// Returns the estimated work of one task in core-milliseconds.
 pub(crate) fn task_work(spec: &StepSpec) -> u64 {
-    weighted_cores_milli(spec) * spec.estimated_run_ms.get() / 1000
+    weighted_cores_milli(spec).saturating_mul(spec.estimated_run_ms.get()) / 1000
 }
 
 fn weighted_cores_milli(spec: &StepSpec) -> u64 {
-    spec.demand.cores_milli
-        + 1000 * CORES_PER_ACCELERATOR * u64::from(spec.demand.accelerator_count)
+    let accelerator_cores_milli =
+        1000 * CORES_PER_ACCELERATOR * u64::from(spec.demand.accelerator_count);
+    spec.demand.cores_milli.saturating_add(accelerator_cores_milli)
 }
--- a/crates/yuccatack_dispatch/src/reconcile.rs
+++ b/crates/yuccatack_dispatch/src/reconcile.rs
@@ -101,7 +101,8 @@
             return None;
         }
         session.lease_reading = Some(confirmed_reading);
-        let until_clock_ms = confirmed_reading.clock_ms + self.settings.lease_ms.get();
+        let until_clock_ms =
+            confirmed_reading.clock_ms.saturating_add(self.settings.lease_ms.get());
         session.lease_until_clock_ms = session.lease_until_clock_ms.max(until_clock_ms);
         Some(until_clock_ms)
     }
@@ -110,7 +111,8 @@
         let confirmed_reading = session.confirmed_reading?;
         let job = self.table.job(&run.task.job)?;
         let spec = job.step_spec(run.task.step)?;
-        let until_clock_ms = confirmed_reading.clock_ms + self.settings.lease_ms.get();
+        let until_clock_ms =
+            confirmed_reading.clock_ms.saturating_add(self.settings.lease_ms.get());
         session.lease_until_clock_ms = session.lease_until_clock_ms.max(until_clock_ms);
         let step = &job.occurrences.get(&run.task.occurrence)?.steps[run.task.step as usize];
         let checkpoint = step.checkpoint(spec, run.task.index);
--- a/crates/yuccatack_runs/src/spec.rs
+++ b/crates/yuccatack_runs/src/spec.rs
@@ -10,6 +10,10 @@
 /// Maximum number of tasks over all steps of a job. It bounds the memory that one call can take.
 const MAX_TASK_COUNT: u64 = 20_000;
 
+/// Maximum number of tasks over all occurrences of a job. All occurrences that are due are scheduled
+/// at once, so it bounds the memory and the time of a scheduling pass.
+const MAX_SCHEDULED_TASK_COUNT: u64 = 1_000_000;
+
 /// Specification of a job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -124,6 +128,15 @@
         /// Number of tasks over all steps.
         count: u64,
     },
+    /// The number of tasks over all occurrences exceeds the limit.
+    #[snafu(display(
+        "the schedule has {count} tasks over all occurrences, more than \
+         {MAX_SCHEDULED_TASK_COUNT}; lower the number of occurrences"
+    ))]
+    TooManyOccurrences {
+        /// Number of tasks over all steps and occurrences.
+        count: u64,
+    },
     /// A step depends on itself or on a later step.
     #[snafu(display("step {step} waits for step {after}; name only earlier steps"))]
     ForwardDependency {
@@ -144,6 +157,10 @@
         if count > MAX_TASK_COUNT {
             return Err(JobSpecError::TooManyTasks { count });
         }
+        let scheduled_count = count * u64::from(self.occurrence_count());
+        if scheduled_count > MAX_SCHEDULED_TASK_COUNT {
+            return Err(JobSpecError::TooManyOccurrences { count: scheduled_count });
+        }
         for (step, spec) in (0u32..).zip(&self.steps) {
             if let Some(after) = spec.after.iter().find(|after| **after >= step) {
                 return Err(JobSpecError::ForwardDependency { step, after: *after });
