Confirm the latest reading that precedes a confirmation of leadership

Callers could see nothing begin, and leases lapse, on a slow leader. Cause: only the latest clock reading of a worker could be confirmed. Found in review, by reading. Evidence: late_confirmations_count, in which no lease is renewed and no job begins on the code before.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -117,9 +117,7 @@
     /// so it can bound every lease that this one granted.
     pub fn confirm_leadership(&mut self, began_at: TimestampMs) {
         for session in self.sessions.values_mut() {
-            if session.latest_reading.is_some_and(|reading| reading.received_at <= began_at) {
-                session.confirmed_reading = session.latest_reading;
-            }
+            session.confirm_readings(began_at);
         }
     }
 
--- a/crates/yuccatack_dispatch/src/observation.rs
+++ b/crates/yuccatack_dispatch/src/observation.rs
@@ -29,8 +29,7 @@
             // The responses of two polls arrived out of order.
             return Vec::new();
         }
-        session.latest_reading =
-            Some(ClockReading { clock_ms: observation.clock_ms, received_at: now });
+        session.record_reading(ClockReading { clock_ms: observation.clock_ms, received_at: now });
         let mut changes = record_ends(session, &observation, table, now, &mut self.run_times);
         changes.extend(update_order_states(session, &observation, table));
         let stalled = session.health.on_running(&observation.running, observation.clock_ms);
--- a/crates/yuccatack_dispatch/src/session.rs
+++ b/crates/yuccatack_dispatch/src/session.rs
@@ -1,5 +1,7 @@
 //! The leader's state of one worker and its agent.
 
+use std::collections::VecDeque;
+
 use yuccatack_core::{FastHashMap, TimestampMs};
 use yuccatack_runs::{RunId, WorkerIncarnation};
 
@@ -8,6 +10,10 @@
 use crate::protocol::WorkerState;
 use crate::settings::MAX_READING_AGE_MS;
 
+/// Number of clock readings that may wait for a confirmation of leadership. Agents poll up to seven
+/// times a second, and a slow leader may take a second or two for a confirmation.
+const MAX_UNCONFIRMED_READING_COUNT: usize = 16;
+
 /// Progress of the leader's orders for a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum OrderState {
@@ -30,6 +36,8 @@
     pub state: Option<WorkerState>,
     /// Latest reading of the worker's clock.
     pub latest_reading: Option<ClockReading>,
+    /// Readings that were received since leadership was last confirmed, in order of arrival.
+    pub unconfirmed_readings: VecDeque<ClockReading>,
     /// Latest reading that was received before leadership was last confirmed. Leases build on it.
     pub confirmed_reading: Option<ClockReading>,
     /// Latest expiry of any lease granted to this incarnation, by the worker's clock.
@@ -62,6 +70,24 @@
             && self.confirmed_reading.as_ref().is_some_and(is_recent)
     }
 
+    /// Adds a reading, from which leases may be renewed once leadership is confirmed.
+    pub fn record_reading(&mut self, reading: ClockReading) {
+        self.latest_reading = Some(reading);
+        if self.unconfirmed_readings.len() == MAX_UNCONFIRMED_READING_COUNT {
+            self.unconfirmed_readings.pop_front();
+        }
+        self.unconfirmed_readings.push_back(reading);
+    }
+
+    /// Confirms the readings that were received no later than `began_at`.
+    pub fn confirm_readings(&mut self, began_at: TimestampMs) {
+        while let Some(reading) =
+            self.unconfirmed_readings.pop_front_if(|reading| reading.received_at <= began_at)
+        {
+            self.confirmed_reading = Some(reading);
+        }
+    }
+
     /// Discards the state of the previous incarnation, except for its health if it ended without an
     /// announcement.
     pub fn begin_incarnation(&mut self, state: WorkerState, now: TimestampMs) {
--- a/crates/yuccatack_dispatch/tests/lease_bounds.rs
+++ b/crates/yuccatack_dispatch/tests/lease_bounds.rs
@@ -38,6 +38,23 @@
     assert_eq!(cluster.decide()[0].1.lease_until_clock_ms.unwrap(), cluster.clock_ms() + LEASE_MS);
 }
 
+#[test]
+fn late_confirmations_count() {
+    let mut cluster = TestCluster::new(1);
+    cluster.decide();
+    // Each confirmation arrives after a newer reading.
+    for _ in 0..20 {
+        let round_began_at = cluster.now;
+        cluster.advance(250);
+        cluster.observe_unconfirmed(0, &[], &[], &[]);
+        cluster.dispatcher.confirm_leadership(round_began_at);
+    }
+    let renewed = cluster.decide()[0].1.lease_until_clock_ms;
+    assert_eq!(renewed, Some(cluster.clock_ms() - 250 + LEASE_MS));
+    cluster.submit("a", 1, step(1, 8));
+    assert_eq!(starts(&cluster.decide()), [run("a", 0, 1)], "a slow leader begins nothing");
+}
+
 #[test]
 fn silent_worker_keeps_task() {
     let mut cluster = TestCluster::new(2);
