Scale the stall timeout with the predicted run time

Callers of jobs that run for hours would see them stopped again and again, and their workers quarantined. Cause: a run without progress for 3 s counted as stalled, but progress is reported in whole percents, and a run of more than 5 minutes takes longer than 3 s for one. Found in review, by reading. Evidence: long_run_not_stalled, in which a run of 2 h is stopped on the code before. The timeout is now 10% of the predicted run time, at least 3 s as before, so that nothing changes for runs of up to 30 s.

--- a/crates/yuccatack_dispatch/src/health.rs
+++ b/crates/yuccatack_dispatch/src/health.rs
@@ -27,9 +27,13 @@
 /// everywhere would leave no worker for the last attempt of any task.
 const RELIABILITY_RECOVERY_MS: DurationMs = DurationMs::new(4_000);
 
-/// Time without progress after which a run counts as stalled. Tasks of the deployments take up to
-/// 11 s, so a healthy one reports progress several times within this time.
-const STALL_TIMEOUT_MS: DurationMs = DurationMs::new(3_000);
+/// Shortest time without progress after which a run counts as stalled. A healthy run of up to half a
+/// minute reports progress several times within this time.
+const MIN_STALL_TIMEOUT_MS: DurationMs = DurationMs::new(3_000);
+
+/// Time without progress after which a run counts as stalled, in percent of its predicted run time.
+/// Progress is reported in whole percents, and a run may take several times as long as predicted.
+const STALL_TIMEOUT_PERCENT: u64 = 10;
 
 /// Number of observations that must show the same progress. A leader that was paused itself would
 /// otherwise take its own pause for a stall of the run.
@@ -161,9 +165,14 @@
         self.consecutive_quarantines += 1;
     }
 
-    /// Records the progress of the running runs and returns those that have stalled.
-    pub fn on_running(&mut self, running: &[RunningRun], clock_ms: u64) -> Vec<RunId> {
-        let mut stalled = Vec::new();
+    /// Records the progress of the running runs. Returns those that have shown none for a while, and
+    /// for how long.
+    pub fn on_running(
+        &mut self,
+        running: &[RunningRun],
+        clock_ms: u64,
+    ) -> Vec<(RunId, DurationMs)> {
+        let mut unchanged = Vec::new();
         for row in running {
             let initial = ProgressSamples {
                 first_percent: row.percent,
@@ -179,15 +188,20 @@
                 samples.sample_count = 0;
             }
             samples.sample_count += 1;
-            let unchanged_ms = clock_ms.saturating_sub(samples.since_clock_ms);
-            if unchanged_ms >= STALL_TIMEOUT_MS.get() && samples.sample_count >= STALL_SAMPLE_COUNT
-            {
-                stalled.push(row.run.clone());
+            let unchanged_ms = DurationMs::new(clock_ms.saturating_sub(samples.since_clock_ms));
+            if unchanged_ms >= MIN_STALL_TIMEOUT_MS && samples.sample_count >= STALL_SAMPLE_COUNT {
+                unchanged.push((row.run.clone(), unchanged_ms));
             }
         }
         if self.progress.len() > running.len() {
             self.progress.retain(|run, _| running.iter().any(|row| row.run == *run));
         }
-        stalled
+        unchanged
     }
 }
+
+/// Returns the time without progress after which a run of this predicted length counts as stalled.
+pub(crate) fn stall_timeout(run_time_ms: DurationMs) -> DurationMs {
+    let share_ms = run_time_ms.get().saturating_mul(STALL_TIMEOUT_PERCENT) / 100;
+    MIN_STALL_TIMEOUT_MS.max(DurationMs::new(share_ms))
+}
--- a/crates/yuccatack_dispatch/src/observation.rs
+++ b/crates/yuccatack_dispatch/src/observation.rs
@@ -4,6 +4,7 @@
 use yuccatack_runs::{JobTable, RunEnd, RunId, RunOutcome};
 
 use crate::dispatcher::{Dispatcher, TableChange};
+use crate::health::stall_timeout;
 use crate::lease::ClockReading;
 use crate::protocol::Observation;
 use crate::run_time::RunTimes;
@@ -33,15 +34,28 @@
         let mut changes = record_ends(session, &observation, table, now, &mut self.run_times);
         changes.extend(update_order_states(session, &observation, table));
         let stalled = session.health.on_running(&observation.running, observation.clock_ms);
-        for run in stalled {
-            self.on_stalled_run(node, run, table, now);
+        for (run, unchanged_ms) in stalled {
+            self.on_unchanged_run(node, run, unchanged_ms, table, now);
         }
         changes
     }
 
-    fn on_stalled_run(&mut self, node: &NodeName, run: RunId, table: &JobTable, now: TimestampMs) {
-        let spec = table.job(&run.task.job).and_then(|job| job.step_spec(run.task.step));
+    /// Stops a run that shows no progress, unless its progress may just be slow.
+    fn on_unchanged_run(
+        &mut self,
+        node: &NodeName,
+        run: RunId,
+        unchanged_ms: DurationMs,
+        table: &JobTable,
+        now: TimestampMs,
+    ) {
+        let Some(job) = table.job(&run.task.job) else { return };
+        let spec = job.step_spec(run.task.step);
         let Some(spec) = spec.filter(|spec| !spec.long_running) else { return };
+        let run_time_ms = self.run_times.predict(&job.submission.queue, spec);
+        if unchanged_ms < stall_timeout(run_time_ms) {
+            return;
+        }
         if self.evicted.contains(&run) || (spec.gang && self.waits_for_slower_member(&run, table)) {
             return;
         }
--- a/crates/yuccatack_dispatch/tests/worker_health.rs
+++ b/crates/yuccatack_dispatch/tests/worker_health.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use support::{TestCluster, run, starts, step, stops};
+use yuccatack_core::DurationMs;
 use yuccatack_runs::{RunOutcome, StepSpec};
 
 #[test]
@@ -55,6 +56,21 @@
     assert_eq!(stops(&cluster.decide()), [run("a", 0, 1)]);
 }
 
+#[test]
+fn long_run_not_stalled() {
+    let mut cluster = TestCluster::new(1);
+    let two_hours = DurationMs::new(2 * 3_600_000);
+    cluster.submit("a", 1, StepSpec { estimated_run_ms: two_hours, ..step(1, 8) });
+    cluster.decide();
+    cluster.report_begun(&run("a", 0, 1));
+    // Such a run advances by one percent in 72 s.
+    for _ in 0..250 {
+        cluster.advance(300);
+        cluster.observe(0, &[(run("a", 0, 1), 40)], &[], &[]);
+        assert!(stops(&cluster.decide()).is_empty(), "a long run was stopped as stalled");
+    }
+}
+
 #[test]
 fn leader_pause_ignored() {
     let mut cluster = TestCluster::new(1);
