Keep a group's wait across failed starts, and count lost long-running runs

Found in review. When the start that followed a wait of 2 s was refused, the wait began again, so that the job executed nothing for over 4 s; and a long-running task whose run was lost waited for its data rack without a bound while more than 60% of the capacity was in use. Evidence: refused_after_wait, in which the gang waits for another 2.1 s, and lost_long_running_replaced, in which the task never begins, on the code before. Waits now outlast a start of up to 2 s, and long-running tasks wait at most 2 s however full the service is.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -219,7 +219,6 @@
             ready_task_groups(table, configuration, &urgent_demand, &self.run_times, unix_ms);
         share_headroom(&mut groups);
         if groups.is_empty() {
-            self.waiting_steps = WaitingSteps::default();
             return changes;
         }
         let mut workers = available_workers(&self.sessions, table, now);
@@ -266,7 +265,7 @@
             blocked_steps.insert(step);
         }
         let services = UnusedServices::new(&self.sessions, table);
-        self.waiting_steps.update(&groups, &waiting, &services, now);
+        self.waiting_steps.update(&waiting, &services, now);
         if !waiting.is_empty() && now.since(self.summarized_at) >= SUMMARY_INTERVAL {
             self.summarized_at = now;
             self.summary = Some(PassSummary::new(&waiting, &workers, table));
--- a/crates/yuccatack_dispatch/src/waiting.rs
+++ b/crates/yuccatack_dispatch/src/waiting.rs
@@ -18,9 +18,10 @@
 /// users allow 3 s; the rest is for the start itself.
 const RESTRAINT_LIMIT_MS: DurationMs = DurationMs::new(2_000);
 
-/// Time for which the capacity may be in use without ending the wait of a group: short runs that
-/// fail at once fill it for moments only.
-const MAX_USED_SPELL_MS: DurationMs = DurationMs::new(1_000);
+/// Time for which a group may be placed, or the capacity be in use, without ending the wait of the
+/// group: a refused start takes about a second to be barred, and short runs that fail at once fill
+/// the capacity for moments only.
+const MAX_GAP_MS: DurationMs = DurationMs::new(2_000);
 
 /// Part of a service's capacity below which it counts as mostly unused. The users draw the line at
 /// half of the capacity that runs use; open runs also include those that begin or end.
@@ -42,7 +43,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Wait {
     began_at: TimestampMs,
-    /// Last time at which most of the capacity was unused.
+    /// Last time at which the group waited and most of the capacity was unused.
     unused_at: TimestampMs,
 }
 
@@ -75,28 +76,24 @@
         })
     }
 
-    /// Records the groups that a scheduling pass left waiting. Keeps the waits of the other ready
-    /// groups: the batch with their starts may fail.
+    /// Records the groups that a scheduling pass left waiting. Keeps the waits of other groups for a
+    /// time, since their starts may fail. Long-running tasks wait for a replacement of a lost run,
+    /// however much of the capacity is in use.
     pub fn update(
         &mut self,
-        ready: &[TaskGroup<'_>],
         waiting: &[&TaskGroup<'_>],
         services: &UnusedServices,
         now: TimestampMs,
     ) {
-        let earlier = |group: &TaskGroup<'_>| {
-            let wait = self.waits.get(&step_key(group)).copied();
-            wait.filter(|wait| now.since(wait.unused_at) <= MAX_USED_SPELL_MS)
+        self.waits.retain(|_, wait| now.since(wait.unused_at) <= MAX_GAP_MS);
+        let counts = |group: &&&TaskGroup<'_>| {
+            group.spec.long_running || services.contains(&group.job.submission.service)
         };
-        let kept = ready.iter().filter_map(|group| Some((step_key(group), earlier(group)?)));
-        let mut waits: FastHashMap<StepKey, Wait> = kept.collect();
-        let is_unused = |group: &&&TaskGroup<'_>| services.contains(&group.job.submission.service);
-        for group in waiting.iter().filter(is_unused) {
+        for group in waiting.iter().filter(counts) {
             let wait =
-                waits.entry(step_key(group)).or_insert(Wait { began_at: now, unused_at: now });
+                self.waits.entry(step_key(group)).or_insert(Wait { began_at: now, unused_at: now });
             wait.unused_at = now;
         }
-        self.waits = waits;
     }
 }
 
--- a/crates/yuccatack_dispatch/tests/idle_capacity.rs
+++ b/crates/yuccatack_dispatch/tests/idle_capacity.rs
@@ -79,6 +79,45 @@
     assert!(waited_ms < IDLE_LIMIT_MS, "the task waited {waited_ms} ms for its data rack");
 }
 
+#[test]
+fn refused_after_wait() {
+    let mut cluster = labelled_cluster();
+    let occupied = [(0, "a"), (2, "b"), (4, "c"), (6, "d")];
+    cluster.occupy(&occupied);
+    let gang = StepSpec { gang: true, rack_local: true, ..step(2, 8) };
+    cluster.submit("wide", 1, gang);
+    cluster.wait_for(8, "wide", &occupied);
+    // The start is refused and barred; the gang has waited long enough already.
+    let members = [run("wide", 0, 1), run("wide", 1, 1)];
+    cluster.start_result(&members[0], StartResult::Refused);
+    cluster.start_result(&members[1], StartResult::Refused);
+    cluster.decide();
+    let workers = members.clone().map(|member| cluster.worker_of(&member));
+    for (worker, member) in workers.into_iter().zip(members) {
+        cluster.observe(worker, &[], &[], &[member]);
+    }
+    let waited_ms = cluster.wait_for(8, "wide", &occupied);
+    assert!(waited_ms < 1_000, "the gang waited for a whole rack again, {waited_ms} ms");
+}
+
+#[test]
+fn lost_long_running_replaced() {
+    let mut cluster = TestCluster::new(4);
+    // The data rack is in use, and so is most of the capacity of the other one.
+    for (job, accelerator_count) in [("a", 8), ("b", 8), ("c", 5)] {
+        cluster.submit(job, 1, step(1, accelerator_count));
+        cluster.decide();
+        cluster.report_begun(&run(job, 0, 1));
+    }
+    let free_rack = 1 - cluster.worker_of(&run("a", 0, 1)) / 2;
+    let data_rack = Some(Arc::from(format!("rack-{}", 1 - free_rack)));
+    let service = StepSpec { long_running: true, data_rack, ..step(1, 8) };
+    cluster.submit("lasting", 1, service);
+    let running = ["a", "b", "c"].map(|job| (cluster.worker_of(&run(job, 0, 1)), job));
+    let waited_ms = cluster.wait_for(4, "lasting", &running);
+    assert!(waited_ms < IDLE_LIMIT_MS, "the task waited {waited_ms} ms for its data rack");
+}
+
 #[test]
 fn all_workers_quarantined() {
     let mut cluster = TestCluster::new(4);
