Prefer reliable workers for last attempts that do not wait for them

A last attempt that has waited for too long may be placed on a worker on which a run has just failed; a worker without a recent failure now comes first. Found in review, by reading; no test shows a difference in outcome.

--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -174,6 +174,7 @@
                 let worker = &workers[**index];
                 (
                     worker.quarantined,
+                    group.last_attempt && !worker.reliable,
                     worker.backing_off,
                     remaining.accelerator_count,
                     remaining.cores_milli,
