Repeat starts that the worker leaves unanswered

Cause: the agent called the worker once for each start. A worker that left the call unanswered kept the run in doubt until two polls did not list it; the members of its gang waited meanwhile and were then stopped as a whole. With a few percent of the calls unanswered, most gangs of 20 members and more were hit.

The worker confirms a start whose run is there and refuses one whose run has ended or was stopped, so a call that is carried out late begins nothing twice.

--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -51,6 +51,11 @@
 /// leader; leases last several times as long.
 const MAX_ATTACH_DELAY: Duration = Duration::from_millis(500);
 
+/// Number of times that a start is sent to the worker until it is answered. One member whose start
+/// is not carried out keeps its whole gang waiting, so unanswered starts must be rare even if a
+/// worker leaves several percent of its calls unanswered.
+const MAX_START_CALL_COUNT: u32 = 3;
+
 /// Number of results of calls that may be queued for the agent.
 const EVENT_QUEUE_LENGTH: usize = 256;
 
@@ -313,9 +318,10 @@
                     checkpoint,
                 };
                 tokio::spawn(async move {
-                    let result = port.start(call).await;
+                    let (result, call_count) = start_until_answered(&*port, call).await;
                     log::info!(
-                        event = "start_carried_out", run:% = run, result:? = result;
+                        event = "start_carried_out", run:% = run, result:? = result,
+                        calls = call_count;
                         "the call that starts a run has completed"
                     );
                     let _ = events.send(Event::Started(incarnation, run, result)).await;
@@ -602,6 +608,24 @@
     }
 }
 
+/// Sends a start until the worker answers it, up to [`MAX_START_CALL_COUNT`] times. Returns the
+/// result and the number of calls.
+///
+/// The worker confirms a start whose run is there already, and refuses one whose run has ended or
+/// was stopped, so that a call that is carried out late begins no second run.
+async fn start_until_answered<Port>(port: &Port, call: StartCall) -> (StartResult, u32)
+where
+    Port: WorkerPort,
+{
+    let mut call_count = 1;
+    let mut result = port.start(call.clone()).await;
+    while result == StartResult::Unknown && call_count < MAX_START_CALL_COUNT {
+        call_count += 1;
+        result = port.start(call.clone()).await;
+    }
+    (result, call_count)
+}
+
 /// Returns `true` unless the response names a start other than that of `incarnation`.
 fn is_from_incarnation(response: &PollResponse, incarnation: &WorkerIncarnation) -> bool {
     response.started_at_unix_ms.is_none_or(|started| started == incarnation.started_at_unix_ms)
--- a/crates/yuccatack_worker_agent/src/orders.rs
+++ b/crates/yuccatack_worker_agent/src/orders.rs
@@ -23,8 +23,8 @@
 
 /// Orders received for the current incarnation of the worker.
 ///
-/// A start is sent to the worker only once, since the response to a second call would hide that the
-/// first one is still in flight.
+/// The calls of a start are made one after the other, and its result is reported once. A call without
+/// a response may still be in flight then, so that a run whose start is not confirmed must be barred.
 #[derive(Debug, Default)]
 pub(crate) struct OrderTracker {
     starts: FastHashMap<RunId, StartState>,
