Report a refusal after a lost attempt as unknown

Cause: a call with effects whose first attempt got no response returned the refusal of a later attempt (busy, no access) as it was, so that the caller was told that nothing had run although the first attempt may take effect. Found by reading, for the report 'after an answer was lost the caller was told that it had not run'.

Change: such a call ends as unknown; the caller asks again under the same name. Test: true_refusals.

--- a/crates/yuccatack_queue_client/src/client.rs
+++ b/crates/yuccatack_queue_client/src/client.rs
@@ -82,6 +82,10 @@
             let attempt_deadline = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
             let result = call_replica(channel, envelope.clone(), attempt_deadline).await;
             match evaluate_result(&self.directory, address, result).await {
+                // An earlier attempt may take effect, so that the refusal of a later one tells nothing.
+                Ok(Response::Busy { .. } | Response::Denied(_)) if may_have_taken_effect => {
+                    return Err(CallError::Unknown);
+                }
                 Ok(response) => return Ok(response),
                 Err(AttemptError::NotDone) => {}
                 Err(AttemptError::Unknown) => may_have_taken_effect = true,
