Cap the demand that counts for a minimum share

Cause: minimum shares were divided by the demand of each priority, and a backlog counts as demand.

Change: demand beyond the whole capacity of the service does not count. Test: flood_is_bounded.

--- a/crates/yuccatack_dispatch/src/share.rs
+++ b/crates/yuccatack_dispatch/src/share.rs
@@ -64,6 +64,11 @@
                 .demand_fraction += fraction;
         }
         for priorities in shares.shares.values_mut() {
+            // A backlog beyond the whole capacity gives no further claim, so that a flood of one
+            // priority does not take the share of the others.
+            for share in priorities.values_mut() {
+                share.demand_fraction = share.demand_fraction.min(1.0);
+            }
             let total_demand: f64 = priorities.values().map(|share| share.demand_fraction).sum();
             let less_urgent_count = priorities.keys().filter(|priority| **priority > 0).count();
             let less_urgent = priorities.iter_mut().filter(|(priority, _)| **priority > 0);
@@ -93,6 +98,21 @@
         groups.sort_by_key(|group| group.urgency);
     }
 
+    /// Returns the fraction of the service's capacity that a priority gets while all want more: what
+    /// more urgent priorities leave beside the minimum shares of the others, or its own minimum share.
+    pub fn rate(&self, service: &ServiceName, priority: u32) -> f64 {
+        let Some(priorities) = self.shares.get(service) else { return 1.0 };
+        let claimed: f64 = priorities
+            .iter()
+            .filter(|(other, _)| **other != priority)
+            .map(|(other, share)| {
+                let minimum = share.minimum_fraction.min(share.demand_fraction);
+                if *other < priority { share.used_fraction } else { minimum }
+            })
+            .sum();
+        self.share(service, priority).minimum_fraction.max(1.0 - claimed)
+    }
+
     /// Returns the fraction of the service's capacity that a priority uses beyond its minimum share.
     /// The most urgent priority has no minimum share; guarantees protect it instead.
     pub fn surplus_fraction(&self, service: &ServiceName, priority: u32) -> f64 {
--- a/crates/yuccatack_dispatch/tests/queue_starvation.rs
+++ b/crates/yuccatack_dispatch/tests/queue_starvation.rs
@@ -95,3 +95,17 @@
     cluster.submit_for("urgent", Some("owner"), 0, step(1, 8));
     assert_eq!(stops(&cluster.decide()).len(), 8, "a minimum share delayed guaranteed work");
 }
+
+#[test]
+fn flood_is_bounded() {
+    let mut cluster = TestCluster::new(10);
+    for job_index in 0..40 {
+        cluster.submit(&format!("flood{job_index}"), 2, step(1, 8));
+    }
+    for job_index in 0..10 {
+        cluster.submit(&format!("more{job_index}"), 1, step(1, 8));
+    }
+    // Either queue could use the whole capacity, so that each claims a quarter of it, rounded up.
+    let begun = starts(&cluster.decide());
+    assert_eq!((of_job(&begun, "more"), of_job(&begun, "flood")), (7, 3));
+}
