Pack less urgent tasks onto workers that run such tasks

Cause: best fit by free accelerators spread tasks of one accelerator and 8 s over all workers, so that no whole worker was left to urgent gangs.

Change: a less urgent task prefers workers with less urgent runs, then the tightest fit.

--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -41,6 +41,8 @@
     pub reserved: bool,
     /// Headroom for urgent groups that may arrive soon.
     pub held_for_urgent: bool,
+    /// `true` if runs of less urgent jobs execute on the worker.
+    pub has_less_urgent: bool,
     /// Open runs on the worker, including those that are being stopped.
     pub runs: Vec<RunId>,
 }
@@ -86,6 +88,7 @@
                 failure_count: session.health.failure_count(),
                 reserved: false,
                 held_for_urgent: false,
+                has_less_urgent: false,
                 runs: Vec::new(),
             })
         })
@@ -95,13 +98,15 @@
         else {
             continue;
         };
-        let step = table.job(&run.task.job).and_then(|job| job.step_spec(run.task.step));
+        let job = table.job(&run.task.job);
+        let step = job.and_then(|job| job.step_spec(run.task.step));
         let used = step.map_or(open.demand, footprint);
         worker.free = subtract(worker.free, used);
         let order = sessions.get(&worker.node).and_then(|session| session.orders.get(run));
         if !matches!(order, Some(OrderState::Stopping { .. })) {
             worker.free_after_stops = subtract(worker.free_after_stops, used);
         }
+        worker.has_less_urgent |= job.is_some_and(|job| job.submission.priority > 0);
         worker.runs.push(run.clone());
     }
     limit_quarantine(&mut workers, sessions);
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -176,6 +176,9 @@
                     worker.quarantined,
                     group.last_attempt && !worker.reliable,
                     worker.backing_off,
+                    // Less urgent runs last longer. Spread over all workers, they would leave no
+                    // whole worker to the tasks of urgent gangs.
+                    !group.is_urgent() && !worker.has_less_urgent,
                     remaining.accelerator_count,
                     remaining.cores_milli,
                     worker.failure_count,
@@ -203,6 +206,7 @@
         let worker = &mut workers[*index];
         worker.free = subtract(worker.free, need);
         worker.free_after_stops = subtract(worker.free_after_stops, need);
+        worker.has_less_urgent |= !group.is_urgent();
         let task = TaskId {
             job: group.job.submission.name.clone(),
             occurrence: group.occurrence,
