Keep runs on draining workers through a change of the leader

Cause: a new leader has no order state for the open runs. For a worker that drained it ordered their stop at once instead of waiting for a poll, and the stop of one member ended its whole gang.

Change: such a run counts as unknown until polls show it or two of them do not list it. The leader also logs start_unanswered.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use yuccatack_core::{DurationMs, FastHashSet, NodeName, TimestampMs};
 use yuccatack_queues::ConfigurationStore;
-use yuccatack_runs::{JobTable, RunEnd, RunId, RunOutcome, RunStart, WorkerIncarnation};
+use yuccatack_runs::{JobTable, OpenRun, RunEnd, RunId, RunOutcome, RunStart, WorkerIncarnation};
 
 use crate::capacity::available_workers;
 use crate::demand::{ready_task_groups, urgent_accelerator_demand};
@@ -140,15 +140,16 @@
             }
             AgentMessage::Left(incarnation) => {
                 log::info!(
-                    event = "worker_left", node = node.as_str(), life:% = incarnation;
+                    event = "worker_left", agent = node.as_str(), life:% = incarnation;
                     "the worker has left; its open runs are lost"
                 );
                 if let Some(session) = self.sessions.get_mut(node)
                     && session.incarnation() == Some(&incarnation)
                 {
                     session.state = None;
+                let ends = self.lost_run_ends(table, |other| *other == incarnation);
                 }
-                lost_run_ends(table, |other| *other == incarnation)
+                ends
             }
         }
     }
@@ -167,12 +168,14 @@
             return Vec::new();
         }
         log::info!(
-            event = "worker_life_began", node = node.as_str(), life:% = incarnation,
+            event = "worker_life_began", agent = node.as_str(), life:% = incarnation,
             draining = state.draining;
             "the worker announced itself; runs of its other incarnations are lost"
         );
-        session.begin_incarnation(state, now);
-        lost_run_ends(table, |other| other.node == incarnation.node && *other != incarnation)
+        let ends = self
+            .lost_run_ends(table, |other| other.node == incarnation.node && *other != incarnation);
+        self.sessions.entry(node.clone()).or_default().begin_incarnation(state, now);
+        ends
     }
 
     fn on_start_result(
@@ -189,7 +192,7 @@
         }
         if result != StartResult::Begun {
             log::warn!(
-                event = "start_refused", run:% = run, node = node.as_str(),
+                event = "start_refused", run:% = run, agent = node.as_str(),
                 result:? = result;
                 "start not confirmed; the run is barred, or observed if the result is unknown"
             );
@@ -277,7 +280,7 @@
     fn expired_runs(&self, table: &JobTable, now: TimestampMs) -> Vec<TableChange> {
         let earlier_leases_expire_at =
             self.leading_since + max_real_duration(self.settings.lease_ms);
-        lost_run_ends(table, |incarnation| {
+        self.lost_run_ends(table, |incarnation| {
             let Some(session) = self.sessions.get(&incarnation.node) else {
                 return now > earlier_leases_expire_at;
             };
@@ -300,20 +303,25 @@
             evicted: &self.evicted,
             token: self.token,
             now,
+    /// Returns the ends of all open runs on lost incarnations, with the latest checkpoints that these
+    /// listed: what a run saved outlasts its worker.
+    fn lost_run_ends<Predicate>(&self, table: &JobTable, is_lost: Predicate) -> Vec<TableChange>
+    where
+        Predicate: Fn(&WorkerIncarnation) -> bool,
+    {
+        let runs = table.open_runs().iter().filter(|(_, open)| is_lost(&open.incarnation));
+        let end = |(run, open): (&RunId, &OpenRun)| {
+            let session = self.sessions.get(&open.incarnation.node);
+            TableChange::End(RunEnd {
+                run: run.clone(),
+                outcome: RunOutcome::WorkerLost,
+                checkpoint: session.and_then(|session| session.health.checkpoint(run)),
+            })
         };
-        reconciliation.orders(&mut self.sessions)
+        runs.map(end).collect()
     }
-}
 
-fn lost_run_ends<Predicate>(table: &JobTable, is_lost: Predicate) -> Vec<TableChange>
-where
-    Predicate: Fn(&WorkerIncarnation) -> bool,
-{
-    let runs = table.open_runs().iter().filter(|(_, open)| is_lost(&open.incarnation));
-    let end = |run: &RunId| RunEnd {
-        run: run.clone(),
-        outcome: RunOutcome::WorkerLost,
-        checkpoint: None,
-    };
-    runs.map(|(run, _)| TableChange::End(end(run))).collect()
+        };
+        reconciliation.orders(&mut self.sessions)
+    }
 }
--- a/crates/yuccatack_dispatch/src/reconcile.rs
+++ b/crates/yuccatack_dispatch/src/reconcile.rs
@@ -52,7 +52,12 @@
         for run in self.table.runs_on(&incarnation) {
             let should_run = self.should_run(run, incomplete);
             match session.orders.get(run).copied() {
-                None if should_run && !draining => {
+                // The run may execute since an earlier leadership. Observations show whether it does.
+                None if should_run && draining => {
+                    let unknown = OrderState::Unknown { missing_count: 0 };
+                    session.orders.insert(run.clone(), unknown);
+                }
+                None if should_run => {
                     if let Some(order) = self.start_order(session, run) {
                         session
                             .orders
@@ -62,6 +67,11 @@
                 }
                 Some(OrderState::Starting { sent_at }) if should_run => {
                     if self.now.since(sent_at) > START_RESULT_TIMEOUT_MS {
+                        log::warn!(
+                            event = "start_unanswered", run:% = run,
+                            agent = incarnation.node.as_str();
+                            "the agent did not report the result of the start; polls will show it"
+                        );
                         let unknown = OrderState::Unknown { missing_count: 0 };
                         session.orders.insert(run.clone(), unknown);
                     }
