Resume lost runs from the checkpoint that was last reported

Cause: the end of a run whose worker left, restarted or fell silent was stored without a checkpoint, though polls had listed one within the last second.

--- a/crates/yuccatack_dispatch/src/health.rs
+++ b/crates/yuccatack_dispatch/src/health.rs
@@ -1,5 +1,7 @@
 //! Health of a worker, judged by the failures and the progress of its runs.
 
+use std::sync::Arc;
+
 use yuccatack_core::{DurationMs, FastHashMap, TimestampMs};
 use yuccatack_runs::{RunId, RunOutcome};
 
@@ -50,6 +52,8 @@
     percent: u8,
     since_clock_ms: u64,
     sample_count: u32,
+    /// Latest checkpoint that the worker listed for the run.
+    checkpoint: Option<Arc<str>>,
 }
 
 /// Failures and progress of a worker's runs.
@@ -111,6 +115,11 @@
         self.failed_at.is_none_or(|failed_at| now.since(failed_at) >= RELIABILITY_RECOVERY_MS)
     }
 
+    /// Returns the latest checkpoint that the worker listed for a run.
+    pub fn checkpoint(&self, run: &RunId) -> Option<Arc<str>> {
+        self.progress.get(run)?.checkpoint.clone()
+    }
+
     /// Returns the progress of a run, in percent.
     pub fn percent(&self, run: &RunId) -> Option<u8> {
         self.progress.get(run).map(|samples| samples.percent)
@@ -180,6 +189,7 @@
                 percent: row.percent,
                 since_clock_ms: clock_ms,
                 sample_count: 0,
+                checkpoint: None,
             };
             let samples = self.progress.entry(row.run.clone()).or_insert(initial);
             if samples.percent != row.percent {
@@ -188,6 +198,9 @@
                 samples.sample_count = 0;
             }
             samples.sample_count += 1;
+            if row.checkpoint.is_some() {
+                samples.checkpoint.clone_from(&row.checkpoint);
+            }
             let unchanged_ms = DurationMs::new(clock_ms.saturating_sub(samples.since_clock_ms));
             if unchanged_ms >= MIN_STALL_TIMEOUT_MS && samples.sample_count >= STALL_SAMPLE_COUNT {
                 unchanged.push((row.run.clone(), unchanged_ms));
