Quarantine no worker whose gang member waits for an absent one

Cause: a member without progress counted as stalled although another member was not executing at all, so that its own sound worker was quarantined.

Change: the members are stopped without a quarantine, with the event gang_not_assembled; run_missing is logged when a run is barred.

--- a/crates/yuccatack_dispatch/src/observation.rs
+++ b/crates/yuccatack_dispatch/src/observation.rs
@@ -56,11 +56,26 @@
         if unchanged_ms < stall_timeout(run_time_ms) {
             return;
         }
-        if self.evicted.contains(&run) || (spec.gang && self.waits_for_slower_member(&run, table)) {
+        if self.evicted.contains(&run) {
             return;
         }
+        if spec.gang {
+            if let Some(absent) = self.absent_member(&run, table) {
+                log::warn!(
+                    event = "gang_not_assembled", run:% = run, agent = node.as_str(),
+                    absent:% = absent;
+                    "a member of the gang is not executing; stopping the members that wait for it"
+                );
+                self.eviction_count += 1;
+                self.evicted.insert(run);
+                return;
+            }
+            if self.waits_for_slower_member(&run, table) {
+                return;
+            }
+        }
         log::warn!(
-            event = "run_stalled", run:% = run, node = node.as_str();
+            event = "run_stalled", run:% = run, agent = node.as_str();
             "the run makes no progress; stopping it and quarantining its worker"
         );
         self.eviction_count += 1;
@@ -70,6 +85,16 @@
         }
     }
 
+    /// Returns a member of the gang that no observation of its worker lists. The other members wait
+    /// for it, so that their own workers are not to blame.
+    fn absent_member(&self, run: &RunId, table: &JobTable) -> Option<RunId> {
+        let is_listed = |member: &RunId| {
+            let node = &table.open_runs().get(member)?.incarnation.node;
+            self.sessions.get(node)?.health.percent(member)
+        };
+        table.gang_members(run).find(|member| is_listed(member).is_none()).cloned()
+    }
+
     /// Returns `true` if another member of the gang has made less progress. The members end
     /// together, so one on a fast worker shows no progress until the slowest member reaches the
     /// same point.
@@ -156,6 +181,11 @@
             Some(OrderState::Active { missing_count } | OrderState::Unknown { missing_count })
                 if missing_count + 1 >= MISSING_OBSERVATION_COUNT =>
             {
+                log::warn!(
+                    event = "run_missing", run:% = run,
+                    agent = observation.incarnation.node.as_str();
+                    "the worker does not list the run; it is barred before its task begins again"
+                );
                 Some(OrderState::Stopping { sent_at: None })
             }
             Some(OrderState::Active { missing_count }) => {
