Begin the newest urgent jobs first while urgent jobs are late

Cause: in a long overload, the earliest deadline first begins each job when it is about to be late, and most complete late, for a fifth of their value.

Change: while an urgent job is late, urgent jobs that can be in time are taken newest first. Otherwise deadlines decide as before.

--- a/crates/yuccatack_dispatch/src/demand.rs
+++ b/crates/yuccatack_dispatch/src/demand.rs
@@ -42,8 +42,10 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Urgency {
     pub tier: Tier,
-    /// Latest Unix time at which the group can begin and still meet the objective of its job.
-    pub latest_begin_unix_ms: u64,
+    /// Position within the tier: the latest Unix time in milliseconds at which the group can begin and
+    /// still meet the objective of its job, or its waiting time in milliseconds while urgent jobs are
+    /// late.
+    pub rank_ms: u64,
     pub order: u64,
 }
 
@@ -176,10 +178,21 @@
             waited_ms: DurationMs::new(unix_ms.saturating_sub(timing.since_unix_ms)),
             last_attempt: !spec.long_running && failed_count + 1 >= max_attempts,
         };
+    if groups.iter().any(|group| group.urgency.tier == Tier::LateUrgent) {
+        prefer_newest_urgent(&mut groups);
+    }
         if spec.gang {
             if !step_progress.has_open_run() {
                 groups.push(group((0..spec.task_count).collect(), step_progress.gang.failed_count));
             }
+/// Puts the newest most urgent jobs first. While some of them are late, the earliest deadline first
+/// would begin each job when it is about to be late, too, and all of them would complete late.
+fn prefer_newest_urgent(groups: &mut [TaskGroup<'_>]) {
+    for group in groups.iter_mut().filter(|group| group.urgency.tier == Tier::Urgent) {
+        group.urgency.rank_ms = group.waited_ms.get();
+    }
+}
+
             continue;
         }
         let waiting = (0u32..)
@@ -214,5 +227,5 @@
     } else {
         Tier::Priority(submission.priority)
     };
-    Urgency { tier, latest_begin_unix_ms, order: job.order }
+    Urgency { tier, rank_ms: latest_begin_unix_ms, order: job.order }
 }
