Refuse jobs that cannot be served when they are submitted

Cause: every job was accepted.

Change: Dispatcher::admit refuses a job before it is stored, while work waits and the job does not fit into free capacity, if the announced workers could not hold it, if the accepted work takes more than twice the time after which the job has no value, or if no larger job of its queue has just lost its value without a start. Guaranteed, scheduled and long-running jobs are accepted. A job of which a submission is being stored is not refused.

--- /dev/null
+++ b/crates/yuccatack_dispatch/src/admission.rs
@@ -0,0 +1,311 @@
+//! Admission of submitted jobs.
+//!
+//! Answers two load patterns. In a long overload, every job that is accepted beyond what the workers
+//! complete in time delays others until most of them complete late or not at all. And a gang that is
+//! wider than its whole service waits for capacity that does not exist. Both are refused before they
+//! are stored, so that a refused job has not run and its caller learns at once when to come back.
+
+use std::collections::BTreeMap;
+
+use yuccatack_core::{
+    DurationMs, FastHashMap, JobName, NodeName, QueueName, Resources, ServiceName, TimestampMs,
+};
+use yuccatack_queues::ConfigurationStore;
+use yuccatack_runs::{Job, JobPhase, JobSubmission, JobTable, StepProgress};
+
+use crate::capacity::{WorkerSnapshot, footprint};
+use crate::demand::{TaskGroup, first_groups, is_within_guarantee, value_ends_ms};
+use crate::dispatcher::Dispatcher;
+use crate::placement::{CapacityKind, occupy, place};
+use crate::restraint::Waivers;
+use crate::run_time::RunTimes;
+use crate::session::Session;
+use crate::share::MinimumShares;
+
+/// Time for which it counts that a job has waited until it lost its value. Afterwards the load may
+/// have changed.
+const STARVATION_WINDOW: DurationMs = DurationMs::new(3_000);
+
+/// Multiple of the time to the end of its value at which a job's predicted completion counts as known
+/// to be too late. Predictions are off by a factor of about two.
+const PREDICTION_MARGIN: f64 = 2.0;
+
+/// Part of the capacity that tasks occupy when work waits; the rest is fragments that fit none.
+const PACKED_FRACTION: f64 = 0.85;
+
+/// Smallest part of the capacity that a priority is assumed to get.
+const MIN_RATE: f64 = 0.05;
+
+/// Smallest and largest delay after which a refused caller is told to come back. Beyond the largest
+/// one, predictions say little.
+const RETRY_DELAY_RANGE_MS: (u64, u64) = (1_000, 15_000);
+
+/// Delay after which the caller of a job that no set of workers holds is told to come back; workers
+/// join and leave within minutes.
+const SHAPE_RETRY_DELAY: DurationMs = DurationMs::new(30_000);
+
+/// Part by which the delays of different jobs differ, so that their callers do not return together.
+const RETRY_SPREAD: f64 = 0.5;
+
+/// Time after the begin of a leadership during which no job is refused: agents need it to attach, and
+/// until then the capacity is unknown.
+const SETTLING_TIME: DurationMs = DurationMs::new(5_000);
+
+/// Reason for which a job is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusalCause {
+    /// The job cannot run on the workers of its service, even if nothing else runs there.
+    Shape,
+    /// The accepted work of its priority takes so long that the job would lose its value before it
+    /// completes.
+    Backlog {
+        /// Predicted time to completion.
+        predicted_ms: DurationMs,
+    },
+    /// A job of the same queue that is no larger has just lost its value without a start.
+    Starvation {
+        /// Time for which that job has waited.
+        waited_ms: DurationMs,
+    },
+}
+
+/// Refusal of a job that was not stored.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Reason for the refusal.
+    pub cause: RefusalCause,
+    /// Delay after which the caller may try again.
+    pub retry_after_ms: DurationMs,
+}
+
+/// Accepted work and free capacity after a scheduling pass that left groups waiting.
+#[derive(Debug)]
+pub(crate) struct Backlog {
+    workers: Vec<WorkerSnapshot>,
+    shares: MinimumShares,
+    /// Unfinished work by service and priority, as time of the whole service in milliseconds.
+    work_ms: FastHashMap<(ServiceName, u32), f64>,
+    /// Groups of jobs that have just lost their value without a start.
+    starved: Vec<StarvedGroup>,
+}
+
+/// Group of a job that has lost its value without a start.
+#[derive(Debug)]
+struct StarvedGroup {
+    queue: QueueName,
+    task_count: usize,
+    need: Resources,
+    waited_ms: DurationMs,
+}
+
+impl StarvedGroup {
+    /// Returns the group if its job has lost its value within the [`STARVATION_WINDOW`].
+    fn new(group: &TaskGroup<'_>, run_times: &RunTimes) -> Option<Self> {
+        let submission = &group.job.submission;
+        let value_ends_ms = latest_value_end_ms(group.job, run_times);
+        let waited_ms = group.waited_ms.get();
+        let window = value_ends_ms..value_ends_ms.saturating_add(STARVATION_WINDOW.get());
+        let is_starved = group.job.phase == JobPhase::Queued && window.contains(&waited_ms);
+        is_starved.then(|| Self {
+            queue: submission.queue.clone(),
+            task_count: group.tasks.len(),
+            need: footprint(group.spec),
+            waited_ms: group.waited_ms,
+        })
+    }
+
+    /// Returns `true` if `group` needs at least as much of each resource.
+    fn is_covered_by(&self, group: &TaskGroup<'_>) -> bool {
+        self.queue == group.job.submission.queue
+            && self.task_count <= group.tasks.len()
+            && footprint(group.spec).contains(&self.need)
+    }
+}
+
+impl Backlog {
+    /// Adds up the unfinished work of all jobs that still have value.
+    pub fn new(
+        waiting: &[&TaskGroup<'_>],
+        workers: Vec<WorkerSnapshot>,
+        shares: MinimumShares,
+        table: &JobTable,
+        run_times: &RunTimes,
+        unix_ms: u64,
+    ) -> Self {
+        let starved = waiting.iter().filter_map(|group| StarvedGroup::new(group, run_times));
+        let starved = starved.collect();
+        let mut backlog = Self { workers, shares, work_ms: FastHashMap::default(), starved };
+        for job in table.jobs().filter(|job| !job.phase.is_final()) {
+            let age_ms = unix_ms.saturating_sub(job.submission.accepted_at_unix_ms);
+            if age_ms <= latest_value_end_ms(job, run_times) {
+                backlog.add(&job.submission, backlog.remaining_ms(job, run_times));
+            }
+        }
+        backlog
+    }
+
+    fn add(&mut self, submission: &JobSubmission, work_ms: f64) {
+        let key = (submission.service.clone(), submission.priority);
+        *self.work_ms.entry(key).or_default() += work_ms;
+    }
+
+    /// Returns the work of the tasks that have not completed. A task that executes counts half.
+    fn remaining_ms(&self, job: &Job, run_times: &RunTimes) -> f64 {
+        let open_tasks = |step: &StepProgress| -> f64 {
+            let weight = |open_count: u32| if open_count > 0 { 0.5 } else { 1.0 };
+            let unfinished = step.tasks.iter().filter(|task| !task.done);
+            unfinished.map(|task| weight(task.open_count)).sum()
+        };
+        let progress = job.occurrences.get(&0);
+        let steps = job.submission.spec.steps.iter().enumerate();
+        let per_step = steps.filter(|(_, spec)| !spec.long_running).map(|(index, spec)| {
+            let task_count = progress
+                .and_then(|occurrence| occurrence.steps.get(index))
+                .map_or(f64::from(spec.task_count), open_tasks);
+            let run_time_ms = run_times.predict(&job.submission.queue, spec).get() as f64;
+            task_count * run_time_ms * self.shares.dominant_fraction(&job.submission.service, spec)
+        });
+        per_step.sum()
+    }
+
+    /// Returns how long a group has waited that is no larger than one of `groups` and has just lost its
+    /// value.
+    fn starved_before(&self, groups: &[TaskGroup<'_>]) -> Option<DurationMs> {
+        let covered =
+            |starved: &&StarvedGroup| groups.iter().any(|group| starved.is_covered_by(group));
+        self.starved.iter().find(covered).map(|starved| starved.waited_ms)
+    }
+
+    /// Predicts the time until the job completes if it is accepted now.
+    fn completion_ms(&self, job: &Job, run_times: &RunTimes) -> f64 {
+        let submission = &job.submission;
+        let key = (submission.service.clone(), submission.priority);
+        let ahead_ms = self.work_ms.get(&key).copied().unwrap_or(0.0);
+        let rate = self.shares.rate(&submission.service, submission.priority).max(MIN_RATE)
+            * PACKED_FRACTION;
+        let own_ms = self.remaining_ms(job, run_times) / rate;
+        let chain_ms = run_times.chains_ms(job).into_iter().max().unwrap_or(0);
+        ahead_ms / rate + own_ms.max(chain_ms as f64)
+    }
+}
+
+impl Dispatcher {
+    /// Decides whether a job is stored. `submission` must not be stored or about to be.
+    ///
+    /// Jobs within a guarantee, with a schedule or with tasks that run until they are cancelled are
+    /// always accepted, and so are those that fit into free capacity.
+    pub fn admit(
+        &mut self,
+        submission: &JobSubmission,
+        table: &JobTable,
+        configuration: &ConfigurationStore,
+        unix_ms: u64,
+    ) -> Result<(), Refusal> {
+        let Some(backlog) = &mut self.backlog else { return Ok(()) };
+        let spec = &submission.spec;
+        let is_open_ended = spec.steps.iter().any(|step| step.long_running);
+        if spec.schedule.is_some()
+            || is_open_ended
+            || is_within_guarantee(submission, table, configuration)
+        {
+            return Ok(());
+        }
+        let job = Job::new(submission.clone(), u64::MAX);
+        let groups = first_groups(&job, &self.run_times, unix_ms);
+        let work_ms = backlog.remaining_ms(&job, &self.run_times);
+        if let Some(workers) = place_all(&groups, &backlog.workers) {
+            backlog.workers = workers;
+            backlog.add(submission, work_ms);
+            return Ok(());
+        }
+        if !could_hold(submission, &self.sessions) {
+            let retry_after_ms = spread(SHAPE_RETRY_DELAY.get() as f64, &submission.name);
+            return Err(Refusal { cause: RefusalCause::Shape, retry_after_ms });
+        }
+        let value_ends_ms = latest_value_end_ms(&job, &self.run_times);
+        let is_experienced = self.run_times.typical_ms(&submission.queue).is_some();
+        let limit_ms = (value_ends_ms as f64 * PREDICTION_MARGIN) as u64;
+        let cause = match backlog.starved_before(&groups) {
+            Some(waited_ms) => RefusalCause::Starvation { waited_ms },
+            // The most urgent jobs pass those that wait for a wider shape, and evict other work.
+            None if submission.priority == 0 || !is_experienced => return Ok(()),
+            None => {
+                let predicted_ms = backlog.completion_ms(&job, &self.run_times);
+                if predicted_ms <= limit_ms as f64 {
+                    backlog.add(submission, work_ms);
+                    return Ok(());
+                }
+                RefusalCause::Backlog { predicted_ms: DurationMs::new(predicted_ms as u64) }
+            }
+        };
+        let excess_ms = match cause {
+            // Accepted work is completed at the rate at which time passes.
+            RefusalCause::Backlog { predicted_ms } => predicted_ms.get() - limit_ms,
+            RefusalCause::Starvation { .. } | RefusalCause::Shape => STARVATION_WINDOW.get(),
+        };
+        let (shortest_ms, longest_ms) = RETRY_DELAY_RANGE_MS;
+        let delay_ms = excess_ms.clamp(shortest_ms, longest_ms) as f64;
+        Err(Refusal { cause, retry_after_ms: spread(delay_ms, &submission.name) })
+    }
+
+    /// Returns `true` once the agents had time to attach to this leader.
+    pub(crate) fn has_settled(&self, now: TimestampMs) -> bool {
+        now.since(self.leading_since) >= SETTLING_TIME
+    }
+}
+
+/// Returns the time from its acceptance after which completing the job certainly has no value. An
+/// estimate far below the run times of the queue is taken to be wrong.
+fn latest_value_end_ms(job: &Job, run_times: &RunTimes) -> u64 {
+    let typical_ms = run_times.typical_ms(&job.submission.queue).unwrap_or(0);
+    let chains_ms: Vec<u64> =
+        run_times.chains_ms(job).into_iter().map(|chain_ms| chain_ms.max(typical_ms)).collect();
+    value_ends_ms(&job.submission, &chains_ms)
+}
+
+/// Returns the workers with all groups placed on free capacity, or `None` if one does not fit.
+fn place_all(groups: &[TaskGroup<'_>], workers: &[WorkerSnapshot]) -> Option<Vec<WorkerSnapshot>> {
+    let mut workers = workers.to_vec();
+    for group in groups {
+        let placement = place(group, &workers, CapacityKind::Free, Waivers::NONE)?;
+        occupy(group, &placement, &mut workers);
+    }
+    Some(workers)
+}
+
+/// Returns `true` if the announced workers of the service could hold each step of the job if nothing
+/// else ran there: a whole gang, or one task of any other step. Labels are not considered, since the
+/// workers that have one may be about to return.
+fn could_hold(submission: &JobSubmission, sessions: &BTreeMap<NodeName, Session>) -> bool {
+    let states = || {
+        let states = sessions.values().filter_map(|session| session.state.as_ref());
+        states.filter(|state| state.service == submission.service)
+    };
+    // Without any worker, the service may just be starting.
+    states().next().is_none()
+        || submission.spec.steps.iter().all(|spec| {
+            let needed_count = if spec.gang { u64::from(spec.task_count) } else { 1 };
+            let limit = spec.tasks_per_worker.map_or(u64::MAX, u64::from);
+            let need = footprint(spec);
+            let slots = states().map(|state| slot_count(state.capacity, need).min(limit));
+            slots.fold(0, u64::saturating_add) >= needed_count
+        })
+}
+
+/// Returns the number of tasks that fit into `capacity`.
+fn slot_count(capacity: Resources, need: Resources) -> u64 {
+    let slots = |capacity: u64, need: u64| capacity.checked_div(need).unwrap_or(u64::MAX);
+    slots(capacity.cores_milli, need.cores_milli)
+        .min(slots(capacity.memory_bytes, need.memory_bytes))
+        .min(slots(u64::from(capacity.accelerator_count), u64::from(need.accelerator_count)))
+}
+
+/// Lengthens a delay by a part that depends on the job's name.
+fn spread(delay_ms: f64, name: &JobName) -> DurationMs {
+    let hash = name
+        .as_str()
+        .bytes()
+        .fold(0u64, |hash, byte| hash.wrapping_mul(0x0100_0000_01b3).wrapping_add(u64::from(byte)));
+    let part = (hash % 1_000) as f64 / 1_000.0;
+    DurationMs::new((delay_ms * (1.0 + RETRY_SPREAD * part)) as u64)
+}
--- a/crates/yuccatack_dispatch/src/demand.rs
+++ b/crates/yuccatack_dispatch/src/demand.rs
@@ -2,7 +2,7 @@
 
 use yuccatack_core::{DurationMs, FastHashMap, OrganisationName};
 use yuccatack_queues::ConfigurationStore;
-use yuccatack_runs::{Job, JobTable, Occurrence, StepSpec};
+use yuccatack_runs::{Job, JobSubmission, JobTable, Occurrence, StepSpec};
 
 use crate::run_time::RunTimes;
 
@@ -87,7 +87,8 @@
     let mut urgent_demand: FastHashMap<OrganisationName, u64> = FastHashMap::default();
     for job in table.jobs().filter(|job| !job.phase.is_final() && job.submission.priority == 0) {
         if let Some(organisation) = &job.submission.organisation {
-            *urgent_demand.entry(organisation.clone()).or_default() += peak_accelerator_count(job);
+            *urgent_demand.entry(organisation.clone()).or_default() +=
+                peak_accelerator_count(&job.submission);
         }
     }
     urgent_demand
@@ -95,10 +96,10 @@
 
 /// Returns the accelerators that the largest step of a job needs; its steps are taken to run one
 /// after the other.
-fn peak_accelerator_count(job: &Job) -> u64 {
+fn peak_accelerator_count(submission: &JobSubmission) -> u64 {
     let step_accelerators =
         |step: &StepSpec| u64::from(step.demand.accelerator_count) * u64::from(step.task_count);
-    job.submission.spec.steps.iter().map(step_accelerators).max().unwrap_or(0)
+    submission.spec.steps.iter().map(step_accelerators).max().unwrap_or(0)
 }
 
 /// Returns `true` if the most urgent jobs of the organisation fit into its guaranteed accelerators.
@@ -113,6 +114,47 @@
     })
 }
 
+/// Returns `true` if the urgent jobs of the submitting organisation, with this one, fit into its
+/// guaranteed accelerators.
+pub(crate) fn is_within_guarantee(
+    submission: &JobSubmission,
+    table: &JobTable,
+    configuration: &ConfigurationStore,
+) -> bool {
+    let Some(organisation) = &submission.organisation else { return false };
+    let accepted = urgent_accelerator_demand(table).get(organisation).copied().unwrap_or(0);
+    let demand = accepted.saturating_add(peak_accelerator_count(submission));
+    submission.priority == 0
+        && demand <= u64::from(configuration.guaranteed_accelerator_count(organisation))
+}
+
+/// Returns the time from its acceptance in which a job meets its objective, given the predicted
+/// chains of its steps.
+fn objective_ms(submission: &JobSubmission, chains_ms: &[u64]) -> u64 {
+    let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
+    // The conversion saturates. Below 2^53, the float holds whole milliseconds exactly.
+    let stretched_ms = (chain_ms as f64 * submission.stretch.max(1.0)) as u64;
+    stretched_ms.saturating_add(submission.allowance_ms.get())
+}
+
+/// Returns the time from its acceptance after which completing a job has no value.
+pub(crate) fn value_ends_ms(submission: &JobSubmission, chains_ms: &[u64]) -> u64 {
+    objective_ms(submission, chains_ms).saturating_mul(OVERDUE_FACTOR)
+}
+
+/// Returns the groups with which a new job begins.
+pub(crate) fn first_groups<'a>(
+    job: &'a Job,
+    run_times: &RunTimes,
+    unix_ms: u64,
+) -> Vec<TaskGroup<'a>> {
+    let chains_ms = run_times.chains_ms(job);
+    let timing = Timing { since_unix_ms: unix_ms, chains_ms: &chains_ms };
+    let mut groups = Vec::new();
+    collect_occurrence(job, 0, timing, false, unix_ms, &mut groups);
+    groups
+}
+
 /// Returns all task groups that are ready to begin, most urgent first.
 pub(crate) fn ready_task_groups<'a>(
     table: &'a JobTable,
@@ -136,10 +178,21 @@
             collect_occurrence(job, occurrence, timing, guaranteed, unix_ms, &mut groups);
         }
     }
+    if groups.iter().any(|group| group.urgency.tier == Tier::LateUrgent) {
+        prefer_newest_urgent(&mut groups);
+    }
     groups.sort_by_key(|group| group.urgency);
     groups
 }
 
+/// Puts the newest most urgent jobs first. While some of them are late, the earliest deadline first
+/// would begin each job when it is about to be late, too, and all of them would complete late.
+fn prefer_newest_urgent(groups: &mut [TaskGroup<'_>]) {
+    for group in groups.iter_mut().filter(|group| group.urgency.tier == Tier::Urgent) {
+        group.urgency.rank_ms = group.waited_ms.get();
+    }
+}
+
 fn collect_occurrence<'a>(
     job: &'a Job,
     occurrence: u32,
@@ -178,21 +231,10 @@
             waited_ms: DurationMs::new(unix_ms.saturating_sub(timing.since_unix_ms)),
             last_attempt: !spec.long_running && failed_count + 1 >= max_attempts,
         };
-    if groups.iter().any(|group| group.urgency.tier == Tier::LateUrgent) {
-        prefer_newest_urgent(&mut groups);
-    }
         if spec.gang {
             if !step_progress.has_open_run() {
                 groups.push(group((0..spec.task_count).collect(), step_progress.gang.failed_count));
             }
-/// Puts the newest most urgent jobs first. While some of them are late, the earliest deadline first
-/// would begin each job when it is about to be late, too, and all of them would complete late.
-fn prefer_newest_urgent(groups: &mut [TaskGroup<'_>]) {
-    for group in groups.iter_mut().filter(|group| group.urgency.tier == Tier::Urgent) {
-        group.urgency.rank_ms = group.waited_ms.get();
-    }
-}
-
             continue;
         }
         let waiting = (0u32..)
@@ -205,17 +247,13 @@
 fn urgency(job: &Job, step: u32, timing: Timing<'_>, guaranteed: bool, unix_ms: u64) -> Urgency {
     let Timing { since_unix_ms, chains_ms } = timing;
     let submission = &job.submission;
-    let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
-    // The conversion saturates. Below 2^53, the float holds whole milliseconds exactly.
-    let stretched_ms = (chain_ms as f64 * submission.stretch.max(1.0)) as u64;
-    let objective_ms = stretched_ms.saturating_add(submission.allowance_ms.get());
+    let objective_ms = objective_ms(submission, chains_ms);
     let remaining_ms = chains_ms.get(step as usize).copied().unwrap_or(0);
     let latest_begin_unix_ms =
         since_unix_ms.saturating_add(objective_ms).saturating_sub(remaining_ms);
     let margin_ms = remaining_ms.saturating_mul(LATE_MARGIN_PERCENT) / 100;
     let late = unix_ms > latest_begin_unix_ms.saturating_add(margin_ms);
-    let overdue_after_ms = objective_ms.saturating_mul(OVERDUE_FACTOR);
-    let overdue = unix_ms > since_unix_ms.saturating_add(overdue_after_ms);
+    let overdue = unix_ms > since_unix_ms.saturating_add(value_ends_ms(submission, chains_ms));
     let tier = if guaranteed {
         Tier::Guaranteed
     } else if overdue {
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -7,6 +7,7 @@
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{JobTable, OpenRun, RunEnd, RunId, RunOutcome, RunStart, WorkerIncarnation};
 
+use crate::admission::Backlog;
 use crate::capacity::available_workers;
 use crate::demand::{ready_task_groups, urgent_accelerator_demand};
 use crate::eviction::{EvictionInputs, may_evict, reserve_after_stops};
@@ -48,7 +49,7 @@
 pub struct Dispatcher {
     settings: DispatchSettings,
     token: u64,
-    leading_since: TimestampMs,
+    pub(crate) leading_since: TimestampMs,
     pub(crate) sessions: BTreeMap<NodeName, Session>,
     pub(crate) evicted: FastHashSet<RunId>,
     headroom: Headroom,
@@ -56,6 +57,8 @@
     waiting_steps: WaitingSteps,
     /// Number of evictions since the last call of [`Self::take_eviction_count`].
     pub(crate) eviction_count: u64,
+    /// Work that the last pass left waiting; `None` if it placed everything.
+    pub(crate) backlog: Option<Backlog>,
     summary: Option<PassSummary>,
     summarized_at: TimestampMs,
 }
@@ -74,6 +77,7 @@
             run_times: RunTimes::default(),
             waiting_steps: WaitingSteps::default(),
             eviction_count: 0,
+            backlog: None,
             summary: None,
             summarized_at: TimestampMs::default(),
         }
@@ -143,11 +147,11 @@
                     event = "worker_left", agent = node.as_str(), life:% = incarnation;
                     "the worker has left; its open runs are lost"
                 );
+                let ends = self.lost_run_ends(table, |other| *other == incarnation);
                 if let Some(session) = self.sessions.get_mut(node)
                     && session.incarnation() == Some(&incarnation)
                 {
                     session.state = None;
-                let ends = self.lost_run_ends(table, |other| *other == incarnation);
                 }
                 ends
             }
@@ -222,6 +226,7 @@
             ready_task_groups(table, configuration, &urgent_demand, &self.run_times, unix_ms);
         share_headroom(&mut groups);
         if groups.is_empty() {
+            self.backlog = None;
             return changes;
         }
         let mut workers = available_workers(&self.sessions, table, now);
@@ -273,6 +278,9 @@
             self.summarized_at = now;
             self.summary = Some(PassSummary::new(&waiting, &workers, table));
         }
+        let overloaded = !waiting.is_empty() && self.has_settled(now);
+        self.backlog = overloaded
+            .then(|| Backlog::new(&waiting, workers, shares, table, &self.run_times, unix_ms));
         changes
     }
 
@@ -295,14 +303,6 @@
         })
     }
 
-    /// Returns the orders that are due at `now`, by node.
-    pub fn orders(&mut self, table: &JobTable, now: TimestampMs) -> Vec<(NodeName, Orders)> {
-        let reconciliation = Reconciliation {
-            settings: &self.settings,
-            table,
-            evicted: &self.evicted,
-            token: self.token,
-            now,
     /// Returns the ends of all open runs on lost incarnations, with the latest checkpoints that these
     /// listed: what a run saved outlasts its worker.
     fn lost_run_ends<Predicate>(&self, table: &JobTable, is_lost: Predicate) -> Vec<TableChange>
@@ -321,6 +321,14 @@
         runs.map(end).collect()
     }
 
+    /// Returns the orders that are due at `now`, by node.
+    pub fn orders(&mut self, table: &JobTable, now: TimestampMs) -> Vec<(NodeName, Orders)> {
+        let reconciliation = Reconciliation {
+            settings: &self.settings,
+            table,
+            evicted: &self.evicted,
+            token: self.token,
+            now,
         };
         reconciliation.orders(&mut self.sessions)
     }
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! leader starts without it and rebuilds it from the reports of the agents. No function
 //! reads a clock: the current time is an argument.
 
+mod admission;
 mod capacity;
 mod demand;
 mod dispatcher;
@@ -26,6 +27,7 @@
 mod summary;
 mod waiting;
 
+pub use admission::{Refusal, RefusalCause};
 pub use dispatcher::{Dispatcher, TableChange};
 pub use lease::ClockReading;
 pub use pending::PendingChanges;
--- a/crates/yuccatack_dispatch/src/run_time.rs
+++ b/crates/yuccatack_dispatch/src/run_time.rs
@@ -7,6 +7,9 @@
 /// squared differences of logarithms. Until then a prediction is close to the estimate.
 const PRIOR_VARIATION: f64 = 2.0;
 
+/// Number of completed runs from which a queue has a typical run time.
+const TYPICAL_RUN_COUNT: u32 = 10;
+
 /// Linear regression of the run times of a queue on their estimates, both as logarithms.
 #[derive(Clone, Copy, Debug, Default)]
 struct Regression {
@@ -47,6 +50,13 @@
         regression.add(logarithm(spec.estimated_run_ms), logarithm(run_time_ms));
     }
 
+    /// Returns the geometric mean of the queue's run times in milliseconds; `None` until enough runs
+    /// have completed.
+    pub fn typical_ms(&self, queue: &QueueName) -> Option<u64> {
+        let regression = self.queues.get(queue)?;
+        (regression.count >= TYPICAL_RUN_COUNT).then(|| regression.mean_run_time.exp() as u64)
+    }
+
     /// Predicts the run time of a step's tasks.
     pub fn predict(&self, queue: &QueueName, spec: &StepSpec) -> DurationMs {
         let Some(regression) = self.queues.get(queue) else { return spec.estimated_run_ms };
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -6,20 +6,21 @@
 use bytes::Bytes;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::{mpsc, oneshot};
-use yuccatack_core::{DurationMs, FastHashMap, TimestampMs};
+use yuccatack_core::{DurationMs, FastHashMap, JobName, TimestampMs};
 use yuccatack_dispatch::{AgentMessage, DispatchSettings, Dispatcher, PendingChanges};
 use yuccatack_queue_client::protocol::{LeaderFrame, LeaderHint, Request, Response};
 use yuccatack_replication::{
     Committed, Leadership, LogIndex, ProposalFailure, ProposalId, ReadFailure, ReadId, ReplicaId,
     ReplicationHandle, decode, encode,
 };
+use yuccatack_runs::JobSubmission;
 use yuccatack_telemetry::Metrics;
 
 use crate::agents::Agents;
 use crate::calls::{Plan, plan, response_for};
 use crate::command::Command;
 use crate::message::{ControlMessage, JoinRequest};
-use crate::observe::{log_after_apply, log_before_apply};
+use crate::observe::{log_after_apply, log_before_apply, log_refusal};
 use crate::state::QueueState;
 
 /// Interval of heartbeats to agents. An agent closes its stream after about three missed ones.
@@ -31,6 +32,8 @@
 /// Continuation of a proposal once it is committed or has failed.
 pub(crate) enum PendingProposal {
     Call(oneshot::Sender<Response>),
+    /// A job of this name is being stored.
+    Submission(JobName, oneshot::Sender<Response>),
     /// A batch of table changes; no other batch is proposed until this one completes.
     Changes,
     Housekeeping,
@@ -311,7 +314,9 @@
         self.changed_since_pass = true;
         let Some(proposal) = proposal else { return Ok(()) };
         match self.proposals.remove(&proposal) {
-            Some(PendingProposal::Call(reply)) => respond(reply, response_for(applied)),
+            Some(PendingProposal::Call(reply) | PendingProposal::Submission(_, reply)) => {
+                respond(reply, response_for(applied));
+            }
             Some(PendingProposal::Changes) => self.pending_changes.on_committed(&proposal),
             Some(PendingProposal::Housekeeping) | None => {}
         }
@@ -320,7 +325,7 @@
 
     fn on_proposal_failed(&mut self, proposal: ProposalId, failure: ProposalFailure) {
         match self.proposals.remove(&proposal) {
-            Some(PendingProposal::Call(reply)) => {
+            Some(PendingProposal::Call(reply) | PendingProposal::Submission(_, reply)) => {
                 let response = match failure {
                     ProposalFailure::NotLeader { leader_address } => {
                         Response::NotLeader(LeaderHint {
@@ -345,6 +350,7 @@
                     Plan::Propose(command) => {
                         self.propose(&command, PendingProposal::Call(reply))?
                     }
+                    Plan::Submit(submission) => self.submit(submission, reply)?,
                 }
             }
             Some(PendingRead::Leases { began_at }) => {
@@ -359,6 +365,30 @@
         Ok(())
     }
 
+    /// Stores a job if the dispatcher admits it. A job of the same name that is being stored already
+    /// must not be refused: it may run.
+    fn submit(
+        &mut self,
+        submission: Box<JobSubmission>,
+        reply: oneshot::Sender<Response>,
+    ) -> Result<(), ActorProcessingErr> {
+        let name = submission.name.clone();
+        let is_being_stored = self.proposals.values().any(
+            |pending| matches!(pending, PendingProposal::Submission(other, _) if *other == name),
+        );
+        if !is_being_stored && let Some(dispatcher) = &mut self.dispatcher {
+            let QueueState { configuration, jobs } = &self.queue_state;
+            let admission = dispatcher.admit(&submission, jobs, configuration, unix_now_ms());
+            if let Err(refusal) = admission {
+                log_refusal(&submission, &refusal);
+                let retry_after_ms = refusal.retry_after_ms;
+                respond(reply, Response::Busy { retry_after_ms });
+                return Ok(());
+            }
+        }
+        self.propose(&Command::Submit(submission), PendingProposal::Submission(name, reply))
+    }
+
     pub(crate) fn propose(
         &mut self,
         command: &Command,
@@ -410,8 +440,9 @@
     }
 
     fn has_pending_calls(&self) -> bool {
-        let waits_for_proposal =
-            self.proposals.values().any(|pending| matches!(pending, PendingProposal::Call(_)));
+        let waits_for_proposal = self.proposals.values().any(|pending| {
+            matches!(pending, PendingProposal::Call(_) | PendingProposal::Submission(..))
+        });
         waits_for_proposal
             || self.reads.values().any(|pending| matches!(pending, PendingRead::Call(..)))
     }
--- a/crates/yuccatack_queue_control/src/calls.rs
+++ b/crates/yuccatack_queue_control/src/calls.rs
@@ -23,6 +23,8 @@
 pub(crate) enum Plan {
     Respond(Response),
     Propose(Command),
+    /// Stores a new job if the dispatcher admits it.
+    Submit(Box<JobSubmission>),
 }
 
 /// Plans a call; `state` must include every command that was committed before the call arrived.
@@ -93,7 +95,7 @@
         return Plan::Respond(Response::Busy { retry_after_ms: JOB_LIMIT_RETRY_DELAY });
     }
     let queue = access.queue;
-    Plan::Propose(Command::Submit(Box::new(JobSubmission {
+    Plan::Submit(Box::new(JobSubmission {
         name,
         queue: queue.name.clone(),
         service: queue.service.clone(),
@@ -104,7 +106,7 @@
         allowance_ms: queue.allowance_ms,
         accepted_at_unix_ms: now_unix_ms,
         spec,
-    })))
+    }))
 }
 
 fn plan_cancel(state: &QueueState, target: &CallTarget, now_unix_ms: u64) -> Plan {
--- a/crates/yuccatack_queue_control/src/observe.rs
+++ b/crates/yuccatack_queue_control/src/observe.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeSet;
 
 use yuccatack_core::JobName;
-use yuccatack_dispatch::TableChange;
+use yuccatack_dispatch::{Refusal, TableChange};
 use yuccatack_replication::LogIndex;
-use yuccatack_runs::{JobPhase, RunEnd, RunOutcome};
+use yuccatack_runs::{JobPhase, JobSubmission, RunEnd, RunOutcome};
 use yuccatack_telemetry::Metrics;
 use yuccatack_telemetry::metrics::RunEndKind;
 
@@ -68,6 +68,16 @@
     command: &Command,
     applied: Applied,
     unfinished: &BTreeSet<JobName>,
+/// Logs that a job was not stored.
+pub(crate) fn log_refusal(submission: &JobSubmission, refusal: &Refusal) {
+    log::info!(
+        event = "job_refused", job = submission.name.as_str(), queue = submission.queue.as_str(),
+        priority = submission.priority, steps:% = submission.spec, cause:? = refusal.cause,
+        retry_after_ms = refusal.retry_after_ms.get();
+        "a submitted job was refused and does not run; its caller may try again later"
+    );
+}
+
     state: &QueueState,
     index: LogIndex,
 ) {
--- a/crates/yuccatack_runs/src/job.rs
+++ b/crates/yuccatack_runs/src/job.rs
@@ -47,7 +47,8 @@
 }
 
 impl Job {
-    pub(crate) fn new(submission: JobSubmission, order: u64) -> Self {
+    /// Creates an accepted job without any runs.
+    pub fn new(submission: JobSubmission, order: u64) -> Self {
         let phase = JobPhase::Queued;
         Self { submission, order, phase, occurrences: BTreeMap::new(), ended_at_unix_ms: None }
     }
--- a/crates/yuccatack_telemetry/src/logging/writer.rs
+++ b/crates/yuccatack_telemetry/src/logging/writer.rs
@@ -27,10 +27,11 @@
 const DECISION_LINE_LIMIT_COUNT: u64 = 400;
 
 /// Events that record one decision on one job or run.
-const DECISION_EVENTS: [&str; 10] = [
+const DECISION_EVENTS: [&str; 11] = [
     "call_answered",
     "job_cancelled",
     "job_ended",
+    "job_refused",
     "job_stored",
     "run_ended",
     "run_evicted",
