--- a/crates/yuccatack_dispatch/src/eviction.rs
+++ b/crates/yuccatack_dispatch/src/eviction.rs
@@ -36,12 +36,13 @@
         let progress = self.progress();
         let reclaim = Reclaim { inputs: &inputs, stopping: &stopping, progress: &progress };
         let Some(eviction) = reclaim.find(group, workers) else { return false };
+        let victims = eviction.victims.iter().map(ToString::to_string).collect::<Vec<_>>();
+        log::info!(
+            event = "run_evicted", count = victims.len(), runs = victims.join(","),
+            for_job = group.job.submission.name.as_str();
+            "evicting the runs to free their capacity for a more urgent job"
+        );
         for victim in eviction.victims {
-            log::info!(
-                event = "run_evicted", run:% = victim,
-                for_job = group.job.submission.name.as_str();
-                "evicting the run to free its capacity for a more urgent job"
-            );
             inputs.shares.release(&victim, inputs.table);
             self.eviction_count += 1;
             self.evicted.insert(victim);
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -141,7 +141,7 @@
                 match &mut state.dispatcher {
                     Some(dispatcher) => {
                         log::info!(
-                            event = "agent_attached", node = node.as_str();
+                            event = "agent_attached", agent = node.as_str();
                             "an agent attached to this leader"
                         );
                         dispatcher.connect(&node);
@@ -170,7 +170,7 @@
             ControlMessage::AgentDisconnected { stream, node } => {
                 if state.agents.is_current(&node, stream) {
                     log::warn!(
-                        event = "agent_detached", node = node.as_str();
+                        event = "agent_detached", agent = node.as_str();
                         "an agent's stream ended; it gets no orders until it attaches again"
                     );
                     state.agents.disconnect(&node);
--- a/crates/yuccatack_queue_control/src/lib.rs
+++ b/crates/yuccatack_queue_control/src/lib.rs
@@ -12,6 +12,7 @@
 mod message;
 mod observe;
 mod process;
+mod run_lines;
 mod schedule;
 mod service;
 mod state;
--- a/crates/yuccatack_queue_control/src/observe.rs
+++ b/crates/yuccatack_queue_control/src/observe.rs
@@ -10,6 +10,7 @@
 use yuccatack_telemetry::metrics::RunEndKind;
 
 use crate::command::Command;
+use crate::run_lines::RunLines;
 use crate::state::{Applied, QueueState};
 
 /// Logs a command that is about to be applied to `state`. Returns the unfinished jobs that the
@@ -30,27 +31,32 @@
             "a submitted job is stored and will be scheduled"
         ),
         Command::Change { changes, .. } => {
+            let mut ends = RunLines::new();
             for change in changes {
                 let TableChange::End(end) = change else { continue };
-                if state.jobs.open_runs().contains_key(&end.run) {
-                    log_end(end, index, metrics);
+                if let Some(open) = state.jobs.open_runs().get(&end.run) {
+                    ends.add(&end.run, format!("{:?}", end.outcome), &open.incarnation.node);
+                    count_end(end, metrics);
                 }
                 let job = &end.run.task.job;
                 if state.jobs.job(job).is_some_and(|job| !job.phase.is_final()) {
                     unfinished.insert(job.clone());
                 }
             }
+            ends.for_each(|runs, outcome, count, tasks| {
+                log::info!(
+                    event = "run_ended", run:% = runs, outcome = outcome.as_str(), count = count,
+                    tasks = tasks, index = index.get();
+                    "runs of the step have ended and their outcome is stored"
+                );
+            });
         }
         Command::Cancel { .. } | Command::Configure(_) | Command::RemoveEnded(_) => {}
     }
     unfinished
 }
 
-fn log_end(end: &RunEnd, index: LogIndex, metrics: &Metrics) {
-    log::info!(
-        event = "run_ended", run:% = end.run, outcome:? = end.outcome, index = index.get();
-        "a run has ended and its outcome is stored"
-    );
+fn count_end(end: &RunEnd, metrics: &Metrics) {
     metrics.queues.count_run_end(match end.outcome {
         RunOutcome::Done => RunEndKind::Done,
         RunOutcome::Failed => RunEndKind::Failed,
@@ -62,12 +68,6 @@
     });
 }
 
-/// Logs the result of a command that was applied. `state` is the state after it, and `unfinished`
-/// is the return value of [`log_before_apply`].
-pub(crate) fn log_after_apply(
-    command: &Command,
-    applied: Applied,
-    unfinished: &BTreeSet<JobName>,
 /// Logs that a job was not stored.
 pub(crate) fn log_refusal(submission: &JobSubmission, refusal: &Refusal) {
     log::info!(
@@ -78,6 +78,12 @@
     );
 }
 
+/// Logs the result of a command that was applied. `state` is the state after it, and `unfinished`
+/// is the return value of [`log_before_apply`].
+pub(crate) fn log_after_apply(
+    command: &Command,
+    applied: Applied,
+    unfinished: &BTreeSet<JobName>,
     state: &QueueState,
     index: LogIndex,
 ) {
--- a/crates/yuccatack_queue_control/src/schedule.rs
+++ b/crates/yuccatack_queue_control/src/schedule.rs
@@ -7,6 +7,7 @@
 
 use crate::actor::{ControlState, PendingProposal, PendingRead, unix_now_ms};
 use crate::command::Command;
+use crate::run_lines::RunLines;
 
 /// Shortest interval between leadership confirmations for leases. Leases last several seconds, and
 /// each confirmation costs a round of messages.
@@ -83,25 +84,27 @@
 
     fn send_orders(&mut self, now: TimestampMs) {
         let Some(dispatcher) = &mut self.dispatcher else { return };
+        let (mut starts, mut stops) = (RunLines::new(), RunLines::new());
+        let token = dispatcher.token();
         for (node, orders) in dispatcher.orders(&self.queue_state.jobs, now) {
-            for start in &orders.starts {
-                log::info!(
-                    event = "run_ordered", run:% = start.run, node = node.as_str(),
-                    lease_until_clock_ms = start.until_clock_ms, token = orders.token;
-                    "the leader ordered a run to start on the node"
-                );
-            }
-            for stop in &orders.stops {
-                log::info!(
-                    event = "stop_ordered", run:% = stop, node = node.as_str(),
-                    token = orders.token;
-                    "the leader ordered a run to stop on the node"
-                );
-            }
+            orders.starts.iter().for_each(|start| starts.add(&start.run, (), &node));
+            orders.stops.iter().for_each(|run| stops.add(run, (), &node));
             if !self.agents.send(&node, orders) {
                 dispatcher.disconnect(&node);
             }
         }
+        starts.for_each(|runs, (), count, tasks| {
+            log::info!(
+                event = "run_ordered", run:% = runs, count = count, tasks = tasks, token = token;
+                "the leader ordered runs of the step to start; tasks are given with their nodes"
+            );
+        });
+        stops.for_each(|runs, (), count, tasks| {
+            log::info!(
+                event = "stop_ordered", run:% = runs, count = count, tasks = tasks, token = token;
+                "the leader ordered runs of the step to stop; tasks are given with their nodes"
+            );
+        });
     }
 }
 
