--- a/crates/yuccatack_dispatch/src/eviction.rs
+++ b/crates/yuccatack_dispatch/src/eviction.rs
@@ -38,7 +38,7 @@
         let Some(eviction) = reclaim.find(group, workers) else { return false };
         let victims = eviction.victims.iter().map(ToString::to_string).collect::<Vec<_>>();
         log::info!(
-            event = "run_evicted", count = victims.len(), runs = victims.join(","),
+            event = "run_evicted", count = victims.len(), runs = victims.join(",").as_str(),
             for_job = group.job.submission.name.as_str();
             "evicting the runs to free their capacity for a more urgent job"
         );
