Replay the urgent overload with arrivals that do not match run times

The test passed with the order switched off: arrivals each 1,000 ms and runs of 2,000 ms made every job end exactly at its objective. The bound is unchanged.

--- a/crates/yuccatack_dispatch/tests/urgent_overload.rs
+++ b/crates/yuccatack_dispatch/tests/urgent_overload.rs
@@ -17,8 +17,8 @@
 /// Objective of each job: three times the run time and one second.
 const OBJECTIVE_MS: u64 = 7_000;
 
-/// Interval between two jobs, each of which occupies the only worker: twice what it completes.
-const ARRIVAL_INTERVAL_MS: u64 = 1_000;
+/// Interval between two jobs, each of which needs the only worker for more than twice as long.
+const ARRIVAL_INTERVAL_MS: u64 = 900;
 
 const LENGTH_MS: u64 = 120_000;
 
