Add review case 4: ended runs begin again when more than 500 ends wait

A list of ends that the worker cut at 500 rows is read as if it were whole, so that a run whose end is still to be listed counts as one that never began.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review/cases ] && [ -x target/release/yuccatack ] || exit 2
-exec target/review/cases same_id "$folder"
+exec target/review/cases many_ends "$folder"
--- a/review/stand_ins/cluster.rs
+++ b/review/stand_ins/cluster.rs
@@ -248,6 +248,11 @@
         self.start_role("agent", FIRST_WORKER + worker, false)
     }
 
+    pub fn start_control(&mut self, index: usize) -> Outcome<()> {
+        self.note(&format!("start control-{index}"));
+        self.start_role("control", index, false)
+    }
+
     pub fn note(&mut self, text: &str) {
         self.record.push((unix_ms(), text.to_owned()));
     }
@@ -459,15 +464,33 @@
         .collect()
 }
 
-/// Breaks of rule TWICE among the runs of a work item: two at the same time, or a start after one
-/// has ended `done`.
-pub fn twice(spans: &[Span]) -> Vec<String> {
+/// Breaks of rule TWICE among the runs of a work item: two at the same time, or a start after a run
+/// has ended `done`, if that end is taken note of at any time.
+pub fn twice(events: &[Event], task: &str, crashed: &[(String, u64)], now_ms: u64) -> Vec<String> {
+    let spans = spans(events, task, crashed, now_ms);
+    let noted = |span: &Span| {
+        events.iter().any(|event| {
+            event.kind == "noted"
+                && event.task == task
+                && event.run == span.run
+                && event.boot == span.boot
+        })
+    };
     let mut breaks = Vec::new();
     for (index, one) in spans.iter().enumerate() {
         for other in &spans[index + 1..] {
             let overlap = one.to_ms.min(other.to_ms).saturating_sub(one.from_ms.max(other.from_ms));
             if overlap > 0 {
-                breaks.push(format!("two runs at the same time for {overlap} ms: {one}; {other}"));
+                breaks.push(format!(
+                    "{task}: two runs at the same time for {overlap} ms: {one}; {other}"
+                ));
+                continue;
+            }
+            let (first, then) =
+                if one.from_ms <= other.from_ms { (one, other) } else { (other, one) };
+            if first.how == "done" && noted(first) {
+                let after_ms = then.from_ms - first.to_ms;
+                breaks.push(format!("{task}: {then} began {after_ms} ms after the end of {first}"));
             }
         }
     }
--- a/review/stand_ins/frozen.rs
+++ b/review/stand_ins/frozen.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::boots::start_minions;
-use crate::cluster::{Cluster, Outcome, SIGCONT, SIGSTOP, play_on, spans, twice};
+use crate::cluster::{Cluster, Outcome, SIGCONT, SIGSTOP, play_on, twice};
 use crate::worker::unix_ms;
 
 const JOB: &str = "5c0e7a21d94b36f8";
@@ -47,5 +47,5 @@
         sleep(Duration::from_secs(1));
     }
     sleep(Duration::from_secs(1));
-    Ok(twice(&spans(&cluster.events(), TASK, &[], unix_ms())))
+    Ok(twice(&cluster.events(), TASK, &[], unix_ms()))
 }
--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod late_ping;
+mod many_ends;
 mod reborn;
 mod same_id;
 mod worker;
@@ -35,6 +36,7 @@
     let result = match arguments[0].as_str() {
         "late_ping" => late_ping::play(case, with_trouble),
         "frozen" => frozen::play(case, with_trouble),
+        "many_ends" => many_ends::play(case, with_trouble),
         "same_id" => same_id::play(case, with_trouble),
         "reborn" => reborn::play(case, with_trouble),
         other => Err(cluster::CannotRun(format!("no such case: {other}"))),
--- a/review/stand_ins/reborn.rs
+++ b/review/stand_ins/reborn.rs
@@ -4,7 +4,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use crate::cluster::{Cluster, MANIFEST, Outcome, play_on, spans, twice};
+use crate::cluster::{Cluster, MANIFEST, Outcome, play_on, twice};
 use crate::worker::unix_ms;
 
 const JOB_COUNT: usize = 12;
@@ -54,7 +54,7 @@
     let mut breaks = Vec::new();
     for path in &paths {
         let task = format!("{}.0.0.0", &path[3..]);
-        breaks.extend(twice(&spans(&events, &task, &crashed, unix_ms())));
+        breaks.extend(twice(&events, &task, &crashed, unix_ms()));
     }
     Ok(breaks)
 }
--- a/review/stand_ins/worker.rs
+++ b/review/stand_ins/worker.rs
@@ -65,6 +65,8 @@
     closed: BTreeMap<String, u64>,
     ended: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
+    /// Number of the last end before the lease last lapsed; ends up to it are not taken note of.
+    last_end_before_lapse: u64,
 }
 
 /// Body of a ping.
@@ -94,6 +96,7 @@
         closed: BTreeMap::new(),
         ended: Vec::new(),
         last_end: 0,
+        last_end_before_lapse: 0,
     };
     worker.note("boot", "-", 0, "");
     let shared = Arc::new((Mutex::new(worker), Condvar::new()));
@@ -149,6 +152,9 @@
             worker.note("start", &task, run, "");
             // The payload names the work in milliseconds.
             let work = Duration::from_millis(body.text("Spec").parse().unwrap_or(1_000));
+            // Equal work items take up to a tenth longer, each by another time.
+            let factor = task.bytes().fold(7_u32, |sum, byte| (sum * 31 + u32::from(byte)) % 1_009);
+            let work = work + work * factor / 10_090;
             worker.running.insert((task, run), Run { began_at: Instant::now(), work });
         }
         "/run-stop" => {
@@ -161,7 +167,7 @@
                 worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
             }
             let acknowledged = body.number("AckSeq");
-            worker.ended.retain(|(number, ..)| *number > acknowledged);
+            worker.take_note(acknowledged);
             let wait = Duration::from_millis(body.number("WaitMs").min(2_000));
             let deadline = Instant::now() + wait;
             while worker.ended.is_empty() && Instant::now() < deadline {
@@ -200,9 +206,26 @@
         self.ended.push((self.last_end, task.to_owned(), run, how));
     }
 
+    /// Forgets the ends up to `acknowledged`. Those since the lease last lapsed count as taken note of.
+    fn take_note(&mut self, acknowledged: u64) {
+        let (noted, left) = std::mem::take(&mut self.ended)
+            .into_iter()
+            .partition(|(number, ..)| *number <= acknowledged);
+        self.ended = left;
+        let noted: Vec<(u64, String, u64, &'static str)> = noted;
+        for (number, task, run, how) in noted {
+            if number > self.last_end_before_lapse {
+                self.note("noted", &task, run, how);
+            }
+        }
+    }
+
     /// Ends the runs whose work is done, or all runs once the lease has expired.
     fn end_due_runs(&mut self) -> bool {
         let lapsed = self.clock_ms() > self.lease_until_ms;
+        if lapsed {
+            self.last_end_before_lapse = self.last_end;
+        }
         let end = |run: &Run| {
             if lapsed {
                 return Some("lapsed");
