--- a/review/stand_ins/late_ping.rs
+++ b/review/stand_ins/late_ping.rs
@@ -7,7 +7,7 @@
 
 use crate::boots::start_minions;
 use crate::cluster::{Cluster, Outcome, play_on, twice};
-use crate::worker::unix_ms;
+use crate::worker::{HEARTBEAT, unix_ms};
 
 const JOB: &str = "5c0e7a21d94b36f8";
 const TASK: &str = "5c0e7a21d94b36f8.0.0.0";
@@ -32,7 +32,10 @@
     sleep(Duration::from_millis(300));
     let worker = usize::from(start.boot.starts_with("m1-"));
     if with_trouble {
-        // The node beside the minion is stopped and started again.
+        // The node beside the minion is stopped and started again, just after a ping of the minion.
+        let heartbeat_ms = HEARTBEAT.as_millis() as u64;
+        let since_ping_ms = (unix_ms() - start.at_born()) % heartbeat_ms;
+        sleep(Duration::from_millis(heartbeat_ms - since_ping_ms + 150));
         cluster.terminate(&Cluster::agent_name(worker));
         cluster.start_agent(worker)?;
         let deadline = Instant::now() + Duration::from_secs(3);
--- a/review/stand_ins/many_ends.rs
+++ b/review/stand_ins/many_ends.rs
@@ -12,6 +12,9 @@
 
 const COUNT: u32 = 3_000;
 
+/// Number of jobs, one after the other.
+const ROUND_COUNT: usize = 5;
+
 /// Time for which all processes of the core are down.
 const CORE_DOWN_FOR: Duration = Duration::from_millis(700);
 
@@ -26,26 +29,32 @@
     let body = format!(
         r#"{{"Spec":"{WORK_MS}","Phases":[{{"Count":{COUNT},"Cpu":10,"MemMb":10,"EstRuntimeMs":{WORK_MS}}}]}}"#
     );
-    let path = "/q/5c0e7a21d94b36f8";
-    cluster.submit(path, "k1", &body, Duration::from_secs(10))?;
-    if with_trouble {
-        let start =
-            cluster.wait_for("a start", Duration::from_secs(5), |event| event.kind == "start")?;
-        let from_ms = start.at_ms + WORK_MS - 300;
-        sleep(Duration::from_millis(from_ms.saturating_sub(unix_ms())));
-        for control in 0..CONTROL_COUNT {
-            cluster.kill(&format!("control-{control}"));
+    for round in 0..ROUND_COUNT {
+        let id = format!("5c0e7a21d94b36{round:02x}");
+        let path = format!("/q/{id}");
+        cluster.submit(&path, "k1", &body, Duration::from_secs(10))?;
+        if with_trouble {
+            let start = cluster.wait_for("a start", Duration::from_secs(5), |event| {
+                event.kind == "start" && event.task.starts_with(&id)
+            })?;
+            let from_ms = start.at_ms + WORK_MS - 300;
+            sleep(Duration::from_millis(from_ms.saturating_sub(unix_ms())));
+            for control in 0..CONTROL_COUNT {
+                cluster.kill(&format!("control-{control}"));
+            }
+            sleep(CORE_DOWN_FOR);
+            for control in 0..CONTROL_COUNT {
+                cluster.start_control(control)?;
+            }
         }
-        sleep(CORE_DOWN_FOR);
-        for control in 0..CONTROL_COUNT {
-            cluster.start_control(control)?;
+        let deadline = Instant::now() + Duration::from_secs(15);
+        while Instant::now() < deadline
+            && cluster.state(&path, "k1").as_deref() != Some("completed")
+        {
+            sleep(Duration::from_secs(1));
         }
-    }
-    let deadline = Instant::now() + Duration::from_secs(60);
-    while Instant::now() < deadline && cluster.state(path, "k1").as_deref() != Some("completed") {
         sleep(Duration::from_secs(1));
     }
-    sleep(Duration::from_secs(1));
     let mut per_task: BTreeMap<String, Vec<Event>> = BTreeMap::new();
     for event in cluster.events() {
         per_task.entry(event.task.clone()).or_default().push(event);
--- a/review/stand_ins/reborn.rs
+++ b/review/stand_ins/reborn.rs
@@ -18,7 +18,7 @@
 
 fn run(cluster: &mut Cluster, with_trouble: bool) -> Outcome<Vec<String>> {
     let first_ping_ms =
-        std::env::var("FIRST_PING_MS").ok().and_then(|text| text.parse().ok()).unwrap_or(500);
+        std::env::var("FIRST_PING_MS").ok().and_then(|text| text.parse().ok()).unwrap_or(300);
     for worker in 0..2 {
         cluster.start_worker(worker, &format!("m{worker}"), "a", 0)?;
     }
