Find a job by its queue and organisation, not by its name alone

The other organisation's own job was answered 200 and never stored, and its reads showed the first job's state.

Cause: callers choose the names of their jobs, and submissions, reads and cancels looked the job up by its name, whatever queue and organisation it belonged to. The same holds for two organisations that share a queue.

That the access check is at fault is ruled out: each call names its own queue.

Change: a job belongs to the queue and the organisation of its submission, and every call finds it by both. The first job of a name is stored under it, any other one under a name derived from queue and name, so that its tasks have names of their own on the workers. A submission whose name is taken while it is in flight is stored under the next one. Commands and records stay as they are, so replicas of both versions apply the same log alike.

--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -6,21 +6,21 @@
 use bytes::Bytes;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::{mpsc, oneshot};
-use yuccatack_core::{DurationMs, FastHashMap, JobName, TimestampMs};
+use yuccatack_core::{DurationMs, FastHashMap, TimestampMs};
 use yuccatack_dispatch::{AgentMessage, DispatchSettings, Dispatcher, PendingChanges};
 use yuccatack_queue_client::protocol::{LeaderFrame, LeaderHint, Request, Response};
 use yuccatack_replication::{
     Committed, Leadership, LogIndex, ProposalFailure, ProposalId, ReadFailure, ReadId, ReplicaId,
     ReplicationHandle, decode, encode,
 };
-use yuccatack_runs::JobSubmission;
 use yuccatack_telemetry::Metrics;
 
 use crate::agents::Agents;
-use crate::calls::{Plan, plan, response_for};
+use crate::calls::{NewJob, Plan, no_free_name, plan, response_for};
 use crate::command::Command;
+use crate::job_names::{free_name, is_stored};
 use crate::message::{ControlMessage, JoinRequest};
-use crate::observe::{log_after_apply, log_before_apply, log_refusal};
+use crate::observe::{log_after_apply, log_before_apply, log_derived_name, log_refusal};
 use crate::state::QueueState;
 
 /// Interval of heartbeats to agents. An agent closes its stream after about three missed ones.
@@ -32,8 +32,8 @@
 /// Continuation of a proposal once it is committed or has failed.
 pub(crate) enum PendingProposal {
     Call(oneshot::Sender<Response>),
-    /// A job of this name is being stored.
-    Submission(JobName, oneshot::Sender<Response>),
+    /// A job is being stored.
+    Submission(Box<NewJob>, oneshot::Sender<Response>),
     /// A batch of table changes; no other batch is proposed until this one completes.
     Changes,
     Housekeeping,
@@ -314,6 +314,12 @@
         self.changed_since_pass = true;
         let Some(proposal) = proposal else { return Ok(()) };
         match self.proposals.remove(&proposal) {
+            Some(PendingProposal::Submission(job, reply))
+                if !is_stored(&self.queue_state, &job.submission) =>
+            {
+                // A job of another caller took the name while this one was in flight.
+                self.store_under_next_name(job, reply)?;
+            }
             Some(PendingProposal::Call(reply) | PendingProposal::Submission(_, reply)) => {
                 respond(reply, response_for(applied));
             }
@@ -350,7 +356,7 @@
                     Plan::Propose(command) => {
                         self.propose(&command, PendingProposal::Call(reply))?
                     }
-                    Plan::Submit(submission) => self.submit(submission, reply)?,
+                    Plan::Submit(job) => self.submit(job, reply)?,
                 }
             }
             Some(PendingRead::Leases { began_at }) => {
@@ -365,28 +371,60 @@
         Ok(())
     }
 
-    /// Stores a job if the dispatcher admits it. A job of the same name that is being stored already
-    /// must not be refused: it may run.
+    /// Stores a job if the dispatcher admits it. A job that is being stored already must not be
+    /// refused: it may run.
     fn submit(
         &mut self,
-        submission: Box<JobSubmission>,
+        job: Box<NewJob>,
         reply: oneshot::Sender<Response>,
     ) -> Result<(), ActorProcessingErr> {
-        let name = submission.name.clone();
-        let is_being_stored = self.proposals.values().any(
-            |pending| matches!(pending, PendingProposal::Submission(other, _) if *other == name),
-        );
+        let NewJob { called, submission } = &*job;
+        let is_being_stored = self.proposals.values().any(|pending| match pending {
+            PendingProposal::Submission(other, _) => {
+                other.called == *called && other.submission.queue == submission.queue
+            }
+            _ => false,
+        });
         if !is_being_stored && let Some(dispatcher) = &mut self.dispatcher {
             let QueueState { configuration, jobs } = &self.queue_state;
-            let admission = dispatcher.admit(&submission, jobs, configuration, unix_now_ms());
+            let admission = dispatcher.admit(submission, jobs, configuration, unix_now_ms());
             if let Err(refusal) = admission {
-                log_refusal(&submission, &refusal);
+                log_refusal(submission, &refusal);
                 let retry_after_ms = refusal.retry_after_ms;
                 respond(reply, Response::Busy { retry_after_ms });
                 return Ok(());
             }
         }
-        self.propose(&Command::Submit(submission), PendingProposal::Submission(name, reply))
+        self.store(job, reply)
+    }
+
+    fn store(
+        &mut self,
+        job: Box<NewJob>,
+        reply: oneshot::Sender<Response>,
+    ) -> Result<(), ActorProcessingErr> {
+        if job.called != job.submission.name {
+            log_derived_name(&job);
+        }
+        let command = Command::Submit(Box::new(job.submission.clone()));
+        self.propose(&command, PendingProposal::Submission(job, reply))
+    }
+
+    fn store_under_next_name(
+        &mut self,
+        mut job: Box<NewJob>,
+        reply: oneshot::Sender<Response>,
+    ) -> Result<(), ActorProcessingErr> {
+        match free_name(&self.queue_state, &job.submission.queue, &job.called) {
+            Some(name) => {
+                job.submission.name = name;
+                self.store(job, reply)
+            }
+            None => {
+                respond(reply, no_free_name());
+                Ok(())
+            }
+        }
     }
 
     pub(crate) fn propose(
--- a/crates/yuccatack_queue_control/src/calls.rs
+++ b/crates/yuccatack_queue_control/src/calls.rs
@@ -8,7 +8,8 @@
 use yuccatack_runs::{CancelOutcome, JobSpec, JobSubmission};
 
 use crate::command::Command;
-use crate::state::{Applied, QueueState};
+use crate::job_names::{find_job, free_name};
+use crate::state::{Applied, ENDED_JOB_RETENTION, QueueState};
 
 /// Maximum number of stored jobs. A stored job takes some kilobytes, and the control process has a
 /// few hundred megabytes of memory.
@@ -24,7 +25,15 @@
     Respond(Response),
     Propose(Command),
     /// Stores a new job if the dispatcher admits it.
-    Submit(Box<JobSubmission>),
+    Submit(Box<NewJob>),
+}
+
+/// New job that is to be stored.
+#[derive(Debug)]
+pub(crate) struct NewJob {
+    /// Name that the caller chose. The submission has the name under which the job is stored.
+    pub called: JobName,
+    pub submission: JobSubmission,
 }
 
 /// Plans a call; `state` must include every command that was committed before the call arrived.
@@ -60,6 +69,12 @@
     }
 }
 
+/// Returns the response to a submission whose possible names are all taken. The earliest name is
+/// free again when the retention period of an ended job is over.
+pub(crate) fn no_free_name() -> Response {
+    Response::Busy { retry_after_ms: ENDED_JOB_RETENTION }
+}
+
 fn invalid<Error>(error: &Error) -> Response
 where
     Error: ToString,
@@ -85,7 +100,7 @@
         Ok(found) => found,
         Err(refusal) => return Plan::Respond(refusal),
     };
-    if state.jobs.job(&name).is_some() {
+    if find_job(state, &access, &name).is_some() {
         return Plan::Respond(Response::Accepted);
     }
     if let Err(error) = spec.validate() {
@@ -95,8 +110,11 @@
         return Plan::Respond(Response::Busy { retry_after_ms: JOB_LIMIT_RETRY_DELAY });
     }
     let queue = access.queue;
-    Plan::Submit(Box::new(JobSubmission {
-        name,
+    let Some(stored_name) = free_name(state, &queue.name, &name) else {
+        return Plan::Respond(no_free_name());
+    };
+    let submission = JobSubmission {
+        name: stored_name,
         queue: queue.name.clone(),
         service: queue.service.clone(),
         organisation: access.organisation.cloned(),
@@ -106,18 +124,21 @@
         allowance_ms: queue.allowance_ms,
         accepted_at_unix_ms: now_unix_ms,
         spec,
-    }))
+    };
+    Plan::Submit(Box::new(NewJob { called: name, submission }))
 }
 
 fn plan_cancel(state: &QueueState, target: &CallTarget, now_unix_ms: u64) -> Plan {
-    let name = match resolve_target(state, target) {
-        Ok((_, name)) => name,
+    let (access, name) = match resolve_target(state, target) {
+        Ok(found) => found,
         Err(refusal) => return Plan::Respond(refusal),
     };
-    match state.jobs.job(&name) {
+    match find_job(state, &access, &name) {
         None => Plan::Respond(Response::NoSuchJob),
         Some(job) if job.phase.is_final() => Plan::Respond(Response::Cancelled),
-        Some(_) => Plan::Propose(Command::Cancel { name, now_unix_ms }),
+        Some(job) => {
+            Plan::Propose(Command::Cancel { name: job.submission.name.clone(), now_unix_ms })
+        }
     }
 }
 
@@ -131,6 +152,7 @@
         let count = state.jobs.waiting_count(&access.queue.name);
         return Response::Waiting(u64::try_from(count).unwrap_or(u64::MAX));
     }
-    let job = JobName::new(access.remainder).ok().and_then(|name| state.jobs.job(&name));
+    let name = JobName::new(access.remainder).ok();
+    let job = name.and_then(|name| find_job(state, &access, &name));
     job.map_or(Response::NoSuchJob, |job| Response::Job(job.phase))
 }
--- a/crates/yuccatack_queue_control/src/lib.rs
+++ b/crates/yuccatack_queue_control/src/lib.rs
@@ -7,6 +7,7 @@
 mod command;
 mod error;
 mod identity;
+mod job_names;
 mod join;
 mod membership;
 mod message;
--- a/crates/yuccatack_queue_control/src/observe.rs
+++ b/crates/yuccatack_queue_control/src/observe.rs
@@ -9,6 +9,7 @@
 use yuccatack_telemetry::Metrics;
 use yuccatack_telemetry::metrics::RunEndKind;
 
+use crate::calls::NewJob;
 use crate::command::Command;
 use crate::run_lines::RunLines;
 use crate::state::{Applied, QueueState};
@@ -68,6 +69,16 @@
     });
 }
 
+/// Logs the name under which a job will be stored because another job has the name that its caller
+/// chose.
+pub(crate) fn log_derived_name(job: &NewJob) {
+    log::info!(
+        event = "job_name_derived", job = job.submission.name.as_str(),
+        called = job.called.as_str(), queue = job.submission.queue.as_str();
+        "another caller's job has the name, so this job is stored under a derived one"
+    );
+}
+
 /// Logs that a job was not stored.
 pub(crate) fn log_refusal(submission: &JobSubmission, refusal: &Refusal) {
     log::info!(
--- a/crates/yuccatack_queue_control/src/state.rs
+++ b/crates/yuccatack_queue_control/src/state.rs
@@ -1,7 +1,7 @@
 //! Replicated state machine of queue configuration and jobs.
 
 use serde::{Deserialize, Serialize};
-use yuccatack_core::JobName;
+use yuccatack_core::{DurationMs, JobName};
 use yuccatack_dispatch::TableChange;
 use yuccatack_queues::{Acceptance, ConfigurationStore};
 use yuccatack_runs::{CancelOutcome, JobTable, SubmitOutcome};
@@ -9,7 +9,7 @@
 use crate::command::Command;
 
 /// Time for which an ended job can still be read. The platform requires two minutes.
-const ENDED_JOB_RETENTION_MS: u64 = 10 * 60 * 1000;
+pub(crate) const ENDED_JOB_RETENTION: DurationMs = DurationMs::new(10 * 60 * 1000);
 
 /// Maximum number of jobs that one command removes, which bounds the size of its log entry.
 const REMOVAL_LIMIT_COUNT: usize = 256;
@@ -71,7 +71,7 @@
     pub fn expired_jobs(&self, now_unix_ms: u64) -> Vec<JobName> {
         let expired = self.jobs.jobs().filter(|job| {
             let ended = job.ended_at_unix_ms;
-            ended.is_some_and(|ended| now_unix_ms.saturating_sub(ended) > ENDED_JOB_RETENTION_MS)
+            ended.is_some_and(|ended| now_unix_ms.saturating_sub(ended) > ENDED_JOB_RETENTION.get())
         });
         expired.map(|job| job.submission.name.clone()).take(REMOVAL_LIMIT_COUNT).collect()
     }
--- a/crates/yuccatack_runs/src/command.rs
+++ b/crates/yuccatack_runs/src/command.rs
@@ -11,7 +11,8 @@
 /// Accepted job with the terms of its queue at the time of acceptance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSubmission {
-    /// Name of the job, chosen by the caller.
+    /// Name under which the job is stored: the one that the caller chose, unless a job of another
+    /// caller has it.
     pub name: JobName,
     /// Queue that the job was submitted to.
     pub queue: QueueName,
