Take a run for one that never began only if the worker lists all its ends

Cause: a worker lists at most 500 ends at a time, and the leader took each list for whole. A run whose end was not listed yet counted as missing; once its stop was confirmed, it was stored as `NeverBegan`, and its task began again.

That ends were acknowledged before they were stored is ruled out: both come in one batch, in order.

Change: an observation tells whether it lists all ends; one that does not is no evidence that a run is missing. The agent reports a confirmed stop only with all ends, which also keeps a leader of the earlier version from the mistake. Agents of the earlier version do not tell: only an empty list of theirs counts as whole.

Tests that build observations by hand name the new field.

--- a/crates/yuccatack_dispatch/src/observation.rs
+++ b/crates/yuccatack_dispatch/src/observation.rs
@@ -159,7 +159,8 @@
     }
 }
 
-/// Updates the order state of each open run of the worker.
+/// Updates the order state of each open run of the worker. An incomplete observation does not show
+/// that a run is missing, since its end may be one of those that are not listed.
 ///
 /// Returns the ends of runs that were stopped before they began.
 fn update_order_states(
@@ -168,6 +169,7 @@
     table: &JobTable,
 ) -> Vec<TableChange> {
     let mut changes = Vec::new();
+    let is_complete = observation.is_complete();
     for run in table.runs_on(&observation.incarnation) {
         let ended = observation.ended.iter().any(|ended| ended.run == *run);
         let running = observation.running.iter().any(|row| row.run == *run);
@@ -178,6 +180,7 @@
             None if running => Some(OrderState::Active { missing_count: 0 }),
             Some(OrderState::Stopping { .. }) if running => None,
             _ if running => Some(OrderState::Active { missing_count: 0 }),
+            _ if !is_complete => None,
             Some(OrderState::Active { missing_count } | OrderState::Unknown { missing_count })
                 if missing_count + 1 >= MISSING_OBSERVATION_COUNT =>
             {
--- a/crates/yuccatack_dispatch/src/protocol.rs
+++ b/crates/yuccatack_dispatch/src/protocol.rs
@@ -55,6 +55,18 @@
     pub ended: Vec<EndedRun>,
     /// Runs whose stop the worker had confirmed before the poll.
     pub stopped: Vec<RunId>,
+    /// `true` if `ended` holds all ends that are not acknowledged, `false` if the worker has more of
+    /// them than it lists at a time. Agents of earlier versions do not tell.
+    #[serde(default)]
+    pub lists_all_ends: Option<bool>,
+}
+
+impl Observation {
+    /// Returns `true` if a run that is in neither list is known to be neither executing nor ended
+    /// without an acknowledgement.
+    pub fn is_complete(&self) -> bool {
+        self.lists_all_ends.unwrap_or(self.ended.is_empty())
+    }
 }
 
 /// Run that is executing on a worker.
--- a/crates/yuccatack_dispatch/tests/busy_reports.rs
+++ b/crates/yuccatack_dispatch/tests/busy_reports.rs
@@ -95,6 +95,7 @@
             checkpoint: None,
         }],
         stopped: Vec::new(),
+        lists_all_ends: Some(true),
     };
     for message in [AgentMessage::Observed(observation), AgentMessage::State(state(0, 2))] {
         let now = cluster.now;
--- a/crates/yuccatack_dispatch/tests/idle_capacity.rs
+++ b/crates/yuccatack_dispatch/tests/idle_capacity.rs
@@ -174,6 +174,7 @@
         running: Vec::new(),
         ended: Vec::new(),
         stopped: Vec::new(),
+        lists_all_ends: Some(true),
     };
     cluster.deliver(crashed, AgentMessage::Observed(observation));
     cluster.dispatcher.confirm_leadership(cluster.now);
--- a/crates/yuccatack_dispatch/tests/lease_bounds.rs
+++ b/crates/yuccatack_dispatch/tests/lease_bounds.rs
@@ -120,6 +120,7 @@
         running: Vec::new(),
         ended: Vec::new(),
         stopped: Vec::new(),
+        lists_all_ends: Some(true),
     };
     cluster.deliver(0, yuccatack_dispatch::AgentMessage::Observed(observed));
     cluster.dispatcher.confirm_leadership(cluster.now);
--- a/crates/yuccatack_dispatch/tests/lost_batches.rs
+++ b/crates/yuccatack_dispatch/tests/lost_batches.rs
@@ -21,6 +21,7 @@
         running: Vec::new(),
         ended: ended.to_vec(),
         stopped: Vec::new(),
+        lists_all_ends: Some(true),
     };
     let message = AgentMessage::Observed(observation);
     let changes = cluster.dispatcher.on_message(&node(0), message, &cluster.table, cluster.now);
--- a/crates/yuccatack_dispatch/tests/lost_checkpoints.rs
+++ b/crates/yuccatack_dispatch/tests/lost_checkpoints.rs
@@ -26,6 +26,7 @@
             running: vec![row],
             ended: Vec::new(),
             stopped: Vec::new(),
+            lists_all_ends: Some(true),
         };
         cluster.deliver(worker_index, AgentMessage::Observed(observation));
     }
--- a/crates/yuccatack_dispatch/tests/simulated_days/checks.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/checks.rs
@@ -26,8 +26,15 @@
 }
 
 impl Checks {
-    /// Checks that no other run of the task executes, and that the task has not completed.
-    pub fn on_begin(&mut self, run: &RunId, workers: &[SimulatedWorker], table: &JobTable) {
+    /// Checks that no other run of the task executes, and that the task has not completed, whether the
+    /// table holds that or a worker with a valid lease still lists it.
+    pub fn on_begin(
+        &mut self,
+        run: &RunId,
+        workers: &[SimulatedWorker],
+        table: &JobTable,
+        now: TimestampMs,
+    ) {
         self.idle_since.remove(&run.task.job);
         let twice = workers.iter().filter(|worker| worker.is_up()).any(|worker| {
             worker.running.keys().any(|other| other.task == run.task && other != run)
@@ -38,6 +45,15 @@
         if is_done(&run.task, table) {
             self.violations.push(format!("{run} began after its task had completed"));
         }
+        let unread = |worker: &SimulatedWorker| {
+            worker.is_up() && !worker.lease_expired(now) && worker.has_unread_completion(&run.task)
+        };
+        let spec = table.job(&run.task.job).and_then(|job| job.step_spec(run.task.step));
+        let ends = spec.is_some_and(|spec| !spec.long_running);
+        if ends && workers.iter().any(unread) {
+            self.violations
+                .push(format!("{run} began while the end of a completed run was unread"));
+        }
     }
 
     /// Checks that each unfinished job executes something, unless capacity is short, or a worker with a
--- a/crates/yuccatack_dispatch/tests/simulated_days/day.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/day.rs
@@ -73,6 +73,8 @@
     pub commit_ms: u64,
     /// `true` if the polls of the workers are spread over the interval.
     pub spread_polls: bool,
+    /// Number of ends that a worker lists at a time.
+    pub listed_end_count: usize,
 }
 
 impl Default for DayPlan {
@@ -89,6 +91,7 @@
             failed_proposal_percent: 0,
             commit_ms: TICK.get(),
             spread_polls: false,
+            listed_end_count: 500,
         }
     }
 }
@@ -143,7 +146,12 @@
         let mut workers: Vec<SimulatedWorker> = (0..plan.worker_count)
             .map(|index| {
                 let speed_percent = speeds[random.random_range(0..speeds.len())];
-                SimulatedWorker::new(worker_state(index, plan.rack_size), speed_percent, begins_at)
+                SimulatedWorker::new(
+                    worker_state(index, plan.rack_size),
+                    speed_percent,
+                    plan.listed_end_count,
+                    begins_at,
+                )
             })
             .collect();
         if plan.spread_polls {
@@ -492,7 +500,7 @@
         let need = demand(&start.run, &self.table);
         let result = self.workers[index].start(start, token, room, need, now, random);
         if result == StartResult::Begun {
-            self.checks.on_begin(&start.run, &self.workers, &self.table);
+            self.checks.on_begin(&start.run, &self.workers, &self.table, now);
         }
         (result, answer)
     }
--- a/crates/yuccatack_dispatch/tests/simulated_days/main.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/main.rs
@@ -97,3 +97,17 @@
     let plan = DayPlan { worker_count: 54, spread_polls: true, ..DayPlan::default() };
     play(|seed| DayPlan { commit_ms: 50 * (1 + seed % 4), ..plan.clone() }, &seeds(&[]));
 }
+
+#[test]
+fn cut_lists() {
+    // Two ends at a time: more wait after each loss of the leader.
+    let plan = DayPlan {
+        worker_count: 11,
+        rack_size: 3,
+        leader_change_count: 6,
+        fault_count: 2,
+        listed_end_count: 2,
+        ..DayPlan::default()
+    };
+    play(|_| plan.clone(), &seeds(&[]));
+}
--- a/crates/yuccatack_dispatch/tests/simulated_days/worker.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/worker.rs
@@ -61,6 +61,8 @@
     pub late_orders: Vec<(TimestampMs, LateOrder)>,
     /// Speed of the worker in percent of the usual one.
     pub speed_percent: u64,
+    /// Number of ends that the worker lists at a time.
+    pub listed_end_count: usize,
     pub next_poll_at: TimestampMs,
     /// `true` while the agent has a stream to the leader.
     pub attached: bool,
@@ -77,7 +79,12 @@
 }
 
 impl SimulatedWorker {
-    pub fn new(state: WorkerState, speed_percent: u64, now: TimestampMs) -> Self {
+    pub fn new(
+        state: WorkerState,
+        speed_percent: u64,
+        listed_end_count: usize,
+        now: TimestampMs,
+    ) -> Self {
         Self {
             state,
             conduct: Conduct::Sound,
@@ -85,6 +92,7 @@
             running: BTreeMap::new(),
             late_orders: Vec::new(),
             speed_percent,
+            listed_end_count,
             next_poll_at: now,
             attached: false,
             silent_since: None,
@@ -198,6 +206,11 @@
         self.ended.push(EndedRun { number: self.last_end, run: run.clone(), outcome, checkpoint });
     }
 
+    /// Returns `true` if the task has completed here and the leader has not stored that yet.
+    pub fn has_unread_completion(&self, task: &TaskId) -> bool {
+        self.ended.iter().any(|end| end.run.task == *task && end.outcome == RunOutcome::Done)
+    }
+
     pub fn lease_expired(&self, now: TimestampMs) -> bool {
         self.lease_until_clock_ms <= self.clock_ms(now)
     }
@@ -217,8 +230,9 @@
             incarnation: self.state.incarnation.clone(),
             clock_ms: self.clock_ms(now),
             running: self.running.iter().map(row).collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(self.listed_end_count).cloned().collect(),
             stopped: std::mem::take(&mut self.confirmed_stops),
+            lists_all_ends: Some(self.ended.len() < self.listed_end_count),
         }
     }
 }
--- a/crates/yuccatack_dispatch/tests/support/mod.rs
+++ b/crates/yuccatack_dispatch/tests/support/mod.rs
@@ -198,6 +198,7 @@
             clock_ms: self.clock_ms(),
             running: running.iter().map(row).collect(),
             stopped: stopped.to_vec(),
+            lists_all_ends: Some(true),
         };
         self.deliver(index, AgentMessage::Observed(observation));
     }
--- a/crates/yuccatack_stand_ins/src/queue_worker.rs
+++ b/crates/yuccatack_stand_ins/src/queue_worker.rs
@@ -161,6 +161,7 @@
             clock_ms: self.clock_ms(),
             running: running.collect(),
             ended: self.ended.clone(),
+            lists_all_ends: true,
         }
     }
 }
--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -575,6 +575,8 @@
         if self.listed_end > self.acknowledged_end {
             self.next_poll_at = Instant::now() + UNACKNOWLEDGED_ENDS_DELAY;
         }
+        // A stop that the leader cannot judge yet is reported with the next complete response.
+        let stopped = if response.lists_all_ends { stopped } else { Vec::new() };
         let ended: Vec<RunId> = response.ended.iter().map(|end| end.run.clone()).collect();
         let observation = Observation {
             incarnation: incarnation.clone(),
@@ -582,6 +584,7 @@
             running: response.running,
             ended: response.ended,
             stopped: stopped.clone(),
+            lists_all_ends: Some(response.lists_all_ends),
         };
         if self.report(AgentMessage::Observed(observation)) {
             self.orders.on_reported(&stopped, &ended);
--- a/crates/yuccatack_worker_agent/src/port.rs
+++ b/crates/yuccatack_worker_agent/src/port.rs
@@ -105,6 +105,8 @@
     pub running: Vec<RunningRun>,
     /// Run ends that the leader has not acknowledged.
     pub ended: Vec<EndedRun>,
+    /// `true` if `ended` holds all of these ends; `false` if there may be more of them.
+    pub lists_all_ends: bool,
 }
 
 /// Calls to a worker. Each one has its own timeout, after which its result is unknown.
--- a/crates/yuccatack_worker_agent/tests/odd_entries.rs
+++ b/crates/yuccatack_worker_agent/tests/odd_entries.rs
@@ -181,7 +181,13 @@
 }
 
 fn response(clock_ms: u64, ended: Vec<EndedRun>) -> PollResponse {
-    PollResponse { started_at_unix_ms: Some(START), clock_ms, running: Vec::new(), ended }
+    PollResponse {
+        started_at_unix_ms: Some(START),
+        clock_ms,
+        running: Vec::new(),
+        ended,
+        lists_all_ends: true,
+    }
 }
 
 fn observations(reports: &[AgentMessage]) -> Vec<&Observation> {
