Report an incarnation of a worker only after it has answered a poll

Cause: after a failed poll, or as its first one, an agent took any announcement for the worker that runs. The leader then ended all runs of the process that did run, and began their tasks elsewhere.

Change: an announced incarnation is a candidate until it has answered a poll without a lease and an acknowledgement. The agent follows the one that it knows meanwhile, and polls both in turn while neither answers. Start times are not compared, since wall clocks can go back.

--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -79,11 +79,10 @@
     },
 }
 
-/// Announcement of another incarnation while the current one seems to run.
+/// Announced incarnation that no poll has confirmed yet.
 struct Candidate {
     state: WorkerState,
     sequence: u64,
-    announced_at: Instant,
 }
 
 /// Agent of one worker.
@@ -106,12 +105,13 @@
     sequence: u64,
     /// Last announcement of the current incarnation if it contradicts those before.
     contradiction: Option<WorkerState>,
-    /// Later incarnation that replaces the current one unless the next poll reaches the current one.
+    /// Other incarnation, which replaces the current one once it has answered a poll.
     candidate: Option<Candidate>,
+    /// `true` if the last poll was one of the candidate.
+    candidate_polled_last: bool,
     /// `true` if the last poll of the current incarnation failed.
     last_poll_failed: bool,
     poll_in_flight: bool,
-    poll_began_at: Instant,
     next_poll_at: Instant,
     /// End of the lease granted by the leader, by the worker's clock.
     lease_until_clock_ms: Option<u64>,
@@ -155,9 +155,9 @@
             sequence: 0,
             contradiction: None,
             candidate: None,
+            candidate_polled_last: false,
             last_poll_failed: false,
             poll_in_flight: false,
-            poll_began_at: now,
             next_poll_at: now,
             lease_until_clock_ms: None,
             acknowledged_end: 0,
@@ -351,13 +351,13 @@
         match announcement {
             Announcement::Present { state, sequence } => self.on_present(state, sequence),
             Announcement::Left { worker, started_at_unix_ms } => {
-                let left = self.worker.take_if(|current| {
-                    let current = &current.incarnation;
-                    current.worker == worker
-                        && started_at_unix_ms
-                            .is_none_or(|start| start == current.started_at_unix_ms)
-                });
-                if let Some(worker) = left {
+                let leaves = |state: &WorkerState| {
+                    let WorkerIncarnation { worker: name, started_at_unix_ms: start, .. } =
+                        &state.incarnation;
+                    *name == worker && started_at_unix_ms.is_none_or(|leaving| leaving == *start)
+                };
+                self.candidate.take_if(|candidate| leaves(&candidate.state));
+                if let Some(worker) = self.worker.take_if(|current| leaves(current)) {
                     log::info!(
                         event = "worker_departed", life:% = worker.incarnation;
                         "the worker shuts down and gets no more orders"
@@ -370,25 +370,14 @@
     }
 
     fn on_present(&mut self, state: WorkerState, sequence: u64) {
-        match &self.worker {
-            Some(worker) if worker.incarnation == state.incarnation => {
-                self.on_current_present(state, sequence);
-            }
-            // The wall clock can go back, so an incarnation whose last poll failed is replaced in
-            // any case.
-            Some(_) if self.last_poll_failed => self.begin_incarnation(state, sequence),
-            // Runs of the current incarnation are lost for the leader once it is replaced, so the
-            // next poll must confirm that it is gone.
-            Some(worker)
-                if state.incarnation.started_at_unix_ms > worker.incarnation.started_at_unix_ms =>
-            {
-                let announced_at = Instant::now();
-                self.candidate = Some(Candidate { state, sequence, announced_at });
-                self.next_poll_at = announced_at;
-            }
-            // A late announcement of an earlier incarnation must not replace a later one.
-            Some(_) => {}
-            None => self.begin_incarnation(state, sequence),
+        if self.is_current(&state.incarnation) {
+            self.on_current_present(state, sequence);
+        } else {
+            // The announcement may be a late one of an incarnation that has ended. The leader takes
+            // the runs of the current one for lost once it is replaced, so a poll must show first
+            // that the announced one runs. Start times do not tell, since wall clocks can go back.
+            self.candidate = Some(Candidate { state, sequence });
+            self.next_poll_at = Instant::now();
         }
     }
 
@@ -423,7 +412,7 @@
     fn begin_incarnation(&mut self, state: WorkerState, sequence: u64) {
         log::info!(
             event = "worker_found", life:% = state.incarnation;
-            "the worker announced itself; reporting it to the leader"
+            "the announced worker answered a poll; reporting it to the leader"
         );
         self.reset_incarnation();
         self.sequence = sequence;
@@ -431,36 +420,29 @@
         self.report(AgentMessage::State(state));
     }
 
-    /// Decides about another incarnation that was announced, once a poll has shown which one runs.
-    /// Returns `true` if it has replaced the current one.
-    fn settle_candidate(&mut self, result: &PollResult) -> bool {
-        let current = self.worker.as_ref().map(|worker| worker.incarnation.started_at_unix_ms);
-        let poll_began_at = self.poll_began_at;
-        let Some(candidate) = &self.candidate else { return false };
-        let start = candidate.state.incarnation.started_at_unix_ms;
-        let is_announced = match result {
-            PollResult::Answered(response) | PollResult::AnsweredInPart(response) => {
-                match response.started_at_unix_ms {
-                    // The current incarnation may have responded before the other one started.
-                    found if found == current && poll_began_at < candidate.announced_at => {
-                        return false;
-                    }
-                    Some(found) => found == start,
-                    None => true,
-                }
+    /// Handles the result of a poll of the candidate: one that answers replaces the current
+    /// incarnation.
+    fn on_candidate_polled(&mut self, result: &PollResult) {
+        let Some(Candidate { state, sequence }) = self.candidate.take() else { return };
+        match result {
+            PollResult::Answered(response) | PollResult::AnsweredInPart(response)
+                if is_from_incarnation(response, &state.incarnation) =>
+            {
+                self.begin_incarnation(state, sequence);
+            }
+            PollResult::Failed => {
+                self.candidate = Some(Candidate { state, sequence });
+                self.next_poll_at = Instant::now() + POLL_RETRY_DELAY;
+            }
+            PollResult::Answered(_)
+            | PollResult::AnsweredInPart(_)
+            | PollResult::OtherIncarnation => {
+                log::warn!(
+                    event = "announcement_refused", life:% = state.incarnation;
+                    "ignoring the announcement; a poll showed that another incarnation runs"
+                );
             }
-            PollResult::OtherIncarnation | PollResult::Failed => true,
-        };
-        let Some(candidate) = self.candidate.take() else { return false };
-        if is_announced {
-            self.begin_incarnation(candidate.state, candidate.sequence);
-        } else {
-            log::warn!(
-                event = "announcement_refused", life:% = candidate.state.incarnation;
-                "ignoring the announcement; a poll showed that another incarnation runs"
-            );
         }
-        is_announced
     }
 
     fn reset_incarnation(&mut self) {
@@ -471,27 +453,40 @@
         self.clock = ClockCheck::default();
         self.orders = OrderTracker::default();
         self.contradiction = None;
-        self.candidate = None;
         self.last_poll_failed = false;
     }
 
     fn poll_if_due(&mut self) {
-        let (Some(worker), Some(token)) = (&self.worker, self.token) else { return };
+        let Some(token) = self.token else { return };
         if self.poll_in_flight || Instant::now() < self.next_poll_at {
             return;
         }
+        let candidate = self.candidate.as_ref().map(|candidate| &candidate.state.incarnation);
+        let current = self.worker.as_ref().map(|worker| &worker.incarnation);
+        // While neither answers, they are polled in turn.
+        let polls_candidate =
+            candidate.is_some() && (current.is_none() || !self.candidate_polled_last);
+        let polled = if polls_candidate { candidate } else { current };
+        let Some(incarnation) = polled.cloned() else { return };
         self.poll_in_flight = true;
-        self.poll_began_at = Instant::now();
-        let incarnation = worker.incarnation.clone();
-        let call = PollCall {
+        self.candidate_polled_last = polls_candidate;
+        let mut call = PollCall {
             incarnation: incarnation.clone(),
             token,
-            until_clock_ms: self.lease_until_clock_ms,
-            acknowledged_end: self.acknowledged_end,
-            // A worker gets no work before its clock is known.
-            wait_ms: if self.clock.has_accepted() { POLL_WAIT } else { DurationMs::ZERO },
+            until_clock_ms: None,
+            acknowledged_end: 0,
+            wait_ms: DurationMs::ZERO,
         };
-        let stopped = self.orders.confirmed_stops();
+        let mut stopped = Vec::new();
+        if !polls_candidate {
+            call.until_clock_ms = self.lease_until_clock_ms;
+            call.acknowledged_end = self.acknowledged_end;
+            // A worker gets no work before its clock is known.
+            if self.clock.has_accepted() {
+                call.wait_ms = POLL_WAIT;
+            }
+            stopped = self.orders.confirmed_stops();
+        }
         let (port, events) = (self.port.clone(), self.events.clone());
         tokio::spawn(async move {
             let result = port.poll(call).await;
@@ -506,10 +501,12 @@
         result: PollResult,
     ) {
         self.poll_in_flight = false;
-        if !self.is_current(incarnation) {
+        let is_candidate = |candidate: &Candidate| candidate.state.incarnation == *incarnation;
+        if self.candidate.as_ref().is_some_and(is_candidate) {
+            self.on_candidate_polled(&result);
             return;
         }
-        if self.settle_candidate(&result) {
+        if !self.is_current(incarnation) {
             return;
         }
         match result {
