Write data folders through a file system that tests can replace

The files of a data folder are created and opened through the trait FileSystem, and DiskStandIn is a disk that tests can make small, full, slow, unresponsive or faulty. The failing files of disk_faults are injected the same way; its checks are unchanged.

Test replicas of queue_control run in a runtime each.

--- a/crates/yuccatack_control/src/process.rs
+++ b/crates/yuccatack_control/src/process.rs
@@ -18,6 +18,7 @@
 use yuccatack_requests::claims::ClaimLimits;
 use yuccatack_requests::generated::claims::claims_server::ClaimsServer;
 use yuccatack_settings::ControlSettings;
+use yuccatack_storage::DiskSettings;
 use yuccatack_telemetry::Telemetry;
 use yuccatack_view::{ViewPublisher, ViewService};
 
@@ -118,6 +119,7 @@
         election_timeout_ms: settings.election_timeout_ms,
         snapshot_entry_count: settings.snapshot_entry_count,
         data_folder: settings.data_folder.clone(),
+        disk: DiskSettings::new(settings.disk_limit_bytes),
     }
 }
 
--- a/crates/yuccatack_queue_control/src/process.rs
+++ b/crates/yuccatack_queue_control/src/process.rs
@@ -15,6 +15,7 @@
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_queue_client::QueueClient;
 use yuccatack_replication::{ReplicationConfig, ReplicationService, forward_committed};
+use yuccatack_storage::DiskSettings;
 use yuccatack_telemetry::Metrics;
 
 use crate::actor::{ControlActor, ControlArguments};
@@ -53,6 +54,8 @@
     pub address: SocketAddr,
     /// Folder of the log, the snapshots and the replica's ID.
     pub data_folder: PathBuf,
+    /// Disk that holds the folder.
+    pub disk: DiskSettings,
     /// Addresses of replicas that may be members. On the first start they found the group.
     pub seeds: watch::Receiver<Vec<SocketAddr>>,
     /// `true` if the deployment starts for the first time and has no replication group yet.
@@ -162,6 +165,7 @@
         election_timeout_ms: ELECTION_TIMEOUT_MS,
         snapshot_entry_count: SNAPSHOT_ENTRY_COUNT,
         data_folder: config.data_folder.clone(),
+        disk: config.disk.clone(),
     }
 }
 
--- a/crates/yuccatack_queue_control/tests/support/mod.rs
+++ b/crates/yuccatack_queue_control/tests/support/mod.rs
@@ -3,13 +3,16 @@
 
 #![allow(clippy::unwrap_used, dead_code, missing_docs)]
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tempfile::TempDir;
+use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, spawn_blocking};
 use tokio::time::{Instant, sleep};
 use yuccatack_core::{
     DataCentreName, DurationMs, NodeName, OrganisationName, QueueName, Resources, ServiceName,
@@ -24,25 +27,34 @@
     AccessKey, Configuration, ConfigurationVersion, Organisation, Queue, Service,
 };
 use yuccatack_runs::{JobPhase, JobSpec, StepSpec, WorkerIncarnation};
-use yuccatack_stand_ins::{QueueWorkerHandle, QueueWorkerStandIn};
+use yuccatack_stand_ins::{DiskStandIn, QueueWorkerHandle, QueueWorkerStandIn};
+use yuccatack_storage::DiskSettings;
 use yuccatack_telemetry::Metrics;
 use yuccatack_worker_agent::{Agent, AgentConfig, Announcement};
 
 /// Timeout of one step of a test. It allows for an election on a busy machine.
 pub const STEP_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Size of a disk that no test fills by accident.
+pub const LARGE_DISK_BYTES: u64 = 1 << 30;
+
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 pub struct Replica {
-    pub folder: TempDir,
+    folder: Option<TempDir>,
     pub address: SocketAddr,
     trigger: ShutdownTrigger,
     task: JoinHandle<()>,
+    /// Runtime of the replica alone, whose end also ends the tasks that the replica has spawned.
+    runtime: Option<Runtime>,
 }
 
 pub struct Deployment {
     pub replicas: Vec<Replica>,
     pub client: QueueClient,
+    /// Disks of the replicas by their address; a disk outlasts a restart of its replica.
+    pub disks: BTreeMap<SocketAddr, DiskStandIn>,
+    disk_bytes: u64,
     seeds: Vec<SocketAddr>,
     /// Kept so that the agents' announcement and shutdown channels stay open.
     agents: Vec<(mpsc::Sender<Announcement>, ShutdownTrigger)>,
@@ -63,6 +75,8 @@
 
 fn start_replica(
     folder: TempDir,
+    disk: &DiskStandIn,
+    disk_bytes: u64,
     address: SocketAddr,
     seeds: &[SocketAddr],
     first_start: bool,
@@ -72,29 +86,58 @@
     let config = ControlConfig {
         address,
         data_folder: folder.path().join("replica"),
+        disk: DiskSettings::new(disk_bytes).with_file_system(Arc::new(disk.clone())),
         seeds: seeds.clone(),
         first_start,
         tolerated_loss_count: 1,
         dispatch: DispatchSettings::new(DurationMs::new(3_000), DurationMs::new(200)),
     };
     let client = QueueClient::new(seeds);
-    let task = tokio::spawn(async move {
+    let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let task = runtime.spawn(async move {
         run(config, client, Metrics::new(), shutdown).await.unwrap();
     });
-    Replica { folder, address, trigger, task }
+    Replica { folder: Some(folder), address, trigger, task, runtime: Some(runtime) }
+}
+
+impl Replica {
+    async fn end_runtime(&mut self) {
+        let runtime = self.runtime.take().unwrap();
+        spawn_blocking(move || runtime.shutdown_timeout(STEP_TIMEOUT)).await.unwrap();
+    }
+
+    pub fn data_folder(&self) -> PathBuf {
+        self.folder.as_ref().unwrap().path().join("replica")
+    }
+}
+
+impl Drop for Replica {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 impl Deployment {
     /// Starts three replicas that found a group and waits until one leads.
     pub async fn start() -> Self {
+        Self::start_on_disks(LARGE_DISK_BYTES).await
+    }
+
+    /// Starts replicas as [`Deployment::start`] does, with a disk of `disk_bytes` each.
+    pub async fn start_on_disks(disk_bytes: u64) -> Self {
         let seeds: Vec<SocketAddr> = (0..3).map(founder_address).collect();
-        let replicas = seeds
-            .iter()
-            .map(|address| start_replica(tempfile::tempdir().unwrap(), *address, &seeds, true));
+        let disks: BTreeMap<_, _> =
+            seeds.iter().map(|address| (*address, DiskStandIn::new(disk_bytes))).collect();
+        let replicas = disks.iter().map(|(address, disk)| {
+            let folder = tempfile::tempdir().unwrap();
+            start_replica(folder, disk, disk_bytes, *address, &seeds, true)
+        });
         let replicas = replicas.collect();
         let (_, receiver) = watch::channel(seeds.clone());
         let client = QueueClient::new(receiver);
-        let deployment = Self { replicas, client, seeds, agents: Vec::new() };
+        let deployment = Self { replicas, client, disks, disk_bytes, seeds, agents: Vec::new() };
         deployment.call_until(&Request::Ping, |response| *response == Response::Pong).await;
         deployment
     }
@@ -162,26 +205,26 @@
         self.call_until(&Request::Read(target(job)), |response| *response == expected).await;
     }
 
-    /// Aborts a replica without a drain, as a kill does, and returns its folder and address.
+    /// Ends a replica without a drain, as a kill does, and returns its folder and address.
     pub async fn kill(&mut self, index: usize) -> (TempDir, SocketAddr) {
-        let replica = self.replicas.remove(index);
-        replica.task.abort();
-        // The result is always the cancellation by `abort`.
-        let _ = replica.task.await;
-        (replica.folder, replica.address)
+        let mut replica = self.replicas.remove(index);
+        replica.end_runtime().await;
+        (replica.folder.take().unwrap(), replica.address)
     }
 
     pub fn restart(&mut self, folder: TempDir, address: SocketAddr) {
-        let replica = start_replica(folder, address, &self.seeds, false);
+        let disk = &self.disks[&address];
+        let replica = start_replica(folder, disk, self.disk_bytes, address, &self.seeds, false);
         self.replicas.push(replica);
     }
 
     pub async fn stop_all(&mut self) -> Vec<(TempDir, SocketAddr)> {
         let mut stopped = Vec::new();
-        for replica in self.replicas.drain(..) {
+        for mut replica in self.replicas.drain(..) {
             replica.trigger.advance(ShutdownPhase::Draining);
-            replica.task.await.unwrap();
-            stopped.push((replica.folder, replica.address));
+            (&mut replica.task).await.unwrap();
+            replica.end_runtime().await;
+            stopped.push((replica.folder.take().unwrap(), replica.address));
         }
         stopped
     }
--- a/crates/yuccatack_replication/examples/measure/cluster.rs
+++ b/crates/yuccatack_replication/examples/measure/cluster.rs
@@ -12,6 +12,10 @@
 use yuccatack_replication::{
     Committed, Leadership, ReplicaId, ReplicationConfig, ReplicationHandle, start,
 };
+use yuccatack_storage::DiskSettings;
+
+/// Large enough for the logs of all measurements.
+const DISK_BYTES: u64 = 1 << 40;
 
 pub struct Node {
     pub handle: ReplicationHandle,
@@ -56,6 +60,7 @@
             election_timeout_ms: 250,
             snapshot_entry_count: u64::MAX,
             data_folder: self.folder.join(format!("replica-{id}")),
+            disk: DiskSettings::new(DISK_BYTES),
         };
         let (handle, mut delivered, service) = start(config).await.unwrap();
         let (shutdown, stopped) = oneshot::channel::<()>();
--- a/crates/yuccatack_replication/src/actor/start.rs
+++ b/crates/yuccatack_replication/src/actor/start.rs
@@ -1,11 +1,12 @@
 //! Start of a replica: opens the data folder and spawns its tasks.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use ractor::{Actor, ActorRef};
 use tokio::sync::{mpsc, oneshot, watch};
 use yuccatack_core::{DurationMs, FastHashMap, TimestampMs};
-use yuccatack_storage::{DataFolder, Store};
+use yuccatack_storage::{DataFolder, FileSystem, Store};
 
 use super::storage_task::{PersistError, decode_recovered, write_batches};
 use super::{ActorMessage, ActorState, Peers, ReplicationActor};
@@ -34,7 +35,10 @@
     validate(&config)?;
     let folder_path = config.data_folder.clone();
     let replica_id = config.replica.get();
-    let opened = tokio::task::spawn_blocking(move || open_folder(&folder_path, replica_id)).await;
+    let file_system = Arc::clone(&config.disk.file_system);
+    let opened =
+        tokio::task::spawn_blocking(move || open_folder(file_system, &folder_path, replica_id))
+            .await;
     let (folder, store, recovered) =
         opened.map_err(|error| StartError::Actor { detail: error.to_string() })??;
 
@@ -100,10 +104,11 @@
 }
 
 fn open_folder(
+    file_system: Arc<dyn FileSystem>,
     path: &std::path::Path,
     replica_id: u64,
 ) -> Result<(DataFolder, Store, Recovered), StartError> {
-    let folder = DataFolder::open(path, replica_id)?;
+    let folder = DataFolder::open_on(file_system, path, replica_id)?;
     let (store, stored) = Store::open(&folder)?;
     let recovered = decode_recovered(stored)
         .map_err(|error| StartError::Undecodable { detail: error.to_string() })?;
--- a/crates/yuccatack_replication/src/handle.rs
+++ b/crates/yuccatack_replication/src/handle.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use ractor::ActorRef;
 use tokio::sync::{mpsc, oneshot, watch};
+use yuccatack_storage::DiskSettings;
 
 use crate::actor::{ActorMessage, start_actor};
 use crate::committed::Committed;
@@ -33,6 +34,8 @@
     pub snapshot_entry_count: u64,
     /// Folder that holds all durable state.
     pub data_folder: PathBuf,
+    /// Disk that holds the folder.
+    pub disk: DiskSettings,
 }
 
 /// Role of a replica, as reported in its status.
--- a/crates/yuccatack_replication/tests/cluster/mod.rs
+++ b/crates/yuccatack_replication/tests/cluster/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +17,8 @@
     Committed, Leadership, LogIndex, ProposalId, ReadId, ReplicaId, ReplicationConfig,
     ReplicationHandle, start,
 };
+use yuccatack_stand_ins::DiskStandIn;
+use yuccatack_storage::DiskSettings;
 
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -36,8 +39,14 @@
     pub voters: BTreeMap<ReplicaId, SocketAddr>,
     pub nodes: BTreeMap<ReplicaId, Node>,
     pub snapshot_entry_count: u64,
+    /// Disks of the replicas; one is added when its replica starts for the first time.
+    pub disks: BTreeMap<ReplicaId, DiskStandIn>,
+    pub disk_bytes: u64,
 }
 
+/// Size of a disk that no test fills by accident.
+pub const LARGE_DISK_BYTES: u64 = 1 << 30;
+
 /// Returns the test state as of `index`: a text, padded with bytes that depend on their offset.
 pub fn state_at(index: LogIndex, shortest_bytes: usize) -> Bytes {
     let mut state = format!("state at {index}").into_bytes();
@@ -53,7 +62,13 @@
 
 impl Cluster {
     pub async fn new(voter_count: u64, snapshot_entry_count: u64) -> Self {
+        Self::on_disks(voter_count, snapshot_entry_count, LARGE_DISK_BYTES).await
+    }
+
+    /// Starts a cluster as [`Cluster::new`] does, with a disk of `disk_bytes` per replica.
+    pub async fn on_disks(voter_count: u64, snapshot_entry_count: u64, disk_bytes: u64) -> Self {
         let mut cluster = Self::empty(snapshot_entry_count);
+        cluster.disk_bytes = disk_bytes;
         let mut listeners = BTreeMap::new();
         for number in 1..=voter_count {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -74,6 +89,8 @@
             voters: BTreeMap::new(),
             nodes: BTreeMap::new(),
             snapshot_entry_count,
+            disks: BTreeMap::new(),
+            disk_bytes: LARGE_DISK_BYTES,
         }
     }
 
@@ -81,7 +98,9 @@
         self.folder.path().join(format!("replica-{id}"))
     }
 
-    pub fn config(&self, id: ReplicaId) -> ReplicationConfig {
+    pub fn config(&mut self, id: ReplicaId) -> ReplicationConfig {
+        let disk_bytes = self.disk_bytes;
+        let disk = self.disks.entry(id).or_insert_with(|| DiskStandIn::new(disk_bytes)).clone();
         ReplicationConfig {
             replica: id,
             address: self.addresses[&id],
@@ -90,6 +109,7 @@
             election_timeout_ms: 250,
             snapshot_entry_count: self.snapshot_entry_count,
             data_folder: self.data_folder(id),
+            disk: DiskSettings::new(disk_bytes).with_file_system(Arc::new(disk)),
         }
     }
 
--- a/crates/yuccatack_settings/src/control.rs
+++ b/crates/yuccatack_settings/src/control.rs
@@ -52,6 +52,9 @@
     /// Number of log entries after which a snapshot replaces them.
     #[serde(default = "default_snapshot_entry_count")]
     pub snapshot_entry_count: u64,
+    /// Size of the disk that holds `data_folder`, or the part of it that the folder may use.
+    #[serde(default = "default_disk_limit_bytes")]
+    pub disk_limit_bytes: u64,
     /// Maximum duration of a graceful shutdown.
     #[serde(default = "default_drain_limit_ms")]
     pub drain_limit_ms: u64,
@@ -77,6 +80,10 @@
     10_000
 }
 
+fn default_disk_limit_bytes() -> u64 {
+    1024 * 1024 * 1024
+}
+
 fn default_drain_limit_ms() -> u64 {
     10_000
 }
--- a/crates/yuccatack_settings/src/validation/control.rs
+++ b/crates/yuccatack_settings/src/validation/control.rs
@@ -68,6 +68,13 @@
         (100, 10_000_000),
         "How many log entries are kept before a snapshot replaces them.",
     ),
+    Field::integer(
+        "disk_limit_bytes",
+        1024 * 1024 * 1024,
+        (32 * 1024 * 1024, 1 << 50),
+        "How much of its disk `data_folder` may use; configurations and jobs are refused before \
+         the disk is full.",
+    ),
     Field::integer(
         "drain_limit_ms",
         10_000,
--- a/crates/yuccatack_storage/src/folder.rs
+++ b/crates/yuccatack_storage/src/folder.rs
@@ -8,7 +8,7 @@
 use yuccatack_core::Incarnation;
 
 use crate::error::{CorruptedSnafu, LockedSnafu, OtherReplicaSnafu, RefusedSnafu, StorageError};
-use crate::file::{read_if_present, replace_file, sync_folder};
+use crate::file::{FileSystem, LocalFileSystem, read_if_present, replace_file, sync_folder};
 use crate::format::{FORMAT_FILE, FORMAT_VERSION, Format};
 use crate::hard_state::HARD_STATE_FILE;
 use crate::log_store::LOG_FILE;
@@ -26,6 +26,7 @@
     replica_id: u64,
     incarnation: Incarnation,
     newly_formatted: bool,
+    file_system: Arc<dyn FileSystem>,
     failed: Arc<AtomicBool>,
     // The lock is released when the last clone is dropped.
     _lock: Arc<File>,
@@ -35,6 +36,15 @@
     /// Locks and opens the folder of `replica_id`; creates and formats it if it is empty or
     /// missing.
     pub fn open(path: &Path, replica_id: u64) -> Result<Self, StorageError> {
+        Self::open_on(Arc::new(LocalFileSystem), path, replica_id)
+    }
+
+    /// Opens the folder as [`DataFolder::open`] does, and writes its files through `file_system`.
+    pub fn open_on(
+        file_system: Arc<dyn FileSystem>,
+        path: &Path,
+        replica_id: u64,
+    ) -> Result<Self, StorageError> {
         create_folder(path)?;
         let lock = lock_folder(path)?;
         let format_path = path.join(FORMAT_FILE);
@@ -42,7 +52,7 @@
             Some(content) => (Format::decode(&format_path, &content)?, false),
             None => {
                 refuse_unformatted_data(path)?;
-                (write_format(path, replica_id)?, true)
+                (write_format(file_system.as_ref(), path, replica_id)?, true)
             }
         };
         if format.replica_id != replica_id {
@@ -54,6 +64,7 @@
             replica_id,
             incarnation: format.incarnation,
             newly_formatted,
+            file_system,
             failed: Arc::new(AtomicBool::new(false)),
             _lock: Arc::new(lock),
         })
@@ -90,6 +101,11 @@
         self.newly_formatted
     }
 
+    /// Returns the file system on which the folder's files are written.
+    pub(crate) fn file_system(&self) -> &dyn FileSystem {
+        self.file_system.as_ref()
+    }
+
     /// Runs `operation`, unless an earlier one failed; after a failure all later ones are refused.
     pub(crate) fn run_unless_failed<T>(
         &self,
@@ -147,8 +163,12 @@
     Ok(())
 }
 
-fn write_format(path: &Path, replica_id: u64) -> Result<Format, StorageError> {
+fn write_format(
+    file_system: &dyn FileSystem,
+    path: &Path,
+    replica_id: u64,
+) -> Result<Format, StorageError> {
     let format = Format { version: FORMAT_VERSION, replica_id, incarnation: Incarnation::random() };
-    replace_file(path, FORMAT_FILE, &[&format.encode()])?;
+    replace_file(file_system, path, FORMAT_FILE, &[&format.encode()])?;
     Ok(format)
 }
--- a/crates/yuccatack_storage/src/hard_state.rs
+++ b/crates/yuccatack_storage/src/hard_state.rs
@@ -41,7 +41,13 @@
     /// Replaces the hard state atomically; it is on disk when this returns.
     pub fn save(&mut self, state: HardState) -> Result<(), StorageError> {
         self.folder.run_unless_failed(|| {
-            replace_file(self.folder.path(), HARD_STATE_FILE, &[&encode(state)]).map(|_| ())
+            replace_file(
+                self.folder.file_system(),
+                self.folder.path(),
+                HARD_STATE_FILE,
+                &[&encode(state)],
+            )
+            .map(|_| ())
         })
     }
 }
--- a/crates/yuccatack_storage/src/lib.rs
+++ b/crates/yuccatack_storage/src/lib.rs
@@ -5,6 +5,7 @@
 //! folder refuse further operations, because the content of the page cache may differ from that of
 //! the disk.
 
+mod disk;
 mod error;
 mod file;
 mod folder;
@@ -15,8 +16,9 @@
 mod snapshot;
 mod store;
 
+pub use disk::DiskSettings;
 pub use error::StorageError;
-pub use file::DurableFile;
+pub use file::{DurableFile, FileSystem, LocalFileSystem};
 pub use folder::DataFolder;
 pub use format::FORMAT_VERSION;
 pub use hard_state::{HardState, HardStateStore};
--- a/crates/yuccatack_storage/src/log_store.rs
+++ b/crates/yuccatack_storage/src/log_store.rs
@@ -3,13 +3,13 @@
 //! An entry whose index is not above the last one replaces all entries from that index on.
 //! Therefore, replacing conflicting entries needs only a single sync, as an append does.
 
-use std::fs::File;
+use std::fs;
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
 
 use crate::error::{CorruptedSnafu, StorageError};
-use crate::file::{DurableFile, open_for_append, read_if_present, replace_file};
+use crate::file::{DurableFile, read_if_present, replace_file};
 use crate::folder::DataFolder;
 use crate::format::{u32_at, u64_at};
 use crate::log_entry::{StoredEntry, decode_entry, encode_entry};
@@ -49,27 +49,20 @@
 impl LogStore {
     /// Opens the log file, creates it if it is missing, and truncates a torn last write.
     pub fn open(folder: &DataFolder) -> Result<(Self, OpenedLog), StorageError> {
-        Self::open_with(folder, |file| Box::new(file))
-    }
-
-    /// Opens the log file as [`LogStore::open`] does, and wraps the opened file with `wrap`.
-    pub fn open_with(
-        folder: &DataFolder,
-        wrap: impl FnOnce(File) -> Box<dyn DurableFile>,
-    ) -> Result<(Self, OpenedLog), StorageError> {
         let path = folder.path().join(LOG_FILE);
         let opened = match read_if_present(&path)? {
             Some(content) => read_log(&path, &Bytes::from(content))?,
             None => {
-                replace_file(folder.path(), LOG_FILE, &[&encode_header(LogBase::default())])?;
+                let header = encode_header(LogBase::default());
+                replace_file(folder.file_system(), folder.path(), LOG_FILE, &[&header])?;
                 OpenedLog { base: LogBase::default(), entries: Vec::new(), torn_bytes: 0 }
             }
         };
-        let file = open_for_append(&path)?;
+        let mut file = open_for_append(folder, &path)?;
         if opened.torn_bytes > 0 {
-            truncate_torn_tail(&path, &file, opened.torn_bytes)?;
+            truncate_torn_tail(&path, file.as_mut(), opened.torn_bytes)?;
         }
-        let store = Self { folder: folder.clone(), path, file: wrap(file), buffer: Vec::new() };
+        let store = Self { folder: folder.clone(), path, file, buffer: Vec::new() };
         Ok((store, opened))
     }
 
@@ -98,21 +91,30 @@
         }
         let Self { folder, path, file, buffer } = self;
         let reopened = folder.run_unless_failed(|| {
-            replace_file(folder.path(), LOG_FILE, &[buffer])?;
-            open_for_append(path)
+            replace_file(folder.file_system(), folder.path(), LOG_FILE, &[buffer])?;
+            open_for_append(folder, path)
         })?;
-        *file = Box::new(reopened);
+        *file = reopened;
         // The buffer of a compaction can be large, so its memory is released.
         self.buffer = Vec::new();
         Ok(())
     }
 }
 
-fn truncate_torn_tail(path: &Path, file: &File, torn_bytes: u64) -> Result<(), StorageError> {
-    let length = file.metadata().map_err(|source| StorageError::from_io(path, source))?.len();
-    file.set_len(length.saturating_sub(torn_bytes))
+fn open_for_append(folder: &DataFolder, path: &Path) -> Result<Box<dyn DurableFile>, StorageError> {
+    let opened = folder.file_system().open_for_append(path);
+    opened.map_err(|source| StorageError::from_io(path, source))
+}
+
+fn truncate_torn_tail(
+    path: &Path,
+    file: &mut dyn DurableFile,
+    torn_bytes: u64,
+) -> Result<(), StorageError> {
+    let metadata = fs::metadata(path).map_err(|source| StorageError::from_io(path, source))?;
+    file.truncate(metadata.len().saturating_sub(torn_bytes))
         .map_err(|source| StorageError::from_io(path, source))?;
-    file.sync_all().map_err(|source| StorageError::from_sync(path, source))?;
+    file.sync().map_err(|source| StorageError::from_sync(path, source))?;
     log::warn!(
         event = "torn_tail_cut", torn_bytes = torn_bytes;
         "cut an unfinished last write off the log"
--- a/crates/yuccatack_storage/src/snapshot.rs
+++ b/crates/yuccatack_storage/src/snapshot.rs
@@ -48,7 +48,8 @@
         let header = encode_header(snapshot);
         let parts = [&header[..], &snapshot.metadata, &snapshot.payload];
         self.folder.run_unless_failed(|| {
-            replace_file(self.folder.path(), SNAPSHOT_FILE, &parts).map(|_| ())
+            replace_file(self.folder.file_system(), self.folder.path(), SNAPSHOT_FILE, &parts)
+                .map(|_| ())
         })
     }
 }
--- a/crates/yuccatack_storage/tests/disk_faults.rs
+++ b/crates/yuccatack_storage/tests/disk_faults.rs
@@ -5,11 +5,12 @@
 use std::io::{self, Write};
 use std::os::unix::fs::{FileExt, PermissionsExt};
 use std::path::Path;
+use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
 use yuccatack_storage::{
-    DataFolder, DurableFile, HardState, LogBase, LogStore, Snapshot, StorageError, Store,
-    StoredEntry,
+    DataFolder, DurableFile, FileSystem, HardState, LocalFileSystem, LogBase, Snapshot,
+    StorageError, Store, StoredEntry,
 };
 
 fn entries(indexes: std::ops::RangeInclusive<u64>) -> Vec<StoredEntry> {
@@ -143,15 +144,33 @@
     OpenOptions::new().append(true).open(folder.join("log")).unwrap().write_all(bytes).unwrap();
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 enum Failure {
     Write(io::ErrorKind),
     Sync(io::ErrorKind),
 }
 
+/// A file system on which the next write or sync of the log fails; later calls succeed.
+#[derive(Debug)]
+struct FailingFileSystem {
+    failure: Mutex<Option<Failure>>,
+}
+
+impl FileSystem for FailingFileSystem {
+    fn create(&self, path: &Path) -> io::Result<Box<dyn DurableFile>> {
+        LocalFileSystem.create(path)
+    }
+
+    fn open_for_append(&self, path: &Path) -> io::Result<Box<dyn DurableFile>> {
+        let file = LocalFileSystem.open_for_append(path)?;
+        let failure = self.failure.lock().unwrap().take();
+        Ok(Box::new(FailingFile { file, failure }))
+    }
+}
+
 /// A file on disk whose next write or sync fails; later calls succeed.
 struct FailingFile {
-    file: File,
+    file: Box<dyn DurableFile>,
     failure: Option<Failure>,
 }
 
@@ -159,7 +178,7 @@
     fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
         if let Some(Failure::Write(kind)) = self.failure {
             self.failure = None;
-            self.file.write_all(&bytes[..bytes.len() / 2])?;
+            self.file.append(&bytes[..bytes.len() / 2])?;
             return Err(kind.into());
         }
         self.file.append(bytes)
@@ -172,6 +191,10 @@
         }
         self.file.sync()
     }
+
+    fn truncate(&mut self, length_bytes: u64) -> io::Result<()> {
+        self.file.truncate(length_bytes)
+    }
 }
 
 /// Guards against a store that continues after a failed write or sync, when the content of the page
@@ -188,14 +211,10 @@
     for (failure, kind, remedy) in cases {
         let path = tempfile::tempdir().unwrap();
         create_data_folder(path.path());
-        let folder = DataFolder::open(path.path(), 1).unwrap();
+        let file_system = FailingFileSystem { failure: Mutex::new(Some(failure)) };
+        let folder = DataFolder::open_on(Arc::new(file_system), path.path(), 1).unwrap();
         let (store, _) = Store::open(&folder).unwrap();
-        let Store { mut snapshots, mut hard_state, log } = store;
-        drop(log);
-        let wrap = |file| -> Box<dyn DurableFile> {
-            Box::new(FailingFile { file, failure: Some(failure) })
-        };
-        let (mut log, _) = LogStore::open_with(&folder, wrap).unwrap();
+        let Store { mut snapshots, mut hard_state, mut log } = store;
         let error = log.append(&entries(10..=12)).unwrap_err();
         assert!(format!("{error:?}").starts_with(kind), "{error:?}");
         assert!(error.to_string().contains(remedy), "{error}");
