Wait for the replacement of a wiped replica before the next loss in its test

With kills that really end a replica, wiped_replica_replaced lost two of three voters at once in its first round: the wiped one's new member had not joined yet. The test is stricter than before: until now the killed replicas went on running.

--- a/crates/yuccatack_queue_control/tests/whole_path.rs
+++ b/crates/yuccatack_queue_control/tests/whole_path.rs
@@ -101,6 +101,10 @@
     assert_eq!(response, Response::Configuration(Some("document 7".into())));
 }
 
+/// Time in which a wiped replica joins under its new ID, receives the log and replaces its old voter.
+/// Until then a second loss would leave no quorum.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(3);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn wiped_replica_replaced() {
     let mut deployment = Deployment::start().await;
@@ -112,6 +116,7 @@
         let (folder, address) = deployment.kill(0).await;
         drop(folder);
         deployment.restart(tempfile::tempdir().unwrap(), address);
+        sleep(REPLACEMENT_TIME).await;
         // With another replica down, a quorum needs the vote of the wiped one's new member.
         let (kept, other) = deployment.kill(0).await;
         deployment.wait_for_phase(&name, JobPhase::Queued).await;
