Distinguish proposals that add to the state from those that complete it

ProposalClass and ProposalFailure::NoSpace let the replicated log refuse what would fill a disk while it still accepts ends, cancellations and removals. Nothing is refused yet.

--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -11,7 +11,8 @@
 use yuccatack_leases::{LeaseCommand, LeaseEvent};
 use yuccatack_records::{Change, ChangeOutcome, RecordKey, RecordKind};
 use yuccatack_replication::{
-    Committed, Leadership, LogIndex, ProposalId, ReadFailure, ReadId, ReplicationHandle,
+    Committed, Leadership, LogIndex, ProposalClass, ProposalId, ReadFailure, ReadId,
+    ReplicationHandle,
 };
 use yuccatack_requests::claims::{ClaimCommand, ClaimLimits, ClaimOutcome};
 use yuccatack_telemetry::Telemetry;
@@ -363,7 +364,7 @@
     ) -> Result<(), ActorProcessingErr> {
         let payload = Bytes::from(wire::encode(command)?);
         let proposal = self.pending.add_proposal(waiting);
-        self.replication.propose(proposal, payload);
+        self.replication.propose(proposal, ProposalClass::Essential, payload);
         Ok(())
     }
 
--- a/crates/yuccatack_control/src/pending.rs
+++ b/crates/yuccatack_control/src/pending.rs
@@ -98,7 +98,7 @@
     pub fn fail(&mut self, proposal: ProposalId, failure: ProposalFailure) {
         let failure = match failure {
             ProposalFailure::NotLeader { leader_address } => not_leader(leader_address),
-            ProposalFailure::Unknown => CallError::Unknown,
+            ProposalFailure::NoSpace | ProposalFailure::Unknown => CallError::Unknown,
         };
         match self.proposals.remove(&proposal).map(|(_, waiting)| waiting) {
             Some(PendingProposal::Change(reply)) => {
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -10,8 +10,8 @@
 use yuccatack_dispatch::{AgentMessage, DispatchSettings, Dispatcher, PendingChanges};
 use yuccatack_queue_client::protocol::{LeaderFrame, LeaderHint, Request, Response};
 use yuccatack_replication::{
-    Committed, Leadership, LogIndex, ProposalFailure, ProposalId, ReadFailure, ReadId, ReplicaId,
-    ReplicationHandle, decode, encode,
+    Committed, Leadership, LogIndex, ProposalClass, ProposalFailure, ProposalId, ReadFailure,
+    ReadId, ReplicaId, ReplicationHandle, decode, encode,
 };
 use yuccatack_telemetry::Metrics;
 
@@ -29,6 +29,10 @@
 /// Interval at which the leader removes ended jobs whose retention period is over.
 const JOB_REMOVAL_INTERVAL: DurationMs = DurationMs::new(30_000);
 
+/// Delay after which the caller of a change that no disk can take may try again. Space is freed by an
+/// operator, or within seconds by a compaction.
+const NO_SPACE_RETRY_DELAY: DurationMs = DurationMs::new(2_000);
+
 /// Continuation of a proposal once it is committed or has failed.
 pub(crate) enum PendingProposal {
     Call(oneshot::Sender<Response>),
@@ -339,6 +343,9 @@
                             ..self.leader_hint()
                         })
                     }
+                    ProposalFailure::NoSpace => {
+                        Response::Busy { retry_after_ms: NO_SPACE_RETRY_DELAY }
+                    }
                     ProposalFailure::Unknown => Response::Unknown,
                 };
                 respond(reply, response);
@@ -444,7 +451,7 @@
     ) -> Result<(), ActorProcessingErr> {
         let payload = Bytes::from(encode(command)?);
         self.proposals.insert(proposal, pending);
-        self.replication.propose(proposal, payload);
+        self.replication.propose(proposal, ProposalClass::Essential, payload);
         Ok(())
     }
 
--- a/crates/yuccatack_replication/examples/measure/failover.rs
+++ b/crates/yuccatack_replication/examples/measure/failover.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hdrhistogram::Histogram;
-use yuccatack_replication::{Committed, ProposalId};
+use yuccatack_replication::{Committed, ProposalClass, ProposalId};
 
 use super::cluster::Cluster;
 
@@ -22,7 +22,7 @@
         leader = cluster.leader().await;
         let node = cluster.nodes.get_mut(&leader).unwrap();
         let proposal = ProposalId::new(round);
-        node.handle.propose(proposal, Bytes::from_static(b"after"));
+        node.handle.propose(proposal, ProposalClass::Growth, Bytes::from_static(b"after"));
         loop {
             let (_, item) = node.committed.recv().await.unwrap();
             if matches!(item, Committed::Entry { proposal: Some(found), .. } if found == proposal) {
--- a/crates/yuccatack_replication/examples/measure/restart.rs
+++ b/crates/yuccatack_replication/examples/measure/restart.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use yuccatack_replication::{Committed, Leadership, ProposalId};
+use yuccatack_replication::{Committed, Leadership, ProposalClass, ProposalId};
 
 use super::PAYLOAD_BYTES;
 use super::cluster::Cluster;
@@ -16,7 +16,7 @@
     let node = cluster.nodes.get_mut(&leader).unwrap();
     let payload = Bytes::from(vec![1; PAYLOAD_BYTES]);
     for number in 0..entry_count {
-        node.handle.propose(ProposalId::new(number), payload.clone());
+        node.handle.propose(ProposalId::new(number), ProposalClass::Growth, payload.clone());
     }
     let mut delivered = 0;
     while delivered < entry_count {
--- a/crates/yuccatack_replication/examples/measure/throughput.rs
+++ b/crates/yuccatack_replication/examples/measure/throughput.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use hdrhistogram::Histogram;
-use yuccatack_replication::{Committed, ProposalId};
+use yuccatack_replication::{Committed, ProposalClass, ProposalId};
 use yuccatack_storage::{DataFolder, Store, StoredEntry};
 
 use super::PAYLOAD_BYTES;
@@ -63,7 +63,7 @@
         while (proposed_at.len() as u64) < in_flight {
             next += 1;
             proposed_at.insert(next, Instant::now());
-            node.handle.propose(ProposalId::new(next), payload.clone());
+            node.handle.propose(ProposalId::new(next), ProposalClass::Growth, payload.clone());
         }
         let (_, item) = node.committed.recv().await.unwrap();
         let Committed::Entry { proposal: Some(proposal), .. } = item else { continue };
--- a/crates/yuccatack_replication/src/actor/mod.rs
+++ b/crates/yuccatack_replication/src/actor/mod.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use yuccatack_core::{FastHashMap, TimestampMs};
 
-use crate::committed::Committed;
+use crate::committed::{Committed, ProposalClass};
 use crate::error::{ChangeError, ReplicaFailure};
 use crate::handle::ReplicationStatus;
 use crate::identifiers::{ChangeNumber, LogIndex, ProposalId, ReadId};
@@ -27,7 +27,7 @@
 /// Messages that the actor handles.
 #[derive(Debug)]
 pub(crate) enum ActorMessage {
-    Propose(ProposalId, Bytes),
+    Propose(ProposalId, ProposalClass, Bytes),
     Read(ReadId),
     StoreSnapshot(LogIndex, Bytes),
     StateHash(LogIndex, u64),
@@ -36,6 +36,8 @@
     Flush,
     Tick,
     Synced(u64),
+    /// The disk became full, or takes writes again.
+    DiskFull(bool),
     StorageFailed(ReplicaFailure),
     TransferLeadership(oneshot::Sender<()>),
     ChangeMembership(MembershipChange, oneshot::Sender<Result<(), ChangeError>>),
@@ -101,8 +103,8 @@
                 state.changes.insert(number, reply);
                 state.step(&myself, Input::ChangeMembership { number, change });
             }
-            ActorMessage::Propose(proposal, payload) => {
-                state.step(&myself, Input::Propose { proposal, payload });
+            ActorMessage::Propose(proposal, class, payload) => {
+                state.step(&myself, Input::Propose { proposal, class, payload });
             }
             ActorMessage::Read(read) => state.step(&myself, Input::Read { read }),
             ActorMessage::StoreSnapshot(index, payload) => {
@@ -116,6 +118,7 @@
                 state.step(&myself, Input::Message(message));
             }
             ActorMessage::Synced(sequence) => state.step(&myself, Input::Synced { sequence }),
+            ActorMessage::DiskFull(full) => state.step(&myself, Input::DiskFull { full }),
             ActorMessage::Tick => {
                 state.timer = None;
                 state.step(&myself, Input::Tick);
--- a/crates/yuccatack_replication/src/committed.rs
+++ b/crates/yuccatack_replication/src/committed.rs
@@ -57,6 +57,15 @@
     Leadership(Leadership),
 }
 
+/// Effect of a proposal on the space that the replicated state takes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProposalClass {
+    /// Adds to the state; refused while disks are full or nearly full.
+    Growth,
+    /// Completes, ends or removes what is stored; accepted as long as it can be written.
+    Essential,
+}
+
 /// Reason why a proposal failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProposalFailure {
@@ -65,6 +74,9 @@
         /// Address of the leader, if known.
         leader_address: Option<SocketAddr>,
     },
+    /// Nothing was proposed, because the disks of a quorum are full or nearly full, or too much waits
+    /// to be written to them.
+    NoSpace,
     /// Leadership was lost before the command was delivered; it may or may not be committed.
     Unknown,
 }
--- a/crates/yuccatack_replication/src/handle.rs
+++ b/crates/yuccatack_replication/src/handle.rs
@@ -10,7 +10,7 @@
 use yuccatack_storage::DiskSettings;
 
 use crate::actor::{ActorMessage, start_actor};
-use crate::committed::Committed;
+use crate::committed::{Committed, ProposalClass};
 use crate::error::{ChangeError, ReplicaFailure, StartError};
 use crate::identifiers::{LogIndex, ProposalId, ReadId, ReplicaId, Term};
 use crate::membership::{Member, MembershipChange};
@@ -77,6 +77,8 @@
     /// Voters that have not responded for several election timeouts; empty unless this replica
     /// leads.
     pub silent_voters: BTreeSet<ReplicaId>,
+    /// `true` while the disk of this replica takes no more bytes.
+    pub disk_full: bool,
     /// Failure that stopped the replica, if any.
     pub failure: Option<ReplicaFailure>,
 }
@@ -99,6 +101,7 @@
             voters_in_force: addresses(view.voters_in_force),
             learners: learners.collect(),
             silent_voters: view.silent_voters.clone(),
+            disk_full: view.disk_full,
             failure: None,
         }
     }
@@ -133,10 +136,10 @@
 }
 
 impl ReplicationHandle {
-    /// Proposes a command; its outcome arrives as [`Committed::Entry`] or
+    /// Proposes a command of `class`; its outcome arrives as [`Committed::Entry`] or
     /// [`Committed::ProposalFailed`].
-    pub fn propose(&self, proposal: ProposalId, payload: Bytes) {
-        self.cast(ActorMessage::Propose(proposal, payload));
+    pub fn propose(&self, proposal: ProposalId, class: ProposalClass, payload: Bytes) {
+        self.cast(ActorMessage::Propose(proposal, class, payload));
     }
 
     /// Requests a linearizable read; its outcome arrives as [`Committed::ReadReady`] or
--- a/crates/yuccatack_replication/src/lib.rs
+++ b/crates/yuccatack_replication/src/lib.rs
@@ -17,7 +17,9 @@
 mod transport;
 mod wire;
 
-pub use committed::{Committed, Leadership, ProposalFailure, ReadFailure, forward_committed};
+pub use committed::{
+    Committed, Leadership, ProposalClass, ProposalFailure, ReadFailure, forward_committed,
+};
 pub use encoding::{EncodingError, decode, encode};
 pub use error::{ChangeError, ReplicaFailure, StartError};
 pub use handle::{
--- a/crates/yuccatack_replication/src/state/input.rs
+++ b/crates/yuccatack_replication/src/state/input.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use yuccatack_core::{DurationMs, Incarnation};
 
+use crate::committed::ProposalClass;
 use crate::identifiers::{ChangeNumber, LogIndex, ProposalId, ReadId, ReplicaId};
 use crate::membership::MembershipChange;
 use crate::message::Message;
@@ -43,10 +44,17 @@
         /// Sequence number of the batch.
         sequence: u64,
     },
+    /// The disk of this replica became full, or takes writes again.
+    DiskFull {
+        /// `true` if the disk takes no more bytes.
+        full: bool,
+    },
     /// Proposes a command.
     Propose {
         /// Number that the proposer gave to the proposal.
         proposal: ProposalId,
+        /// Effect of the command on the space that the state takes.
+        class: ProposalClass,
         /// Encoded command.
         payload: Bytes,
     },
--- a/crates/yuccatack_replication/src/state/leader.rs
+++ b/crates/yuccatack_replication/src/state/leader.rs
@@ -9,7 +9,7 @@
 use super::progress::{Progress, ReplicationMode, SnapshotTransfer, WINDOW_ENTRY_COUNT};
 use super::reads::ReadQueue;
 use super::{Replica, Role};
-use crate::committed::{Committed, ProposalFailure};
+use crate::committed::{Committed, ProposalClass, ProposalFailure};
 use crate::error::ChangeError;
 use crate::identifiers::{LogIndex, ProposalId, ReplicaId};
 use crate::message::{AppendOutcome, MessageBody};
@@ -94,7 +94,12 @@
         }
     }
 
-    pub(super) fn on_propose(&mut self, proposal: ProposalId, payload: Bytes) {
+    pub(super) fn on_propose(
+        &mut self,
+        proposal: ProposalId,
+        _class: ProposalClass,
+        payload: Bytes,
+    ) {
         let accepts_proposals =
             matches!(&self.role, Role::Leader(leader) if leader.transfer.is_none());
         if !accepts_proposals {
--- a/crates/yuccatack_replication/src/state/mod.rs
+++ b/crates/yuccatack_replication/src/state/mod.rs
@@ -75,6 +75,7 @@
     commit: LogIndex,
     delivered: LogIndex,
     snapshot_requested_at: Option<LogIndex>,
+    disk_full: bool,
 
     /// Sequence number of the batch that is being collected.
     next_sequence: u64,
@@ -123,6 +124,7 @@
             commit: snapshot_index,
             delivered: LogIndex::default(),
             snapshot_requested_at: None,
+            disk_full: false,
             next_sequence: 1,
             hard_state_sequence: 0,
             synced_sequence: 0,
@@ -154,7 +156,10 @@
             Input::Tick => {}
             Input::Message(message) => self.on_message(message),
             Input::Synced { sequence } => self.on_synced(sequence),
-            Input::Propose { proposal, payload } => self.on_propose(proposal, payload),
+            Input::Propose { proposal, class, payload } => {
+                self.on_propose(proposal, class, payload);
+            }
+            Input::DiskFull { full } => self.on_disk_full(full),
             Input::Read { read } => self.on_read(read),
             Input::StoreSnapshot { index, payload } => self.on_store_snapshot(index, payload),
             Input::StateHash { index, hash } => self.on_own_state_hash(index, hash),
@@ -165,6 +170,10 @@
         self.deliver();
     }
 
+    fn on_disk_full(&mut self, full: bool) {
+        self.disk_full = full;
+    }
+
     fn run_timers(&mut self) {
         self.run_formation_timers();
         if self.is_leader() {
--- a/crates/yuccatack_replication/src/state/view.rs
+++ b/crates/yuccatack_replication/src/state/view.rs
@@ -45,6 +45,8 @@
     /// Voters of the newest membership known to be committed, the old ones if it is joint. Empty
     /// while a replica that has no snapshot does not know what is committed.
     pub voters_in_force: &'a BTreeMap<ReplicaId, Member>,
+    /// `true` while the disk takes no more bytes.
+    pub disk_full: bool,
     /// `true` while a leader is transferring its leadership.
     pub transferring_leadership: bool,
     /// Last index that each other member is known to hold; empty unless this replica leads.
@@ -79,6 +81,7 @@
             last: self.log.last().index,
             membership: self.membership(),
             voters_in_force: self.membership_at(self.commit).voters_in_force(),
+            disk_full: self.disk_full,
             transferring_leadership: matches!(
                 &self.role, Role::Leader(leader) if leader.transfer.is_some()
             ),
--- a/crates/yuccatack_replication/tests/cluster/mod.rs
+++ b/crates/yuccatack_replication/tests/cluster/mod.rs
@@ -14,8 +14,8 @@
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 use yuccatack_replication::{
-    Committed, Leadership, LogIndex, ProposalId, ReadId, ReplicaId, ReplicationConfig,
-    ReplicationHandle, start,
+    Committed, Leadership, LogIndex, ProposalClass, ProposalId, ReadId, ReplicaId,
+    ReplicationConfig, ReplicationHandle, start,
 };
 use yuccatack_stand_ins::DiskStandIn;
 use yuccatack_storage::DiskSettings;
@@ -207,7 +207,7 @@
 
     pub async fn propose(&mut self, number: u64, payload: &str) -> Committed {
         let id = ProposalId::new(number);
-        self.handle.propose(id, Bytes::copy_from_slice(payload.as_bytes()));
+        self.handle.propose(id, ProposalClass::Growth, Bytes::copy_from_slice(payload.as_bytes()));
         self.wait_for(|item| match item {
             Committed::Entry { proposal, .. } => *proposal == Some(id),
             Committed::ProposalFailed { proposal, .. } => *proposal == id,
--- a/crates/yuccatack_replication/tests/simulation/clients.rs
+++ b/crates/yuccatack_replication/tests/simulation/clients.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 use yuccatack_replication::state::{Input, RoleView};
-use yuccatack_replication::{Committed, ProposalFailure, ProposalId, ReadId, ReplicaId};
+use yuccatack_replication::{
+    Committed, ProposalClass, ProposalFailure, ProposalId, ReadId, ReplicaId,
+};
 
 use super::simulator::{Node, Simulator};
 
@@ -42,7 +44,9 @@
             Committed::ProposalFailed { proposal, failure } => {
                 process.open_proposals.remove(&proposal);
                 match failure {
-                    ProposalFailure::NotLeader { .. } => self.history.mark_rejected(proposal),
+                    ProposalFailure::NotLeader { .. } | ProposalFailure::NoSpace => {
+                        self.history.mark_rejected(proposal)
+                    }
                     ProposalFailure::Unknown => self.history.mark_unknown(proposal),
                 }
             }
@@ -65,7 +69,7 @@
         let payload = Bytes::from(format!("command {number}"));
         self.process_mut(id)?.open_proposals.insert(proposal);
         self.history.propose(proposal, payload.clone());
-        self.input(id, Input::Propose { proposal, payload });
+        self.input(id, Input::Propose { proposal, class: ProposalClass::Growth, payload });
         Some(proposal)
     }
 
