Refuse proposals at once that no quorum can store

While disks were full, changes waited until callers gave up, without learning whether they took effect, and the entries piled up in the leader's memory.

A replica reports a full disk in its heartbeat responses, in a field that earlier versions ignore and whose absence means false (older_messages). The leader refuses proposals that add to the state while the disks of so many voters are full that no quorum stores them, while its own files would take more than three quarters of the disk, or while too many bytes are uncommitted. Essential proposals are refused only while one already waits for full disks, or far above the byte limit. Reads go on: the leadership needs no write.

--- a/crates/yuccatack_replication/src/message.rs
+++ b/crates/yuccatack_replication/src/message.rs
@@ -80,6 +80,9 @@
     HeartbeatResponse {
         /// Round that the heartbeat named.
         round: u64,
+        /// `true` if the sender's disk takes no more bytes; earlier versions do not report it.
+        #[serde(default)]
+        disk_full: bool,
     },
     /// Transfers one chunk of the leader's snapshot.
     SnapshotChunk {
--- a/crates/yuccatack_replication/src/state/follower.rs
+++ b/crates/yuccatack_replication/src/state/follower.rs
@@ -110,7 +110,7 @@
         if commit <= self.log.last().index {
             self.advance_commit_to(commit);
         }
-        let body = MessageBody::HeartbeatResponse { round };
+        let body = MessageBody::HeartbeatResponse { round, disk_full: self.disk_full };
         self.send_after_hard_state(from, incarnation, body);
     }
 
--- a/crates/yuccatack_replication/src/state/leader.rs
+++ b/crates/yuccatack_replication/src/state/leader.rs
@@ -10,6 +10,7 @@
     Progress, ReplicationMode, SnapshotTransfer, WINDOW_BYTES, WINDOW_ENTRY_COUNT,
 };
 use super::reads::ReadQueue;
+use super::space::SpaceShortage;
 use super::{Replica, Role};
 use crate::committed::{Committed, ProposalClass, ProposalFailure};
 use crate::error::ChangeError;
@@ -39,6 +40,8 @@
     pub reads: ReadQueue,
     pub change: Option<ActiveChange>,
     pub transfer: Option<LeadershipTransfer>,
+    /// Reason for which the last proposal was refused, if it was.
+    shortage: Option<SpaceShortage>,
 }
 
 impl LeaderState {
@@ -52,6 +55,7 @@
             reads: ReadQueue::default(),
             change: None,
             transfer: None,
+            shortage: None,
         }
     }
 }
@@ -100,7 +104,7 @@
     pub(super) fn on_propose(
         &mut self,
         proposal: ProposalId,
-        _class: ProposalClass,
+        class: ProposalClass,
         payload: Bytes,
     ) {
         let accepts_proposals =
@@ -111,12 +115,39 @@
             self.outputs.committed.push(Committed::ProposalFailed { proposal, failure });
             return;
         }
+        let shortage = self.space_shortage(class, payload.len() as u64);
+        self.log_shortage(class, shortage);
+        if shortage.is_some() {
+            let failure = ProposalFailure::NoSpace;
+            self.outputs.committed.push(Committed::ProposalFailed { proposal, failure });
+            return;
+        }
         let index = self.append_as_leader(EntryPayload::Command(payload));
         if let Role::Leader(leader) = &mut self.role {
             leader.proposals.insert(index, proposal);
         }
     }
 
+    /// Logs that proposals that add to the state begin or cease to be refused.
+    fn log_shortage(&mut self, class: ProposalClass, shortage: Option<SpaceShortage>) {
+        let stored_log_bytes = self.stored_log_bytes;
+        let Role::Leader(leader) = &mut self.role else { return };
+        if class == ProposalClass::Essential || leader.shortage == shortage {
+            return;
+        }
+        leader.shortage = shortage;
+        match shortage {
+            Some(cause) => log::warn!(
+                event = "growth_refused", cause:? = cause, log_bytes = stored_log_bytes;
+                "refusing proposals that add to the state"
+            ),
+            None => log::info!(
+                event = "growth_accepted", log_bytes = stored_log_bytes;
+                "accepting proposals that add to the state again"
+            ),
+        }
+    }
+
     /// Reports all pending proposals, reads and membership changes as failed.
     pub(super) fn fail_pending(&mut self, state: LeaderState) {
         for proposal in state.proposals.into_values() {
--- a/crates/yuccatack_replication/src/state/mod.rs
+++ b/crates/yuccatack_replication/src/state/mod.rs
@@ -251,8 +251,8 @@
             MessageBody::AppendResponse(outcome) => {
                 self.on_append_response(from, from_incarnation, outcome);
             }
-            MessageBody::HeartbeatResponse { round } => {
-                self.on_heartbeat_response(from, from_incarnation, round);
+            MessageBody::HeartbeatResponse { round, disk_full } => {
+                self.on_heartbeat_response(from, from_incarnation, round, disk_full);
             }
             MessageBody::SnapshotResponse { index, received_bytes } => {
                 self.on_snapshot_response(from, from_incarnation, index, received_bytes);
@@ -272,7 +272,7 @@
                 | MessageBody::SnapshotChunk { .. }
         );
         if from_old_leader {
-            let body = MessageBody::HeartbeatResponse { round: 0 };
+            let body = MessageBody::HeartbeatResponse { round: 0, disk_full: self.disk_full };
             self.send_after_hard_state(message.from, message.from_incarnation, body);
         }
     }
--- a/crates/yuccatack_replication/src/state/progress.rs
+++ b/crates/yuccatack_replication/src/state/progress.rs
@@ -52,6 +52,8 @@
     pub last_progress: TimestampMs,
     /// Newest confirmation round that the member responded to.
     pub round: u64,
+    /// `true` if the member has reported that its disk takes no more bytes.
+    pub disk_full: bool,
 }
 
 impl Progress {
@@ -64,6 +66,7 @@
             last_response: now,
             last_progress: now,
             round: 0,
+            disk_full: false,
         }
     }
 
--- a/crates/yuccatack_replication/src/state/reads.rs
+++ b/crates/yuccatack_replication/src/state/reads.rs
@@ -89,11 +89,13 @@
         from: ReplicaId,
         incarnation: Incarnation,
         round: u64,
+        disk_full: bool,
     ) {
         let now = self.now;
         let timeout_ms = 2 * self.settings.heartbeat.get();
         let Some(progress) = self.progress_of_responder(from, incarnation) else { return };
         progress.round = progress.round.max(round);
+        progress.disk_full = disk_full;
         progress.resend_if_stalled(now, timeout_ms);
         self.confirm_reads();
     }
--- a/crates/yuccatack_replication/tests/disk_space.rs
+++ b/crates/yuccatack_replication/tests/disk_space.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use simulation::seeds::for_each_seed;
+use simulation::simulator::HEARTBEAT_MS;
 use simulation::{Simulator, SimulatorSettings};
 use yuccatack_replication::state::Input;
 use yuccatack_replication::{ProposalClass, ProposalId, ReplicaId};
@@ -39,6 +40,42 @@
     simulator.input(id, Input::Propose { proposal, class, payload });
 }
 
+fn stall_all(simulator: &mut Simulator, stalled: bool) {
+    let ids: Vec<ReplicaId> = simulator.nodes.keys().copied().collect();
+    for id in ids {
+        simulator.stall_disk(id, stalled, true);
+    }
+}
+
+/// Guards against reads that fail, and against proposals that wait for space, while all disks are
+/// full; afterwards everything that was acknowledged must be there.
+#[test]
+fn all_disks_full() {
+    for_each_seed(20, |seed| {
+        let (mut simulator, leader) = simulator_with_leader(seed, 1 << 30);
+        simulator.propose(leader);
+        simulator.run_for(100);
+        stall_all(&mut simulator, true);
+        simulator.run_for(4 * HEARTBEAT_MS);
+        let reads = simulator.history.read_count;
+        for _ in 0..20 {
+            simulator.propose(leader);
+            simulator.read(leader);
+            simulator.run_for(200);
+        }
+        assert_eq!(simulator.leader(), Some(leader), "the leader changed");
+        assert_eq!(simulator.history.read_count, reads + 20, "a read was not served");
+        let open = &simulator.process(leader).unwrap().open_proposals;
+        assert!(open.is_empty(), "proposals wait for space: {open:?}");
+        stall_all(&mut simulator, false);
+        simulator.run_for(1_000);
+        let acknowledged = simulator.history.acknowledged_count;
+        simulator.propose(leader);
+        simulator.run_for(1_000);
+        assert_eq!(simulator.history.acknowledged_count, acknowledged + 1);
+    });
+}
+
 /// Guards against a log that grows without bound in bytes, on a disk and in the memory of a leader
 /// and of a member that falls behind.
 #[test]
@@ -57,6 +94,29 @@
     });
 }
 
+/// Guards against entries that pile up in the memory of a leader while no quorum stores them.
+#[test]
+fn stalled_backlog() {
+    for_each_seed(5, |seed| {
+        let (mut simulator, leader) = simulator_with_leader(seed, SMALL_DISK_BYTES);
+        let ids: Vec<ReplicaId> = simulator.nodes.keys().copied().collect();
+        for id in ids {
+            simulator.stall_disk(id, true, false);
+        }
+        for class in [ProposalClass::Growth, ProposalClass::Essential] {
+            for _ in 0..100 {
+                propose_bytes(&mut simulator, leader, class, 10_000);
+                simulator.run_for(5);
+            }
+        }
+        let open_count = simulator.process(leader).unwrap().open_proposals.len();
+        assert!((1..20).contains(&open_count), "{open_count} proposals wait");
+        stall_all(&mut simulator, false);
+        simulator.run_for(2_000);
+        simulator.check_nothing_pending();
+    });
+}
+
 /// Guards against a log that stays large because the process stopped between saving a snapshot and
 /// compacting the log.
 #[test]
--- a/crates/yuccatack_replication/tests/random_faults.rs
+++ b/crates/yuccatack_replication/tests/random_faults.rs
@@ -29,14 +29,23 @@
     }
 }
 
-fn run_seed(seed: u64, wipes: bool, membership_changes: bool, coverage: &Coverage) {
+/// Faults besides loss, delay, kills, freezes and partitions.
+#[derive(Clone, Copy, Default)]
+struct ExtraFaults {
+    wipes: bool,
+    membership_changes: bool,
+    disk_stalls: bool,
+}
+
+fn run_seed(seed: u64, extra: ExtraFaults, coverage: &Coverage) {
+    let ExtraFaults { wipes, membership_changes, disk_stalls } = extra;
     let voter_count = VOTER_COUNTS[(seed % 4) as usize];
     let snapshot_entry_count = if seed.is_multiple_of(3) { 1_000_000 } else { 40 };
     let append_limit_bytes = if seed.is_multiple_of(2) { 100 } else { 4_096 };
     let settings = SimulatorSettings { voter_count, snapshot_entry_count, append_limit_bytes };
     let mut simulator = Simulator::new(seed, settings);
     let mut operator = Operator::new(voter_count);
-    let plan = FaultPlan { wipes, membership_changes, duration_ms: 30_000 };
+    let plan = FaultPlan { wipes, membership_changes, disk_stalls, duration_ms: 30_000 };
     run(&mut simulator, &mut operator, plan);
     recover_and_check(&mut simulator, &mut operator, plan);
     coverage.acknowledged.fetch_add(simulator.history.acknowledged_count, Ordering::Relaxed);
@@ -49,7 +58,7 @@
 #[test]
 fn kills_and_partitions() {
     let coverage = Coverage::default();
-    for_each_seed(24, |seed| run_seed(seed, false, false, &coverage));
+    for_each_seed(24, |seed| run_seed(seed, ExtraFaults::default(), &coverage));
     let [acknowledged, reads, ..] = coverage.totals();
     eprintln!("acknowledged {acknowledged}, reads {reads}");
     assert!(acknowledged > 0 && reads > 0, "no proposal or no read succeeded in any run");
@@ -60,9 +69,22 @@
 #[test]
 fn wiped_disks() {
     let coverage = Coverage::default();
-    for_each_seed(24, |seed| run_seed(seed, true, true, &coverage));
+    let extra = ExtraFaults { wipes: true, membership_changes: true, disk_stalls: false };
+    for_each_seed(24, |seed| run_seed(seed, extra, &coverage));
     let [acknowledged, reads, promotions, losses] = coverage.totals();
     eprintln!("acknowledged {acknowledged}, reads {reads}");
     eprintln!("promotions {promotions}, disks lost right after one {losses}");
     assert!(acknowledged > 0 && reads > 0, "no proposal or no read succeeded in any run");
 }
+
+/// Guards against lost commits, second leaders and requests without an answer while disks are full
+/// or hang, also all of them at once, and against a group that does not come back afterwards.
+#[test]
+fn stalled_disks() {
+    let coverage = Coverage::default();
+    let extra = ExtraFaults { wipes: false, membership_changes: true, disk_stalls: true };
+    for_each_seed(24, |seed| run_seed(seed, extra, &coverage));
+    let [acknowledged, reads, ..] = coverage.totals();
+    eprintln!("acknowledged {acknowledged}, reads {reads}");
+    assert!(acknowledged > 0 && reads > 0, "no proposal or no read succeeded in any run");
+}
--- a/crates/yuccatack_replication/tests/simulation/faults.rs
+++ b/crates/yuccatack_replication/tests/simulation/faults.rs
@@ -14,6 +14,7 @@
 pub struct FaultPlan {
     pub wipes: bool,
     pub membership_changes: bool,
+    pub disk_stalls: bool,
     pub duration_ms: u64,
 }
 
@@ -125,7 +126,23 @@
     }
 }
 
+/// Lets disks become full or hang, all of them in some cases, or ends that.
+fn stall_disks(simulator: &mut Simulator) {
+    let ids: Vec<ReplicaId> = simulator.nodes.keys().copied().collect();
+    let share = [0.3, 1.0][simulator.random.random_range(0..2)];
+    let stalled = simulator.random.random_bool(0.4);
+    let full = simulator.random.random_bool(0.5);
+    for id in ids {
+        if simulator.random.random_bool(share) {
+            simulator.stall_disk(id, stalled, full || !stalled);
+        }
+    }
+}
+
 fn inject_fault(simulator: &mut Simulator, plan: FaultPlan) {
+    if plan.disk_stalls && simulator.random.random_bool(0.3) {
+        return stall_disks(simulator);
+    }
     match simulator.random.random_range(0..17) {
         0..=2 => {
             let id = random_node_or_leader(simulator);
@@ -237,6 +254,7 @@
     let ids: Vec<ReplicaId> = simulator.nodes.keys().copied().collect();
     for id in ids {
         simulator.set_frozen(id, false);
+        simulator.stall_disk(id, false, true);
         simulator.start(id);
     }
     let committed = simulator.history.commands.len();
