Hand the leadership over if the leader's disk stays behind

A leader delivers nothing that is not on its own disk, and its heartbeats need no disk.

A leader now hands over if an entry that a quorum holds is not on its own disk after an election timeout, preferably to a voter whose disk is not full.

--- /dev/null
+++ b/crates/yuccatack_replication/src/state/handover.rs
@@ -0,0 +1,42 @@
+//! Handover of the leadership by a leader whose disk stays behind.
+
+use yuccatack_core::TimestampMs;
+
+use super::{Replica, Role};
+use crate::identifiers::LogIndex;
+
+/// Committed entry that is not on the leader's own disk.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OwnLag {
+    index: LogIndex,
+    since: TimestampMs,
+}
+
+impl Replica {
+    /// Hands the leadership over if entries that a quorum holds are not on the own disk for longer
+    /// than an election timeout. The leader delivers nothing that is not on its own disk.
+    pub(super) fn hand_over_if_disk_lags(&mut self) {
+        let (commit, synced, now) = (self.commit, self.synced_index, self.now);
+        let timeout = self.settings.election_timeout;
+        let Role::Leader(leader) = &mut self.role else { return };
+        if commit <= synced {
+            leader.own_lag = None;
+            return;
+        }
+        let lag = match leader.own_lag {
+            Some(lag) if synced < lag.index => lag,
+            _ => *leader.own_lag.insert(OwnLag { index: commit, since: now }),
+        };
+        if now.since(lag.since) <= timeout || leader.transfer.is_some() {
+            return;
+        }
+        log::warn!(
+            event = "leadership_handed_over", replica = self.settings.replica.get(),
+            term = self.hard_state.term.get(), committed = commit.get(), synced = synced.get(),
+            disk_full = self.disk_full;
+            "the disk of this leader does not take entries that a quorum holds; handing the \
+             leadership over"
+        );
+        self.on_transfer_request();
+    }
+}
--- a/crates/yuccatack_replication/src/state/leader.rs
+++ b/crates/yuccatack_replication/src/state/leader.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use yuccatack_core::{Incarnation, TimestampMs};
 
+use super::handover::OwnLag;
 use super::membership_change::ActiveChange;
 use super::progress::{
     Progress, ReplicationMode, SnapshotTransfer, WINDOW_BYTES, WINDOW_ENTRY_COUNT,
@@ -40,6 +41,7 @@
     pub reads: ReadQueue,
     pub change: Option<ActiveChange>,
     pub transfer: Option<LeadershipTransfer>,
+    pub own_lag: Option<OwnLag>,
     /// Reason for which the last proposal was refused, if it was.
     shortage: Option<SpaceShortage>,
 }
@@ -55,6 +57,7 @@
             reads: ReadQueue::default(),
             change: None,
             transfer: None,
+            own_lag: None,
             shortage: None,
         }
     }
@@ -331,7 +334,7 @@
         voters
             .filter_map(|replica| leader.progress.get(replica).map(|progress| (replica, progress)))
             .filter(|(_, progress)| responded_recently(progress))
-            .max_by_key(|(_, progress)| progress.matched)
+            .max_by_key(|(_, progress)| (!progress.disk_full, progress.matched))
             .map(|(replica, progress)| (*replica, progress.incarnation))
     }
 
--- a/crates/yuccatack_replication/src/state/mod.rs
+++ b/crates/yuccatack_replication/src/state/mod.rs
@@ -8,6 +8,7 @@
 mod election;
 mod follower;
 mod formation;
+mod handover;
 mod hashes;
 mod input;
 mod leader;
@@ -184,6 +185,7 @@
         self.run_formation_timers();
         if self.is_leader() {
             self.run_leader_timers();
+            self.hand_over_if_disk_lags();
         } else if self.now >= self.election_deadline {
             self.on_election_timeout();
         }
--- a/crates/yuccatack_replication/tests/disk_space.rs
+++ b/crates/yuccatack_replication/tests/disk_space.rs
@@ -5,11 +5,15 @@
 
 use bytes::Bytes;
 use simulation::seeds::for_each_seed;
-use simulation::simulator::HEARTBEAT_MS;
+use simulation::simulator::{ELECTION_TIMEOUT_MS, HEARTBEAT_MS};
 use simulation::{Simulator, SimulatorSettings};
 use yuccatack_replication::state::Input;
 use yuccatack_replication::{ProposalClass, ProposalId, ReplicaId};
 
+/// Time in which a leader hands over and its successor commits an entry: the lag is noticed after an
+/// election timeout, and an election takes no longer than another one.
+const HANDOVER_LIMIT_MS: u64 = 4 * ELECTION_TIMEOUT_MS;
+
 /// Disk whose log may hold 64 KiB between two snapshots.
 const SMALL_DISK_BYTES: u64 = 1024 * 1024;
 
@@ -47,6 +51,26 @@
     }
 }
 
+/// Guards against a leader whose disk hangs or is full and that keeps the leadership, so that
+/// nothing is answered although a quorum stores every entry.
+#[test]
+fn lagging_leader() {
+    for_each_seed(20, |seed| {
+        for full in [false, true] {
+            let (mut simulator, old) = simulator_with_leader(seed, 1 << 30);
+            simulator.stall_disk(old, true, full);
+            simulator.propose(old);
+            simulator.run_for(HANDOVER_LIMIT_MS);
+            let new = simulator.leader().expect("a leader after the handover");
+            assert_ne!(new, old, "the leader with the stalled disk still leads");
+            let acknowledged = simulator.history.acknowledged_count;
+            simulator.propose(new);
+            simulator.run_for(HANDOVER_LIMIT_MS);
+            assert!(simulator.history.acknowledged_count > acknowledged, "nothing is committed");
+        }
+    });
+}
+
 /// Guards against reads that fail, and against proposals that wait for space, while all disks are
 /// full; afterwards everything that was acknowledged must be there.
 #[test]
