Do not begin another election while a vote is being written

On slow disks a candidate began a new election before its vote in the last one was written, so votes queued up and none was won.

--- a/crates/yuccatack_replication/src/state/election.rs
+++ b/crates/yuccatack_replication/src/state/election.rs
@@ -28,7 +28,9 @@
 
     pub(super) fn on_election_timeout(&mut self) {
         self.reset_election_deadline();
-        if !self.may_start_election() {
+        // Another election would only queue one more vote behind the one that is being written.
+        let writes_vote = self.hard_state_sequence > self.synced_sequence;
+        if writes_vote || !self.may_start_election() {
             return;
         }
         if self.leader.is_some() {
--- a/crates/yuccatack_replication/tests/disk_space.rs
+++ b/crates/yuccatack_replication/tests/disk_space.rs
@@ -141,6 +141,20 @@
     });
 }
 
+/// Guards against replicas on slow disks that begin a new election before their vote in the last one
+/// is written, so that none is ever won.
+#[test]
+fn slow_votes() {
+    for_each_seed(10, |seed| {
+        let (mut simulator, leader) = simulator_with_leader(seed, 1 << 30);
+        simulator.max_sync_ms = 3 * ELECTION_TIMEOUT_MS;
+        simulator.kill(leader);
+        simulator.run_for(60 * ELECTION_TIMEOUT_MS);
+        let new = simulator.leader().expect("no leader on slow disks");
+        assert_ne!(new, leader);
+    });
+}
+
 /// Guards against a log that stays large because the process stopped between saving a snapshot and
 /// compacting the log.
 #[test]
