--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -242,9 +242,8 @@
                 self.applied_index = index;
             }
             Committed::SnapshotRequested { index } => {
-                if index == self.applied_index {
-                    self.replication.store_snapshot(index, Bytes::from(encode(&self.queue_state)?));
-                }
+                // The entries between the last command and `index` do not change the state.
+                self.replication.store_snapshot(index, Bytes::from(encode(&self.queue_state)?));
             }
             Committed::ProposalFailed { proposal, failure } => {
                 self.on_proposal_failed(proposal, failure);
--- a/crates/yuccatack_queue_control/tests/small_disks.rs
+++ b/crates/yuccatack_queue_control/tests/small_disks.rs
@@ -28,6 +28,9 @@
 /// Time for which a disk does not respond; changes must be accepted within half of it.
 const HANG_TIME: Duration = Duration::from_secs(6);
 
+/// Time in which replicas compact a log that is too large once they know what is committed.
+const COMPACTION_TIME: Duration = Duration::from_secs(2);
+
 fn large_configuration(version: u64) -> Arc<Configuration> {
     let mut configuration = configuration(version, "key");
     let version = version.to_string();
@@ -169,3 +172,26 @@
         disk.set_capacity(LARGE_DISK_BYTES);
     }
 }
+
+/// Guards against a snapshot that is never stored because it is requested at an entry without a
+/// command, as after a restart on a log that is larger than it may become.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_of_older_version() {
+    let mut deployment = Deployment::start().await;
+    for version in 1..=20 {
+        let request = Request::Configure(large_configuration(version));
+        let is_accepted = |response: &Response| matches!(response, Response::Configured(_));
+        deployment.call_until(&request, is_accepted).await;
+    }
+    deployment.disk_bytes = SMALL_DISK_BYTES;
+    for (folder, address) in deployment.stop_all().await {
+        deployment.restart(folder, address);
+    }
+    let newest = Response::Configuration(Some(large_configuration(20).document.clone()));
+    deployment.call_until(&Request::ReadConfiguration, |response| *response == newest).await;
+    sleep(COMPACTION_TIME).await;
+    for (folder, _) in deployment.stop_all().await {
+        let log_bytes = folder.path().join("replica/log").metadata().unwrap().len();
+        assert!(log_bytes < SMALL_DISK_BYTES / 16, "the log has {log_bytes} bytes");
+    }
+}
--- a/crates/yuccatack_queue_control/tests/support/mod.rs
+++ b/crates/yuccatack_queue_control/tests/support/mod.rs
@@ -54,7 +54,8 @@
     pub client: QueueClient,
     /// Disks of the replicas by their address; a disk outlasts a restart of its replica.
     pub disks: BTreeMap<SocketAddr, DiskStandIn>,
-    disk_bytes: u64,
+    /// Capacity that replicas started from now on assume for their disks.
+    pub disk_bytes: u64,
     seeds: Vec<SocketAddr>,
     /// Kept so that the agents' announcement and shutdown channels stay open.
     agents: Vec<(mpsc::Sender<Announcement>, ShutdownTrigger)>,
