Promote the learner that holds most of the log first

The leader always tried to promote the learner with the lowest ID. One whose disk was full or hung held up all others for 6 s per attempt, without end: a healthy replacement never became a voter, and the next loss could cost the quorum.

member_changes: stuck_learner; it fails without the order.

--- a/crates/yuccatack_queue_control/src/membership.rs
+++ b/crates/yuccatack_queue_control/src/membership.rs
@@ -1,5 +1,6 @@
 //! Membership changes of the replication group: adds replicas and replaces wiped and failed ones.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 use yuccatack_replication::{
-    MembershipChange, ReplicaId, ReplicationHandle, ReplicationStatus, RoleName,
+    LogIndex, MembershipChange, ReplicaId, ReplicationHandle, ReplicationStatus, RoleName,
 };
 
 use crate::message::JoinRequest;
@@ -22,6 +23,8 @@
     pub voters: BTreeMap<ReplicaId, SocketAddr>,
     /// Replicas that receive the log but do not vote.
     pub learners: BTreeMap<ReplicaId, SocketAddr>,
+    /// Last log index that each learner is known to hold.
+    pub held_by_learners: BTreeMap<ReplicaId, LogIndex>,
     /// Voters that have not responded for a long time.
     pub silent_voters: BTreeSet<ReplicaId>,
     /// Replicas that requested to join and are not members yet.
@@ -37,9 +40,14 @@
         target_voter_count: usize,
     ) -> Self {
         let learners = status.learners.iter().map(|(replica, learner)| (*replica, learner.address));
+        let held = status
+            .learners
+            .iter()
+            .filter_map(|(replica, learner)| learner.matched.map(|matched| (*replica, matched)));
         Self {
             voters: status.voters.clone(),
             learners: learners.collect(),
+            held_by_learners: held.collect(),
             silent_voters: status.silent_voters.clone(),
             joins: joins.clone(),
             target_voter_count,
@@ -73,7 +81,11 @@
         }
         return Some(MembershipChange::AddLearner { replica: *replica, address: *address });
     }
-    for (replica, address) in &view.learners {
+    // The learner that holds most of the log comes first, since one whose disk takes no writes would
+    // hold up the others.
+    let mut learners: Vec<_> = view.learners.iter().collect();
+    learners.sort_by_key(|(replica, _)| Reverse(view.held_by_learners.get(replica)));
+    for (replica, address) in learners {
         let wiped_voter = MembershipView::member_at(&view.voters, *address);
         if wiped_voter.is_some() {
             return Some(MembershipChange::Promote { replica: *replica, replaces: wiped_voter });
--- a/crates/yuccatack_queue_control/tests/member_changes.rs
+++ b/crates/yuccatack_queue_control/tests/member_changes.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use yuccatack_queue_control::{MembershipView, next_change, replica_identity};
-use yuccatack_replication::{MembershipChange, ReplicaId};
+use yuccatack_replication::{LogIndex, MembershipChange, ReplicaId};
 use yuccatack_storage::DataFolder;
 
 fn id(number: u64) -> ReplicaId {
@@ -27,6 +27,7 @@
     MembershipView {
         voters: members(voters),
         learners: members(learners),
+        held_by_learners: BTreeMap::new(),
         silent_voters: unresponsive.iter().map(|number| id(*number)).collect::<BTreeSet<_>>(),
         joins: BTreeMap::new(),
         target_voter_count: 5,
@@ -47,6 +48,16 @@
     assert_eq!(next_change(&view(&[1, 2, 3, 4, 5], &[6], &[2])), Some(replace));
 }
 
+/// Guards against a learner whose disk takes no writes and that keeps another one from replacing a
+/// lost voter.
+#[test]
+fn stuck_learner() {
+    let mut stuck = view(&[1, 2, 3, 4, 5], &[6, 7], &[2]);
+    stuck.held_by_learners.insert(id(7), LogIndex::new(10));
+    let replace = MembershipChange::Promote { replica: id(7), replaces: Some(id(2)) };
+    assert_eq!(next_change(&stuck), Some(replace));
+}
+
 #[test]
 fn wiped_voter_replaced() {
     let mut wiped = view(&[1, 2, 3, 4, 5], &[], &[]);
