Keep a data folder usable on a full disk, with a reserve for small writes

Callers saw: after one write on a full disk a replica refused all work and stopped, and after its restart it could not even store a vote.

Cause: DataFolder refused all operations after any error, half-written files stayed on the disk, and nothing was set aside for small writes.

Change: - DiskFull no longer makes the folder refuse later operations. A failed append is cut off the log again, at the latest before the next one; a failed replacement removes its temporary file; a failed rewrite leaves the old log open, because the new one is opened before the rename. If the folder sync after a rename finds the disk full, this counts as a failed sync, because the rename cannot be undone. - Opening a folder removes temporary files of a process that stopped. An unfinished write that cannot be cut off on a full disk is cut off by the next append, so the folder opens. - DataFolder::open_on_disk keeps a reserve of 1/64 of the disk, at most 4 MB. The first operation that finds the disk full releases it and is tried once more; DataFolder::refill_reserve sets it aside again.

Changed check: the DiskFull rows of failing_disks required that all later work is refused, which is the fault. They now require that the log is byte for byte as before the failed append, that every kind of operation works afterwards, and that a reopened folder holds exactly what was acknowledged. All other rows are as before.

--- a/crates/yuccatack_storage/src/disk.rs
+++ b/crates/yuccatack_storage/src/disk.rs
@@ -4,6 +4,12 @@
 
 use crate::file::{FileSystem, LocalFileSystem};
 
+/// Part of the disk that is set aside for small writes on a full disk.
+const RESERVE_DIVISOR: u64 = 64;
+
+/// Maximum size of the reserve; it has room for many votes and entries.
+const RESERVE_LIMIT_BYTES: u64 = 4_000_000;
+
 /// Size of the disk that a data folder may use, and the file system through which it is written.
 #[derive(Clone, Debug)]
 pub struct DiskSettings {
@@ -19,6 +25,11 @@
         Self { capacity_bytes, file_system: Arc::new(LocalFileSystem) }
     }
 
+    /// Returns the size of the reserve, the space that is set aside for small writes on a full disk.
+    pub fn reserve_bytes(&self) -> u64 {
+        (self.capacity_bytes / RESERVE_DIVISOR).min(RESERVE_LIMIT_BYTES)
+    }
+
     /// Replaces the file system.
     #[must_use]
     pub fn with_file_system(mut self, file_system: Arc<dyn FileSystem>) -> Self {
--- a/crates/yuccatack_storage/src/error.rs
+++ b/crates/yuccatack_storage/src/error.rs
@@ -5,13 +5,13 @@
 
 use snafu::Snafu;
 
-/// An error that makes the data folder unusable.
+/// An error of the data folder. All but a full disk make it unusable until it is opened again.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum StorageError {
     /// The disk or the quota has no space left.
     #[snafu(display(
-        "the disk that holds `{}` is full; free space on it, then start the replica again",
+        "the disk that holds `{}` is full; free space on it or provide a larger one",
         path.display()
     ))]
     DiskFull {
--- a/crates/yuccatack_storage/src/file.rs
+++ b/crates/yuccatack_storage/src/file.rs
@@ -63,25 +63,77 @@
     opened.sync_all().map_err(|source| StorageError::from_sync(folder, source))
 }
 
+/// Returns the path at which the new content of `folder/name` is written before it is renamed.
+pub(crate) fn temporary_path(folder: &Path, name: &str) -> PathBuf {
+    folder.join(format!("{name}.new"))
+}
+
 /// Replaces `folder/name` atomically: after a crash the file has either the old or the new content.
 pub(crate) fn replace_file(
     file_system: &dyn FileSystem,
     folder: &Path,
     name: &str,
     parts: &[&[u8]],
-) -> Result<PathBuf, StorageError> {
-    let temporary = folder.join(format!("{name}.new"));
-    let path = folder.join(name);
-    let mut file = file_system
-        .create(&temporary)
-        .map_err(|source| StorageError::from_io(&temporary, source))?;
-    for part in parts {
-        file.append(part).map_err(|source| StorageError::from_io(&temporary, source))?;
+) -> Result<(), StorageError> {
+    TemporaryFile::write(file_system, folder, name, parts)?.replace(folder, name)
+}
+
+/// Replaces `folder/name` as [`replace_file`] does, and returns it open for appending.
+///
+/// The file is opened before the rename, so that after an error the old one is still in place.
+pub(crate) fn replace_and_open(
+    file_system: &dyn FileSystem,
+    folder: &Path,
+    name: &str,
+    parts: &[&[u8]],
+) -> Result<Box<dyn DurableFile>, StorageError> {
+    let temporary = TemporaryFile::write(file_system, folder, name, parts)?;
+    let opened = file_system
+        .open_for_append(&temporary.path)
+        .map_err(|source| StorageError::from_io(&temporary.path, source))?;
+    temporary.replace(folder, name)?;
+    Ok(opened)
+}
+
+/// File that is removed when it is dropped, so that a failed replacement takes no space.
+struct TemporaryFile {
+    path: PathBuf,
+}
+
+impl TemporaryFile {
+    fn write(
+        file_system: &dyn FileSystem,
+        folder: &Path,
+        name: &str,
+        parts: &[&[u8]],
+    ) -> Result<Self, StorageError> {
+        let temporary = Self { path: temporary_path(folder, name) };
+        let io_error = |source| StorageError::from_io(&temporary.path, source);
+        let mut file = file_system.create(&temporary.path).map_err(io_error)?;
+        for part in parts {
+            file.append(part).map_err(io_error)?;
+        }
+        file.sync().map_err(|source| StorageError::from_sync(&temporary.path, source))?;
+        Ok(temporary)
+    }
+
+    fn replace(self, folder: &Path, name: &str) -> Result<(), StorageError> {
+        let path = folder.join(name);
+        fs::rename(&self.path, &path).map_err(|source| StorageError::from_io(&path, source))?;
+        sync_folder(folder).map_err(|error| match error {
+            // The rename cannot be undone, so the operation cannot be tried again as after a full
+            // disk.
+            StorageError::DiskFull { path, source } => StorageError::SyncFailed { path, source },
+            error => error,
+        })
+    }
+}
+
+impl Drop for TemporaryFile {
+    fn drop(&mut self) {
+        // Fails after the rename. A file that stays is removed when the folder is opened again.
+        let _ = fs::remove_file(&self.path);
     }
-    file.sync().map_err(|source| StorageError::from_sync(&temporary, source))?;
-    fs::rename(&temporary, &path).map_err(|source| StorageError::from_io(&path, source))?;
-    sync_folder(folder)?;
-    Ok(path)
 }
 
 /// Reads the file at `path`, or returns `None` if it does not exist.
--- a/crates/yuccatack_storage/src/folder.rs
+++ b/crates/yuccatack_storage/src/folder.rs
@@ -1,17 +1,22 @@
 //! Data folder of a replica: lock, owner, incarnation and failure state.
 
 use std::fs::{self, File, TryLockError};
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use yuccatack_core::Incarnation;
 
+use crate::disk::DiskSettings;
 use crate::error::{CorruptedSnafu, LockedSnafu, OtherReplicaSnafu, RefusedSnafu, StorageError};
-use crate::file::{FileSystem, LocalFileSystem, read_if_present, replace_file, sync_folder};
+use crate::file::{
+    FileSystem, LocalFileSystem, read_if_present, replace_file, sync_folder, temporary_path,
+};
 use crate::format::{FORMAT_FILE, FORMAT_VERSION, Format};
 use crate::hard_state::HARD_STATE_FILE;
 use crate::log_store::LOG_FILE;
+use crate::reserve::Reserve;
 use crate::snapshot::SNAPSHOT_FILE;
 
 const LOCK_FILE: &str = "lock";
@@ -27,6 +32,7 @@
     incarnation: Incarnation,
     newly_formatted: bool,
     file_system: Arc<dyn FileSystem>,
+    reserve: Arc<Reserve>,
     failed: Arc<AtomicBool>,
     // The lock is released when the last clone is dropped.
     _lock: Arc<File>,
@@ -44,15 +50,43 @@
         file_system: Arc<dyn FileSystem>,
         path: &Path,
         replica_id: u64,
+    ) -> Result<Self, StorageError> {
+        Self::open_with_reserve(file_system, path, replica_id, 0)
+    }
+
+    /// Opens the folder as [`DataFolder::open`] does, on `disk`, and sets the disk's reserve aside
+    /// if there is space for it.
+    ///
+    /// The reserve is released when an operation finds the disk full, and the operation is tried
+    /// once more. [`DataFolder::refill_reserve`] sets it aside again.
+    pub fn open_on_disk(
+        disk: &DiskSettings,
+        path: &Path,
+        replica_id: u64,
+    ) -> Result<Self, StorageError> {
+        let file_system = Arc::clone(&disk.file_system);
+        let folder = Self::open_with_reserve(file_system, path, replica_id, disk.reserve_bytes())?;
+        folder.refill_reserve()?;
+        Ok(folder)
+    }
+
+    fn open_with_reserve(
+        file_system: Arc<dyn FileSystem>,
+        path: &Path,
+        replica_id: u64,
+        reserve_bytes: u64,
     ) -> Result<Self, StorageError> {
         create_folder(path)?;
         let lock = lock_folder(path)?;
+        remove_temporary_files(path)?;
+        let reserve = Reserve::open(Arc::clone(&file_system), path, reserve_bytes)?;
         let format_path = path.join(FORMAT_FILE);
         let (format, newly_formatted) = match read_if_present(&format_path)? {
             Some(content) => (Format::decode(&format_path, &content)?, false),
             None => {
                 refuse_unformatted_data(path)?;
-                (write_format(file_system.as_ref(), path, replica_id)?, true)
+                let write = || write_format(file_system.as_ref(), path, replica_id);
+                (run_with_reserve(&reserve, write)?, true)
             }
         };
         if format.replica_id != replica_id {
@@ -65,6 +99,7 @@
             incarnation: format.incarnation,
             newly_formatted,
             file_system,
+            reserve: Arc::new(reserve),
             failed: Arc::new(AtomicBool::new(false)),
             _lock: Arc::new(lock),
         })
@@ -101,27 +136,92 @@
         self.newly_formatted
     }
 
+    /// Returns `true` if the reserve is set aside, or the folder was opened without one.
+    pub fn reserve_is_whole(&self) -> bool {
+        self.reserve.is_whole()
+    }
+
+    /// Sets the reserve aside again after an operation released it; returns `false`, and leaves all
+    /// space free, if the disk has too little.
+    pub fn refill_reserve(&self) -> Result<bool, StorageError> {
+        self.refuse_if_failed()?;
+        self.remember_failure(self.reserve.refill())
+    }
+
     /// Returns the file system on which the folder's files are written.
     pub(crate) fn file_system(&self) -> &dyn FileSystem {
         self.file_system.as_ref()
     }
 
     /// Runs `operation`, unless an earlier one failed; after a failure all later ones are refused.
-    pub(crate) fn run_unless_failed<T>(
+    ///
+    /// If the disk is full, the reserve is released and `operation` is run once more. It must leave
+    /// the stores unchanged when it returns [`StorageError::DiskFull`], because later operations
+    /// are not refused after this error.
+    pub(crate) fn run_unless_failed<Output, Operation>(
         &self,
-        operation: impl FnOnce() -> Result<T, StorageError>,
-    ) -> Result<T, StorageError> {
+        operation: Operation,
+    ) -> Result<Output, StorageError>
+    where
+        Operation: FnMut() -> Result<Output, StorageError>,
+    {
+        self.refuse_if_failed()?;
+        self.remember_failure(run_with_reserve(&self.reserve, operation))
+    }
+
+    fn refuse_if_failed(&self) -> Result<(), StorageError> {
         if self.failed.load(Ordering::Acquire) {
             return RefusedSnafu { path: self.path.as_ref() }.fail();
         }
-        let result = operation();
-        if result.is_err() {
-            self.failed.store(true, Ordering::Release);
+        Ok(())
+    }
+
+    fn remember_failure<Output>(
+        &self,
+        result: Result<Output, StorageError>,
+    ) -> Result<Output, StorageError> {
+        match &result {
+            Ok(_) | Err(StorageError::DiskFull { .. }) => {}
+            Err(_) => self.failed.store(true, Ordering::Release),
         }
         result
     }
 }
 
+/// Runs `operation`, and once more with the space of `reserve` if the disk is full.
+fn run_with_reserve<Output, Operation>(
+    reserve: &Reserve,
+    mut operation: Operation,
+) -> Result<Output, StorageError>
+where
+    Operation: FnMut() -> Result<Output, StorageError>,
+{
+    match operation() {
+        Err(error @ StorageError::DiskFull { .. }) => {
+            if reserve.release()? {
+                operation()
+            } else {
+                Err(error)
+            }
+        }
+        result => result,
+    }
+}
+
+/// Removes what a process that stopped during a replacement left behind, which would take space
+/// until the same file is replaced again.
+fn remove_temporary_files(path: &Path) -> Result<(), StorageError> {
+    for name in DATA_FILES.iter().chain(&[FORMAT_FILE]) {
+        let temporary = temporary_path(path, name);
+        match fs::remove_file(&temporary) {
+            Ok(()) => {}
+            Err(source) if source.kind() == io::ErrorKind::NotFound => {}
+            Err(source) => return Err(StorageError::from_io(&temporary, source)),
+        }
+    }
+    Ok(())
+}
+
 fn create_folder(path: &Path) -> Result<(), StorageError> {
     if path.is_dir() {
         return Ok(());
--- a/crates/yuccatack_storage/src/hard_state.rs
+++ b/crates/yuccatack_storage/src/hard_state.rs
@@ -47,7 +47,6 @@
                 HARD_STATE_FILE,
                 &[&encode(state)],
             )
-            .map(|_| ())
         })
     }
 }
--- a/crates/yuccatack_storage/src/lib.rs
+++ b/crates/yuccatack_storage/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`DataFolder::open`] locks the folder and checks that it belongs to this replica.
 //! [`Store::open`] then recovers all synced data. After a failed write or sync, all stores of the
 //! folder refuse further operations, because the content of the page cache may differ from that of
-//! the disk.
+//! the disk. A full disk is the exception: the operation is undone and can be tried again.
 
 mod disk;
 mod error;
@@ -13,6 +13,7 @@
 mod hard_state;
 mod log_entry;
 mod log_store;
+mod reserve;
 mod snapshot;
 mod store;
 
--- a/crates/yuccatack_storage/src/log_store.rs
+++ b/crates/yuccatack_storage/src/log_store.rs
@@ -3,13 +3,12 @@
 //! An entry whose index is not above the last one replaces all entries from that index on.
 //! Therefore, replacing conflicting entries needs only a single sync, as an append does.
 
-use std::fs;
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
 
 use crate::error::{CorruptedSnafu, StorageError};
-use crate::file::{DurableFile, read_if_present, replace_file};
+use crate::file::{DurableFile, read_if_present, replace_and_open, replace_file};
 use crate::folder::DataFolder;
 use crate::format::{u32_at, u64_at};
 use crate::log_entry::{StoredEntry, decode_entry, encode_entry};
@@ -31,10 +30,18 @@
 pub struct LogStore {
     folder: DataFolder,
     path: PathBuf,
-    file: Box<dyn DurableFile>,
+    log_file: LogFile,
     buffer: Vec<u8>,
 }
 
+/// The log file and the part of it that is valid.
+struct LogFile {
+    file: Box<dyn DurableFile>,
+    valid_bytes: u64,
+    /// Whether an unfinished write may follow the valid part.
+    has_tail: bool,
+}
+
 /// The content of the log that [`LogStore::open`] recovered.
 #[derive(Debug)]
 pub struct OpenedLog {
@@ -50,19 +57,25 @@
     /// Opens the log file, creates it if it is missing, and truncates a torn last write.
     pub fn open(folder: &DataFolder) -> Result<(Self, OpenedLog), StorageError> {
         let path = folder.path().join(LOG_FILE);
-        let opened = match read_if_present(&path)? {
-            Some(content) => read_log(&path, &Bytes::from(content))?,
+        let (opened, file_bytes) = match read_if_present(&path)? {
+            Some(content) => {
+                let content = Bytes::from(content);
+                (read_log(&path, &content)?, content.len())
+            }
             None => {
                 let header = encode_header(LogBase::default());
-                replace_file(folder.file_system(), folder.path(), LOG_FILE, &[&header])?;
-                OpenedLog { base: LogBase::default(), entries: Vec::new(), torn_bytes: 0 }
+                folder.run_unless_failed(|| {
+                    replace_file(folder.file_system(), folder.path(), LOG_FILE, &[&header])
+                })?;
+                let base = LogBase::default();
+                (OpenedLog { base, entries: Vec::new(), torn_bytes: 0 }, header.len())
             }
         };
-        let mut file = open_for_append(folder, &path)?;
-        if opened.torn_bytes > 0 {
-            truncate_torn_tail(&path, file.as_mut(), opened.torn_bytes)?;
-        }
-        let store = Self { folder: folder.clone(), path, file, buffer: Vec::new() };
+        let file = folder.run_unless_failed(|| open_for_append(folder, &path))?;
+        let valid_bytes = file_bytes as u64 - opened.torn_bytes;
+        let mut log_file = LogFile { file, valid_bytes, has_tail: opened.torn_bytes > 0 };
+        truncate_torn_tail(folder, &path, &mut log_file, opened.torn_bytes)?;
+        let store = Self { folder: folder.clone(), path, log_file, buffer: Vec::new() };
         Ok((store, opened))
     }
 
@@ -75,11 +88,8 @@
         for (position, entry) in entries.iter().enumerate() {
             encode_entry(entry, position == 0, &mut self.buffer);
         }
-        let Self { folder, path, file, buffer } = self;
-        folder.run_unless_failed(|| {
-            file.append(buffer).map_err(|source| StorageError::from_io(path, source))?;
-            file.sync().map_err(|source| StorageError::from_sync(path, source))
-        })
+        let Self { folder, path, log_file, buffer } = self;
+        folder.run_unless_failed(|| log_file.append(path, buffer))
     }
 
     /// Replaces the log file atomically by one that starts at `base` and holds `entries`.
@@ -89,37 +99,90 @@
         for (position, entry) in entries.iter().enumerate() {
             encode_entry(entry, position == 0, &mut self.buffer);
         }
-        let Self { folder, path, file, buffer } = self;
-        let reopened = folder.run_unless_failed(|| {
-            replace_file(folder.file_system(), folder.path(), LOG_FILE, &[buffer])?;
-            open_for_append(folder, path)
+        let Self { folder, log_file, buffer, .. } = self;
+        let file = folder.run_unless_failed(|| {
+            replace_and_open(folder.file_system(), folder.path(), LOG_FILE, &[buffer])
         })?;
-        *file = reopened;
+        *log_file = LogFile { file, valid_bytes: buffer.len() as u64, has_tail: false };
         // The buffer of a compaction can be large, so its memory is released.
         self.buffer = Vec::new();
         Ok(())
     }
 }
 
+impl LogFile {
+    /// Appends `bytes` and syncs them. On a full disk, the part that was written is cut off again.
+    fn append(&mut self, path: &Path, bytes: &[u8]) -> Result<(), StorageError> {
+        self.cut_tail(path)?;
+        self.has_tail = true;
+        match self.write(path, bytes) {
+            Ok(()) => {
+                self.has_tail = false;
+                self.valid_bytes += bytes.len() as u64;
+                Ok(())
+            }
+            Err(error @ StorageError::DiskFull { .. }) => {
+                match self.cut_tail(path) {
+                    // The next append cuts the tail off if the full disk prevents it here.
+                    Ok(()) | Err(StorageError::DiskFull { .. }) => Err(error),
+                    Err(cut_error) => Err(cut_error),
+                }
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    fn write(&mut self, path: &Path, bytes: &[u8]) -> Result<(), StorageError> {
+        self.file.append(bytes).map_err(|source| StorageError::from_io(path, source))?;
+        self.sync(path)
+    }
+
+    fn sync(&mut self, path: &Path) -> Result<(), StorageError> {
+        self.file.sync().map_err(|source| StorageError::from_sync(path, source))
+    }
+
+    /// Cuts off what follows the valid part; the sync of the next append makes this durable.
+    fn cut_tail(&mut self, path: &Path) -> Result<(), StorageError> {
+        if self.has_tail {
+            self.file
+                .truncate(self.valid_bytes)
+                .map_err(|source| StorageError::from_io(path, source))?;
+            self.has_tail = false;
+        }
+        Ok(())
+    }
+}
+
 fn open_for_append(folder: &DataFolder, path: &Path) -> Result<Box<dyn DurableFile>, StorageError> {
     let opened = folder.file_system().open_for_append(path);
     opened.map_err(|source| StorageError::from_io(path, source))
 }
 
 fn truncate_torn_tail(
+    folder: &DataFolder,
     path: &Path,
-    file: &mut dyn DurableFile,
+    log_file: &mut LogFile,
     torn_bytes: u64,
 ) -> Result<(), StorageError> {
-    let metadata = fs::metadata(path).map_err(|source| StorageError::from_io(path, source))?;
-    file.truncate(metadata.len().saturating_sub(torn_bytes))
-        .map_err(|source| StorageError::from_io(path, source))?;
-    file.sync().map_err(|source| StorageError::from_sync(path, source))?;
-    log::warn!(
-        event = "torn_tail_cut", torn_bytes = torn_bytes;
-        "cut an unfinished last write off the log"
-    );
-    Ok(())
+    if torn_bytes == 0 {
+        return Ok(());
+    }
+    let result = folder.run_unless_failed(|| {
+        log_file.cut_tail(path)?;
+        log_file.sync(path)
+    });
+    match result {
+        Ok(()) => {
+            log::warn!(
+                event = "torn_tail_cut", torn_bytes = torn_bytes;
+                "cut an unfinished last write off the log"
+            );
+            Ok(())
+        }
+        // A folder on a full disk can be opened; the next append repeats what failed here.
+        Err(StorageError::DiskFull { .. }) => Ok(()),
+        Err(error) => Err(error),
+    }
 }
 
 fn encode_header(base: LogBase) -> Vec<u8> {
--- a/crates/yuccatack_storage/src/snapshot.rs
+++ b/crates/yuccatack_storage/src/snapshot.rs
@@ -49,7 +49,6 @@
         let parts = [&header[..], &snapshot.metadata, &snapshot.payload];
         self.folder.run_unless_failed(|| {
             replace_file(self.folder.file_system(), self.folder.path(), SNAPSHOT_FILE, &parts)
-                .map(|_| ())
         })
     }
 }
--- a/crates/yuccatack_storage/tests/disk_faults.rs
+++ b/crates/yuccatack_storage/tests/disk_faults.rs
@@ -198,7 +198,8 @@
 }
 
 /// Guards against a store that continues after a failed write or sync, when the content of the page
-/// cache may differ from that of the disk.
+/// cache may differ from that of the disk; and against one that a full disk makes useless, or that
+/// keeps a part of what it did not acknowledge on a full disk.
 #[test]
 fn failing_disks() {
     let cases = [
@@ -215,9 +216,15 @@
         let folder = DataFolder::open_on(Arc::new(file_system), path.path(), 1).unwrap();
         let (store, _) = Store::open(&folder).unwrap();
         let Store { mut snapshots, mut hard_state, mut log } = store;
+        let log_before = fs::read(path.path().join("log")).unwrap();
         let error = log.append(&entries(10..=12)).unwrap_err();
         assert!(format!("{error:?}").starts_with(kind), "{error:?}");
         assert!(error.to_string().contains(remedy), "{error}");
+        if kind == "DiskFull" {
+            assert_eq!(fs::read(path.path().join("log")).unwrap(), log_before, "{failure:?}");
+            continues(path.path(), folder, Store { snapshots, hard_state, log });
+            continue;
+        }
 
         let metadata = Bytes::new();
         let snapshot =
@@ -240,6 +247,31 @@
     }
 }
 
+/// Checks that all operations work after a full disk, and that the folder then holds exactly what
+/// they acknowledged.
+fn continues(path: &Path, folder: DataFolder, mut store: Store) {
+    let header_bytes = HEADER_BYTES as usize;
+    let log_bytes = |count: usize| header_bytes + count * ENTRY_BYTES as usize;
+    let log_length = || fs::read(path.join("log")).unwrap().len();
+    store.log.append(&entries(10..=11)).unwrap();
+    assert_eq!(log_length(), log_bytes(11));
+    let metadata = Bytes::from_static(b"later members");
+    let payload = Bytes::from_static(b"later state");
+    let snapshot = Snapshot { index: 6, term: 1, metadata, payload };
+    store.snapshots.save(&snapshot).unwrap();
+    store.log.rewrite(LogBase { index: 6, term: 1 }, &entries(7..=11)).unwrap();
+    store.log.append(&entries(12..=12)).unwrap();
+    assert_eq!(log_length(), log_bytes(6));
+    let hard_state = HardState { term: 5, voted_for: 2, cluster: 4 };
+    store.hard_state.save(hard_state).unwrap();
+    drop((store, folder));
+    let recovered = open(path, 1).unwrap();
+    assert_eq!(recovered.base, LogBase { index: 6, term: 1 });
+    assert_eq!(recovered.entries, entries(7..=12));
+    assert_eq!(recovered.snapshot, Some(snapshot));
+    assert_eq!(recovered.hard_state, hard_state);
+}
+
 /// Guards against a folder that two processes use at the same time, and against an unclear error
 /// for a folder that cannot be created.
 #[test]
