Keep a replica running while its disk is full

Callers saw: a replica stopped on a full disk and was restarted each second, could not store a vote, and the deployment had no leader.

Cause: the storage task reported every failed write as a failure of the replica and ended.

Change: on a full disk the task reports ActorMessage::DiskFull(true) once, and repeats the write that did not succeed every 200 ms; writes before it are not repeated, and complete batches before it are reported, so that a vote is not held up by a larger write behind it. If a write succeeded only with the space of the reserve, the full disk is reported too. The task tries to refill the reserve once a second while no write waits for space, and then reports DiskFull(false). Log lines: disk_full (warn) and disk_freed (info), once per transition.

The batches now arrive through a channel of the standard library, on which the thread can wait with a time limit without a timer of the runtime. Dropping the sender also ends the wait for space at once, so a full disk does not delay the end of a replica.

ReplicaFailure::DiskFull is no longer constructed; other crates match on it, so the type stays.

--- a/crates/yuccatack_replication/src/actor/mod.rs
+++ b/crates/yuccatack_replication/src/actor/mod.rs
@@ -4,6 +4,7 @@
 mod start;
 mod storage_task;
 
+use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -51,7 +52,7 @@
 pub(crate) struct ActorState {
     replica: Replica,
     started_at: Instant,
-    batches: Option<mpsc::UnboundedSender<PersistBatch>>,
+    batches: Option<Sender<PersistBatch>>,
     storage_ended: Option<oneshot::Receiver<()>>,
     committed: mpsc::UnboundedSender<Committed>,
     status: watch::Sender<ReplicationStatus>,
--- a/crates/yuccatack_replication/src/actor/start.rs
+++ b/crates/yuccatack_replication/src/actor/start.rs
@@ -1,14 +1,14 @@
 //! Start of a replica: opens the data folder and spawns its tasks.
 
-use std::sync::Arc;
+use std::sync::mpsc as blocking_mpsc;
 use std::time::Instant;
 
 use ractor::{Actor, ActorRef};
 use tokio::sync::{mpsc, oneshot, watch};
 use yuccatack_core::{DurationMs, FastHashMap, TimestampMs};
-use yuccatack_storage::{DataFolder, FileSystem, Store};
+use yuccatack_storage::{DataFolder, DiskSettings, Store};
 
-use super::storage_task::{PersistError, decode_recovered, write_batches};
+use super::storage_task::{StorageEvent, StorageTask, decode_recovered};
 use super::{ActorMessage, ActorState, Peers, ReplicationActor};
 use crate::committed::Committed;
 use crate::error::{ActorSnafu, InvalidSettingsSnafu, StartError};
@@ -35,10 +35,9 @@
     validate(&config)?;
     let folder_path = config.data_folder.clone();
     let replica_id = config.replica.get();
-    let file_system = Arc::clone(&config.disk.file_system);
+    let disk = config.disk.clone();
     let opened =
-        tokio::task::spawn_blocking(move || open_folder(file_system, &folder_path, replica_id))
-            .await;
+        tokio::task::spawn_blocking(move || open_folder(&disk, &folder_path, replica_id)).await;
     let (folder, store, recovered) =
         opened.map_err(|error| StartError::Actor { detail: error.to_string() })??;
 
@@ -54,7 +53,7 @@
     };
     let replica = Replica::new(settings, recovered, rand::random(), TimestampMs::new(0));
 
-    let (batches, waiting_batches) = mpsc::unbounded_channel();
+    let (batches, waiting_batches) = blocking_mpsc::channel();
     let (storage_ended_sender, storage_ended) = oneshot::channel();
     let (committed_sender, pending) = mpsc::unbounded_channel();
     let (delivered, committed) = mpsc::channel(COMMITTED_QUEUE_LENGTH);
@@ -82,9 +81,9 @@
 
     let storage_actor = actor.clone();
     tokio::task::spawn_blocking(move || {
-        write_batches(store, waiting_batches, |result| notify_actor(&storage_actor, result));
-        // The lock on the folder is held exactly as long as its files are in use.
-        drop(folder);
+        // The task owns the folder, whose lock is held exactly as long as its files are in use.
+        let notify = |event| notify_actor(&storage_actor, event);
+        StorageTask::new(folder, store, waiting_batches, notify).run();
         drop(storage_ended_sender);
     });
     Ok(RunningReplica { actor, committed, status, closed })
@@ -104,23 +103,24 @@
 }
 
 fn open_folder(
-    file_system: Arc<dyn FileSystem>,
+    disk: &DiskSettings,
     path: &std::path::Path,
     replica_id: u64,
 ) -> Result<(DataFolder, Store, Recovered), StartError> {
-    let folder = DataFolder::open_on(file_system, path, replica_id)?;
+    let folder = DataFolder::open_on_disk(disk, path, replica_id)?;
     let (store, stored) = Store::open(&folder)?;
     let recovered = decode_recovered(stored)
         .map_err(|error| StartError::Undecodable { detail: error.to_string() })?;
     Ok((folder, store, recovered))
 }
 
-fn notify_actor(actor: &ActorRef<ActorMessage>, result: Result<u64, PersistError>) {
-    let message = match result {
-        Ok(sequence) => ActorMessage::Synced(sequence),
-        Err(error) => ActorMessage::StorageFailed(error.into()),
+fn notify_actor(actor: &ActorRef<ActorMessage>, event: StorageEvent) {
+    let message = match event {
+        StorageEvent::Written(sequence) => ActorMessage::Synced(sequence),
+        StorageEvent::DiskFull(full) => ActorMessage::DiskFull(full),
+        StorageEvent::Failed(failure) => ActorMessage::StorageFailed(failure),
     };
-    // The actor may have stopped; then the result is not needed.
+    // The actor may have stopped; then the event is not needed.
     let _ = actor.cast(message);
 }
 
