Refuse growth of the queue state truthfully while disks are full

Callers of a deployment with full disks waited until they timed out, and every kind of change was treated alike: ends of runs, which free space, like submissions, which take it. Jobs were bounded by their number alone, so that 20,000 large ones could fill the disk of every replica.

- Commands tell their class: submissions and configurations are growth, everything else is essential.
- A refused call gets Busy with a delay spread over 2 to 4 s, or Unknown while an equal call is in flight, since that one may still take effect.
Each refusal is logged (proposal_refused) and counted.
- A configuration that is not newer than the one in force is acknowledged without a log entry, so that a resent one is not refused while disks are full.
- Refused table changes stay pending and pause for 250 ms; scheduling passes would repeat them every few milliseconds.
- Stored jobs may take a quarter of the disk; further submissions get Busy at once.
The estimate is added up once a second from the specifications and the progress.
- Full batches of removals follow each other after 1 s instead of 30 s, which allowed 8.5 jobs a second.

--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -10,18 +10,24 @@
 use yuccatack_dispatch::{AgentMessage, DispatchSettings, Dispatcher, PendingChanges};
 use yuccatack_queue_client::protocol::{LeaderFrame, LeaderHint, Request, Response};
 use yuccatack_replication::{
-    Committed, Leadership, LogIndex, ProposalClass, ProposalFailure, ProposalId, ReadFailure,
-    ReadId, ReplicaId, ReplicationHandle, decode, encode,
+    Committed, Leadership, LogIndex, ProposalFailure, ProposalId, ReadFailure, ReadId, ReplicaId,
+    ReplicationHandle, decode, encode,
 };
 use yuccatack_telemetry::Metrics;
 
 use crate::agents::Agents;
-use crate::calls::{NewJob, Plan, no_free_name, plan, response_for};
+use crate::calls::{
+    CallSubject, NewJob, Plan, no_free_name, no_space, plan, response_for, too_many_stored_bytes,
+};
 use crate::command::Command;
 use crate::job_names::{free_name, is_stored};
 use crate::message::{ControlMessage, JoinRequest};
-use crate::observe::{log_after_apply, log_before_apply, log_derived_name, log_refusal};
-use crate::state::QueueState;
+use crate::observe::{
+    log_after_apply, log_before_apply, log_derived_name, log_refusal, log_refused_proposal,
+    log_too_many_stored_bytes,
+};
+use crate::state::{QueueState, REMOVAL_LIMIT_COUNT};
+use crate::stored_bytes::{job_bytes, stored_limit_bytes, submission_bytes};
 
 /// Interval of heartbeats to agents. An agent closes its stream after about three missed ones.
 const AGENT_HEARTBEAT_INTERVAL: DurationMs = DurationMs::new(250);
@@ -29,13 +35,19 @@
 /// Interval at which the leader removes ended jobs whose retention period is over.
 const JOB_REMOVAL_INTERVAL: DurationMs = DurationMs::new(30_000);
 
-/// Delay after which the caller of a change that no disk can take may try again. Space is freed by an
-/// operator, or within seconds by a compaction.
-const NO_SPACE_RETRY_DELAY: DurationMs = DurationMs::new(2_000);
+/// Interval of batches of [`REMOVAL_LIMIT_COUNT`] jobs while further ones wait for their removal.
+const FULL_BATCH_REMOVAL_INTERVAL: DurationMs = DurationMs::new(1_000);
+
+/// Interval at which the leader adds up the bytes of all stored jobs.
+const STORED_BYTES_INTERVAL: DurationMs = DurationMs::new(1_000);
+
+/// Pause after a batch of table changes that was refused for lack of space. Scheduling passes come
+/// every few milliseconds, and space is freed within seconds at best.
+const CHANGES_RETRY_DELAY: DurationMs = DurationMs::new(250);
 
 /// Continuation of a proposal once it is committed or has failed.
 pub(crate) enum PendingProposal {
-    Call(oneshot::Sender<Response>),
+    Call(CallSubject, oneshot::Sender<Response>),
     /// A job is being stored.
     Submission(Box<NewJob>, oneshot::Sender<Response>),
     /// A batch of table changes; no other batch is proposed until this one completes.
@@ -59,6 +71,8 @@
     pub settings: DispatchSettings,
     pub joins: mpsc::Sender<JoinRequest>,
     pub metrics: Metrics,
+    /// Size of the disk that holds the data folder.
+    pub disk_capacity_bytes: u64,
 }
 
 pub(crate) struct ControlState {
@@ -80,6 +94,12 @@
     pub(crate) last_id: u64,
     /// Table changes of the current leadership that are not known to be committed.
     pub(crate) pending_changes: PendingChanges<ProposalId>,
+    /// Time before which no table changes are proposed.
+    pub(crate) changes_paused_until: TimestampMs,
+    /// Estimated bytes of the stored jobs and of those that are being stored; only for the leader.
+    pub(crate) stored_bytes: u64,
+    pub(crate) stored_limit_bytes: u64,
+    pub(crate) stored_bytes_at: TimestampMs,
     pub(crate) schedule_requested: bool,
     /// `true` if the job table or a worker changed since the last scheduling pass.
     pub(crate) changed_since_pass: bool,
@@ -90,6 +110,8 @@
     pub(crate) lease_read_pending: bool,
     pub(crate) lease_read_at: TimestampMs,
     pub(crate) jobs_removed_at: TimestampMs,
+    /// Time until the next search for ended jobs whose retention period is over.
+    pub(crate) job_removal_interval: DurationMs,
     pub(crate) agent_heartbeat_at: TimestampMs,
     pub(crate) drain_replies: Vec<oneshot::Sender<()>>,
 }
@@ -104,7 +126,8 @@
         _myself: ActorRef<ControlMessage>,
         arguments: ControlArguments,
     ) -> Result<ControlState, ActorProcessingErr> {
-        let ControlArguments { replication, settings, joins, metrics } = arguments;
+        let ControlArguments { replication, settings, joins, metrics, disk_capacity_bytes } =
+            arguments;
         Ok(ControlState {
             replication,
             settings,
@@ -120,6 +143,10 @@
             reads: FastHashMap::default(),
             last_id: 0,
             pending_changes: PendingChanges::new(TimestampMs::default()),
+            changes_paused_until: TimestampMs::default(),
+            stored_bytes: 0,
+            stored_limit_bytes: stored_limit_bytes(disk_capacity_bytes),
+            stored_bytes_at: TimestampMs::default(),
             schedule_requested: false,
             changed_since_pass: false,
             scheduled_at: TimestampMs::default(),
@@ -127,6 +154,7 @@
             lease_read_pending: false,
             lease_read_at: TimestampMs::default(),
             jobs_removed_at: TimestampMs::default(),
+            job_removal_interval: JOB_REMOVAL_INTERVAL,
             agent_heartbeat_at: TimestampMs::default(),
             drain_replies: Vec::new(),
         })
@@ -269,6 +297,7 @@
     fn on_leadership(&mut self, leadership: Leadership) {
         // The next dispatcher returns the ends again that the table does not hold by then.
         self.pending_changes = PendingChanges::new(self.now());
+        self.changes_paused_until = self.now();
         self.lease_read_pending = false;
         match leadership {
             Leadership::Leader { term } => {
@@ -280,6 +309,7 @@
                 );
                 let now = self.now();
                 self.leader_address = None;
+                self.add_up_stored_bytes(now);
                 self.dispatcher = Some(Dispatcher::new(self.settings.clone(), term.get(), now));
             }
             Leadership::Follower { leader_address } => {
@@ -324,7 +354,7 @@
                 // A job of another caller took the name while this one was in flight.
                 self.store_under_next_name(job, reply)?;
             }
-            Some(PendingProposal::Call(reply) | PendingProposal::Submission(_, reply)) => {
+            Some(PendingProposal::Call(_, reply) | PendingProposal::Submission(_, reply)) => {
                 respond(reply, response_for(applied));
             }
             Some(PendingProposal::Changes) => self.pending_changes.on_committed(&proposal),
@@ -334,34 +364,69 @@
     }
 
     fn on_proposal_failed(&mut self, proposal: ProposalId, failure: ProposalFailure) {
-        match self.proposals.remove(&proposal) {
-            Some(PendingProposal::Call(reply) | PendingProposal::Submission(_, reply)) => {
-                let response = match failure {
-                    ProposalFailure::NotLeader { leader_address } => {
-                        Response::NotLeader(LeaderHint {
-                            leader: leader_address,
-                            ..self.leader_hint()
-                        })
-                    }
-                    ProposalFailure::NoSpace => {
-                        Response::Busy { retry_after_ms: NO_SPACE_RETRY_DELAY }
-                    }
-                    ProposalFailure::Unknown => Response::Unknown,
-                };
-                respond(reply, response);
+        let Some(pending) = self.proposals.remove(&proposal) else { return };
+        if failure == ProposalFailure::NoSpace {
+            self.metrics.replication.count_refused_proposal();
+            log_refused_proposal(&pending);
+        }
+        match pending {
+            PendingProposal::Call(subject, reply) => {
+                let is_in_flight = self.is_being_changed(&subject);
+                respond(reply, self.failure_response(proposal, failure, is_in_flight));
             }
-            Some(PendingProposal::Changes) => self.pending_changes.on_failed(&proposal),
-            Some(PendingProposal::Housekeeping) | None => {}
+            PendingProposal::Submission(job, reply) => {
+                let is_in_flight = self.is_being_stored(&job);
+                respond(reply, self.failure_response(proposal, failure, is_in_flight));
+            }
+            PendingProposal::Changes => {
+                self.pending_changes.on_failed(&proposal);
+                if failure == ProposalFailure::NoSpace {
+                    self.changes_paused_until = self.now() + CHANGES_RETRY_DELAY;
+                }
+            }
+            PendingProposal::Housekeeping => {}
         }
     }
 
+    fn failure_response(
+        &self,
+        proposal: ProposalId,
+        failure: ProposalFailure,
+        is_in_flight: bool,
+    ) -> Response {
+        match failure {
+            ProposalFailure::NotLeader { leader_address } => {
+                Response::NotLeader(LeaderHint { leader: leader_address, ..self.leader_hint() })
+            }
+            ProposalFailure::NoSpace => no_space(proposal, is_in_flight),
+            ProposalFailure::Unknown => Response::Unknown,
+        }
+    }
+
+    /// Returns `true` while another call with the same subject is in flight.
+    fn is_being_changed(&self, subject: &CallSubject) -> bool {
+        self.proposals
+            .values()
+            .any(|pending| matches!(pending, PendingProposal::Call(other, _) if other == subject))
+    }
+
+    /// Returns `true` while a proposal to store the same job is in flight.
+    fn is_being_stored(&self, job: &NewJob) -> bool {
+        self.proposals.values().any(|pending| match pending {
+            PendingProposal::Submission(other, _) => {
+                other.called == job.called && other.submission.queue == job.submission.queue
+            }
+            _ => false,
+        })
+    }
+
     fn on_read_ready(&mut self, read: ReadId) -> Result<(), ActorProcessingErr> {
         match self.reads.remove(&read) {
             Some(PendingRead::Call(request, reply)) => {
                 match plan(&self.queue_state, request, unix_now_ms()) {
                     Plan::Respond(response) => respond(reply, response),
-                    Plan::Propose(command) => {
-                        self.propose(&command, PendingProposal::Call(reply))?
+                    Plan::Propose(subject, command) => {
+                        self.propose(&command, PendingProposal::Call(subject, reply))?
                     }
                     Plan::Submit(job) => self.submit(job, reply)?,
                 }
@@ -385,13 +450,16 @@
         job: Box<NewJob>,
         reply: oneshot::Sender<Response>,
     ) -> Result<(), ActorProcessingErr> {
-        let NewJob { called, submission } = &*job;
-        let is_being_stored = self.proposals.values().any(|pending| match pending {
-            PendingProposal::Submission(other, _) => {
-                other.called == *called && other.submission.queue == submission.queue
-            }
-            _ => false,
-        });
+        let submission = &job.submission;
+        let is_being_stored = self.is_being_stored(&job);
+        let added_bytes = submission_bytes(submission);
+        if !is_being_stored
+            && self.stored_bytes.saturating_add(added_bytes) > self.stored_limit_bytes
+        {
+            log_too_many_stored_bytes(submission, self.stored_bytes, self.stored_limit_bytes);
+            respond(reply, too_many_stored_bytes());
+            return Ok(());
+        }
         if !is_being_stored && let Some(dispatcher) = &mut self.dispatcher {
             let QueueState { configuration, jobs } = &self.queue_state;
             let admission = dispatcher.admit(submission, jobs, configuration, unix_now_ms());
@@ -413,6 +481,7 @@
         if job.called != job.submission.name {
             log_derived_name(&job);
         }
+        self.stored_bytes = self.stored_bytes.saturating_add(submission_bytes(&job.submission));
         let command = Command::Submit(Box::new(job.submission.clone()));
         self.propose(&command, PendingProposal::Submission(job, reply))
     }
@@ -451,12 +520,17 @@
     ) -> Result<(), ActorProcessingErr> {
         let payload = Bytes::from(encode(command)?);
         self.proposals.insert(proposal, pending);
-        self.replication.propose(proposal, ProposalClass::Essential, payload);
+        self.replication.propose(proposal, command.class(), payload);
         Ok(())
     }
 
     fn on_tick(&mut self) -> Result<(), ActorProcessingErr> {
         let now = self.now();
+        let disk_full = self.replication.status().borrow().disk_full;
+        self.metrics.replication.set_disk_full(disk_full);
+        if self.dispatcher.is_some() && now.since(self.stored_bytes_at) >= STORED_BYTES_INTERVAL {
+            self.add_up_stored_bytes(now);
+        }
         if let Some(dispatcher) = &self.dispatcher
             && now.since(self.agent_heartbeat_at) >= AGENT_HEARTBEAT_INTERVAL
         {
@@ -464,9 +538,15 @@
             self.metrics.queues.set_agents(dispatcher.connected_count());
             self.agents.send_heartbeats(dispatcher.token());
         }
-        if self.dispatcher.is_some() && now.since(self.jobs_removed_at) >= JOB_REMOVAL_INTERVAL {
+        if self.dispatcher.is_some() && now.since(self.jobs_removed_at) >= self.job_removal_interval
+        {
             self.jobs_removed_at = now;
             let expired = self.queue_state.expired_jobs(unix_now_ms());
+            self.job_removal_interval = if expired.len() == REMOVAL_LIMIT_COUNT {
+                FULL_BATCH_REMOVAL_INTERVAL
+            } else {
+                JOB_REMOVAL_INTERVAL
+            };
             if !expired.is_empty() {
                 self.propose(&Command::RemoveEnded(expired), PendingProposal::Housekeeping)?;
             }
@@ -474,6 +554,16 @@
         Ok(())
     }
 
+    fn add_up_stored_bytes(&mut self, now: TimestampMs) {
+        self.stored_bytes_at = now;
+        let in_flight = self.proposals.values().map(|pending| match pending {
+            PendingProposal::Submission(job, _) => submission_bytes(&job.submission),
+            _ => 0,
+        });
+        self.stored_bytes = self.queue_state.jobs.jobs().map(job_bytes).chain(in_flight).sum();
+        self.metrics.queues.set_stored_bytes(self.stored_bytes);
+    }
+
     fn reply_to_drains(&mut self) {
         if self.drain_replies.is_empty() || self.has_pending_calls() {
             return;
@@ -486,7 +576,7 @@
 
     fn has_pending_calls(&self) -> bool {
         let waits_for_proposal = self.proposals.values().any(|pending| {
-            matches!(pending, PendingProposal::Call(_) | PendingProposal::Submission(..))
+            matches!(pending, PendingProposal::Call(..) | PendingProposal::Submission(..))
         });
         waits_for_proposal
             || self.reads.values().any(|pending| matches!(pending, PendingRead::Call(..)))
--- a/crates/yuccatack_queue_control/src/calls.rs
+++ b/crates/yuccatack_queue_control/src/calls.rs
@@ -4,7 +4,8 @@
 
 use yuccatack_core::{DurationMs, JobName};
 use yuccatack_queue_client::protocol::{CallTarget, Request, Response};
-use yuccatack_queues::Access;
+use yuccatack_queues::{Acceptance, Access, Configuration, ConfigurationVersion};
+use yuccatack_replication::ProposalId;
 use yuccatack_runs::{CancelOutcome, JobSpec, JobSubmission};
 
 use crate::command::Command;
@@ -19,15 +20,31 @@
 /// some seconds, so an earlier retry would rarely succeed.
 const JOB_LIMIT_RETRY_DELAY: DurationMs = DurationMs::new(2_000);
 
+/// Shortest delay after which the caller of a change that no disk can take may try again. Space is
+/// freed by an operator, or within seconds by a compaction.
+const NO_SPACE_RETRY_DELAY: DurationMs = DurationMs::new(2_000);
+
+/// Number of delays, each a second longer than the one before, over which callers are spread. The
+/// header of the response states whole seconds.
+const NO_SPACE_RETRY_DELAY_COUNT: u64 = 3;
+
 /// Outcome of planning a call.
 #[derive(Debug)]
 pub(crate) enum Plan {
     Respond(Response),
-    Propose(Command),
+    Propose(CallSubject, Command),
     /// Stores a new job if the dispatcher admits it.
     Submit(Box<NewJob>),
 }
 
+/// Subject of a call that changes the state without storing a job.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum CallSubject {
+    /// Cancellation of the job that is stored under this name.
+    Cancellation(JobName),
+    Configuration(ConfigurationVersion),
+}
+
 /// New job that is to be stored.
 #[derive(Debug)]
 pub(crate) struct NewJob {
@@ -43,7 +60,7 @@
         Request::Read(target) => Plan::Respond(read(state, &target)),
         Request::Cancel(target) => plan_cancel(state, &target, now_unix_ms),
         Request::Configure(configuration) => match configuration.validate() {
-            Ok(()) => Plan::Propose(Command::Configure(configuration)),
+            Ok(()) => plan_configure(state, configuration),
             Err(error) => Plan::Respond(invalid(&error)),
         },
         Request::ReadConfiguration => {
@@ -75,6 +92,23 @@
     Response::Busy { retry_after_ms: ENDED_JOB_RETENTION }
 }
 
+/// Returns the response to a call whose proposal was refused for lack of space.
+///
+/// If an equal call is in flight, the change may take effect after all, so the caller must not learn
+/// that nothing was done.
+pub(crate) fn no_space(proposal: ProposalId, is_in_flight: bool) -> Response {
+    if is_in_flight {
+        return Response::Unknown;
+    }
+    let longer_ms = 1_000 * (proposal.get() % NO_SPACE_RETRY_DELAY_COUNT);
+    Response::Busy { retry_after_ms: NO_SPACE_RETRY_DELAY + DurationMs::new(longer_ms) }
+}
+
+/// Returns the response to a submission for which too many bytes of jobs are stored.
+pub(crate) fn too_many_stored_bytes() -> Response {
+    Response::Busy { retry_after_ms: JOB_LIMIT_RETRY_DELAY }
+}
+
 fn invalid<Error>(error: &Error) -> Response
 where
     Error: ToString,
@@ -128,6 +162,17 @@
     Plan::Submit(Box::new(NewJob { called: name, submission }))
 }
 
+/// A version that is not higher than the one in force changes nothing, so it is acknowledged without
+/// a log entry and also while disks are full.
+fn plan_configure(state: &QueueState, configuration: Arc<Configuration>) -> Plan {
+    let by = state.configuration.version();
+    if state.configuration.current().is_some() && by >= configuration.version {
+        return Plan::Respond(Response::Configured(Acceptance::Superseded { by }));
+    }
+    let subject = CallSubject::Configuration(configuration.version);
+    Plan::Propose(subject, Command::Configure(configuration))
+}
+
 fn plan_cancel(state: &QueueState, target: &CallTarget, now_unix_ms: u64) -> Plan {
     let (access, name) = match resolve_target(state, target) {
         Ok(found) => found,
@@ -137,7 +182,9 @@
         None => Plan::Respond(Response::NoSuchJob),
         Some(job) if job.phase.is_final() => Plan::Respond(Response::Cancelled),
         Some(job) => {
-            Plan::Propose(Command::Cancel { name: job.submission.name.clone(), now_unix_ms })
+            let name = job.submission.name.clone();
+            let subject = CallSubject::Cancellation(name.clone());
+            Plan::Propose(subject, Command::Cancel { name, now_unix_ms })
         }
     }
 }
--- a/crates/yuccatack_queue_control/src/command.rs
+++ b/crates/yuccatack_queue_control/src/command.rs
@@ -6,6 +6,7 @@
 use yuccatack_core::JobName;
 use yuccatack_dispatch::TableChange;
 use yuccatack_queues::Configuration;
+use yuccatack_replication::ProposalClass;
 use yuccatack_runs::JobSubmission;
 
 /// Payload of a log entry, which every replica applies to its state.
@@ -25,3 +26,16 @@
     #[serde(rename = "Forget")]
     RemoveEnded(Vec<JobName>),
 }
+
+impl Command {
+    /// Returns the class by which the replicated log refuses the command while disks are full.
+    pub fn class(&self) -> ProposalClass {
+        match self {
+            Self::Submit(_) | Self::Configure(_) => ProposalClass::Growth,
+            // Runs that end, cancellations and removals free space, and so does work that goes on.
+            Self::Cancel { .. } | Self::Change { .. } | Self::RemoveEnded(_) => {
+                ProposalClass::Essential
+            }
+        }
+    }
+}
--- a/crates/yuccatack_queue_control/src/lib.rs
+++ b/crates/yuccatack_queue_control/src/lib.rs
@@ -17,9 +17,11 @@
 mod schedule;
 mod service;
 mod state;
+mod stored_bytes;
 
 pub use error::ControlError;
 pub use identity::{ReplicaIdentity, replica_identity};
 pub use membership::{MembershipView, next_change};
 pub use process::{ControlConfig, run};
 pub use schedule::pause_after_pass;
+pub use stored_bytes::{job_bytes, stored_limit_bytes, submission_bytes};
--- a/crates/yuccatack_queue_control/src/observe.rs
+++ b/crates/yuccatack_queue_control/src/observe.rs
@@ -9,7 +9,8 @@
 use yuccatack_telemetry::Metrics;
 use yuccatack_telemetry::metrics::RunEndKind;
 
-use crate::calls::NewJob;
+use crate::actor::PendingProposal;
+use crate::calls::{CallSubject, NewJob};
 use crate::command::Command;
 use crate::run_lines::RunLines;
 use crate::state::{Applied, QueueState};
@@ -89,6 +90,42 @@
     );
 }
 
+/// Logs that a job was not stored because the stored jobs take too much of the disk.
+pub(crate) fn log_too_many_stored_bytes(
+    submission: &JobSubmission,
+    stored_bytes: u64,
+    limit_bytes: u64,
+) {
+    log::info!(
+        event = "job_refused", job = submission.name.as_str(), queue = submission.queue.as_str(),
+        priority = submission.priority, steps:% = submission.spec, cause = "StoredBytes",
+        stored_bytes = stored_bytes, limit_bytes = limit_bytes;
+        "a submitted job was refused and does not run: the stored jobs take the part of the disk \
+         that is meant for them"
+    );
+}
+
+/// Logs that the replicated log refused a proposal for lack of space, so that nothing was stored.
+pub(crate) fn log_refused_proposal(pending: &PendingProposal) {
+    let (proposal, subject) = match pending {
+        PendingProposal::Call(CallSubject::Cancellation(name), _) => {
+            ("cancellation", name.to_string())
+        }
+        PendingProposal::Call(CallSubject::Configuration(version), _) => {
+            ("configuration", version.to_string())
+        }
+        PendingProposal::Submission(job, _) => ("submission", job.submission.name.to_string()),
+        PendingProposal::Changes => ("table_changes", String::new()),
+        PendingProposal::Housekeeping => ("removal", String::new()),
+    };
+    log::warn!(
+        event = "proposal_refused", proposal = proposal, subject = subject.as_str(),
+        cause = "no_space";
+        "the {proposal} was not stored: the disks of a quorum are full or nearly full, or too much \
+         waits to be written to them"
+    );
+}
+
 /// Logs the result of a command that was applied. `state` is the state after it, and `unfinished`
 /// is the return value of [`log_before_apply`].
 pub(crate) fn log_after_apply(
--- a/crates/yuccatack_queue_control/src/process.rs
+++ b/crates/yuccatack_queue_control/src/process.rs
@@ -66,12 +66,14 @@
     pub dispatch: DispatchSettings,
 }
 
-/// Delay before a replica that stopped on a full disk opens its data folder again.
+/// Delay before a replica whose data folder could not be opened on a full disk opens it again.
 const DISK_FULL_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Runs a replica until shutdown, which transfers the leadership and answers pending calls.
 ///
-/// A full disk stops the replica but not the process: the replica restarts once there is space.
+/// A replica that cannot open its data folder because the disk is full tries again until there is
+/// space. Once the folder is open, a full disk does not stop the replica. Any other failure of the
+/// storage ends the process, which then starts from what the disk holds.
 pub async fn run(
     config: ControlConfig,
     client: QueueClient,
@@ -84,8 +86,9 @@
         match replica.await {
             Err(error) if error.is_disk_full() => {
                 log::error!(
-                    event = "disk_full";
-                    "the replica stopped and restarts once there is disk space: {error}"
+                    event = "disk_full", retry_ms = DISK_FULL_RETRY_DELAY.as_millis();
+                    "the replica cannot run on the full disk and opens its data folder again in \
+                     {DISK_FULL_RETRY_DELAY:?}: {error}"
                 );
             }
             result => return result,
@@ -118,6 +121,7 @@
         settings: config.dispatch.clone(),
         joins,
         metrics,
+        disk_capacity_bytes: config.disk.capacity_bytes,
     };
     let (actor, actor_task) = Actor::spawn(None, ControlActor, arguments)
         .await
--- a/crates/yuccatack_queue_control/src/schedule.rs
+++ b/crates/yuccatack_queue_control/src/schedule.rs
@@ -51,7 +51,7 @@
         self.scheduled_at = now;
         let Some(dispatcher) = &mut self.dispatcher else { return Ok(()) };
         // The dispatcher requires a table without changes in flight.
-        if !self.pending_changes.is_in_flight() {
+        if !self.pending_changes.is_in_flight() && now >= self.changes_paused_until {
             let jobs = &self.queue_state.jobs;
             let now_unix_ms = unix_now_ms();
             let mut decided = Vec::new();
--- a/crates/yuccatack_queue_control/src/state.rs
+++ b/crates/yuccatack_queue_control/src/state.rs
@@ -12,7 +12,7 @@
 pub(crate) const ENDED_JOB_RETENTION: DurationMs = DurationMs::new(10 * 60 * 1000);
 
 /// Maximum number of jobs that one command removes, which bounds the size of its log entry.
-const REMOVAL_LIMIT_COUNT: usize = 256;
+pub(crate) const REMOVAL_LIMIT_COUNT: usize = 256;
 
 /// State that results from applying the log; also the content of a snapshot.
 #[derive(Debug, Default, Serialize, Deserialize)]
--- a/crates/yuccatack_telemetry/src/metrics/catalogue.rs
+++ b/crates/yuccatack_telemetry/src/metrics/catalogue.rs
@@ -214,6 +214,20 @@
         &[],
         "Position of the last log entry known to be committed.",
     ),
+    MetricDescription::new(
+        "disk_full",
+        Count,
+        Gauge,
+        &[],
+        "1 while the disk of this replica takes no further bytes, otherwise 0.",
+    ),
+    MetricDescription::new(
+        "refused_proposals",
+        Count,
+        Counter,
+        &[],
+        "Changes that the control leader refused for lack of disk space; nothing was stored.",
+    ),
     MetricDescription::new(
         "view_age",
         Seconds,
@@ -277,6 +291,13 @@
         &[],
         "Runs that may exist, at the control leader.",
     ),
+    MetricDescription::new(
+        "stored_job_bytes",
+        Count,
+        Gauge,
+        &[],
+        "Estimated bytes of the stored jobs, at the control leader.",
+    ),
     MetricDescription::new(
         "run_evictions",
         Count,
--- a/crates/yuccatack_telemetry/src/metrics/queues.rs
+++ b/crates/yuccatack_telemetry/src/metrics/queues.rs
@@ -23,6 +23,7 @@
     call_latency: Histogram,
     run_ends: Family<EndLabels, Counter>,
     open_runs: Gauge,
+    stored_bytes: Gauge,
     evictions: Counter,
     agents: Gauge,
     orders: Counter,
@@ -46,6 +47,7 @@
             call_latency: register(registry, "queue_call_latency", latency),
             run_ends: register(registry, "run_ends", Family::default()),
             open_runs: register(registry, "open_runs", Gauge::default()),
+            stored_bytes: register(registry, "stored_job_bytes", Gauge::default()),
             evictions: register(registry, "run_evictions", Counter::default()),
             agents: register(registry, "agents_attached", Gauge::default()),
             orders: register(registry, "worker_orders", Counter::default()),
@@ -68,6 +70,11 @@
         self.open_runs.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the estimated bytes of the stored jobs.
+    pub fn set_stored_bytes(&self, bytes: u64) {
+        self.stored_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Counts runs that were requested to stop for more urgent jobs, or to leave a worker that
     /// hangs.
     pub fn count_evictions(&self, count: u64) {
--- a/crates/yuccatack_telemetry/src/metrics/replication.rs
+++ b/crates/yuccatack_telemetry/src/metrics/replication.rs
@@ -21,6 +21,8 @@
     leader_changes: Counter,
     is_leader: Gauge,
     committed_index: Gauge,
+    disk_full: Gauge,
+    refused_proposals: Counter,
 }
 
 impl ReplicationMetrics {
@@ -31,6 +33,8 @@
             leader_changes: register(registry, "leader_changes", Counter::default()),
             is_leader: register(registry, "is_leader", Gauge::default()),
             committed_index: register(registry, "committed_index", Gauge::default()),
+            disk_full: register(registry, "disk_full", Gauge::default()),
+            refused_proposals: register(registry, "refused_proposals", Counter::default()),
         }
     }
 
@@ -49,4 +53,14 @@
     pub fn set_committed_index(&self, index: u64) {
         self.committed_index.set(index.try_into().unwrap_or(i64::MAX));
     }
+
+    /// Records whether the disk of this replica is full.
+    pub fn set_disk_full(&self, is_full: bool) {
+        self.disk_full.set(is_full.into());
+    }
+
+    /// Counts a proposal that was refused for lack of space.
+    pub fn count_refused_proposal(&self) {
+        self.refused_proposals.inc();
+    }
 }
--- a/crates/yuccatack_telemetry/tests/metric_names.rs
+++ b/crates/yuccatack_telemetry/tests/metric_names.rs
@@ -41,12 +41,15 @@
     metrics.replication.observe_commit(Duration::from_millis(1));
     metrics.replication.count_leader_change(true);
     metrics.replication.set_committed_index(1);
+    metrics.replication.set_disk_full(true);
+    metrics.replication.count_refused_proposal();
     metrics.view.set_age(Duration::from_millis(1));
     metrics.view.set_revision(Revision::new(1));
     metrics.view.set_nodes_not_in_force(1);
     metrics.queues.observe_call(CallOutcome::Served, Duration::from_millis(1));
     metrics.queues.count_run_end(RunEndKind::Done);
     metrics.queues.set_open_runs(1);
+    metrics.queues.set_stored_bytes(1);
     metrics.queues.count_evictions(1);
     metrics.queues.set_agents(1);
     metrics.queues.count_order();
