Answer records and claims that no disk can take as not stored

Operators and entries got 'leadership changed' for a command that was refused for lack of disk space, and resent it in the dark although nothing had been proposed.

Commands tell their class: submitted and changed records and claims are growth; withdrawals, settlements and lease commands are essential. CallError::NoSpace becomes the status RESOURCE_EXHAUSTED, which clients take for a refusal without effect, and names the remedy. Refusals are logged and counted, and the scheduler pauses for 250 ms after one of its own. The gauge yuccatack_disk_full is set from the status.

--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -11,7 +11,7 @@
 use yuccatack_leases::{LeaseCommand, LeaseEvent};
 use yuccatack_records::{Change, ChangeOutcome, RecordKey, RecordKind};
 use yuccatack_replication::{
-    Committed, Leadership, LogIndex, ProposalClass, ProposalId, ReadFailure, ReadId,
+    Committed, Leadership, LogIndex, ProposalFailure, ProposalId, ReadFailure, ReadId,
     ReplicationHandle,
 };
 use yuccatack_requests::claims::{ClaimCommand, ClaimLimits, ClaimOutcome};
@@ -43,6 +43,10 @@
 /// Interval between searches for records of evicted jobs; each search reads every job record.
 const RETENTION_INTERVAL: DurationMs = DurationMs::from_seconds(60);
 
+/// Pause of the scheduler after its decisions were refused for lack of space. Space is freed within
+/// seconds at best.
+const SCHEDULE_RETRY_DELAY: DurationMs = DurationMs::new(250);
+
 /// Arguments to start a [`ControlActor`].
 pub struct ControlArguments {
     /// Handle of the replicated log.
@@ -80,6 +84,8 @@
     desired_replicas: watch::Sender<DesiredReplicas>,
     observed_at: TimestampMs,
     retention_checked_at: TimestampMs,
+    /// Time before which the scheduler proposes nothing.
+    schedule_paused_until: TimestampMs,
 }
 
 impl Actor for ControlActor {
@@ -105,6 +111,7 @@
             desired_replicas: arguments.desired_replicas,
             observed_at: TimestampMs::default(),
             retention_checked_at: TimestampMs::default(),
+            schedule_paused_until: TimestampMs::default(),
         })
     }
 
@@ -145,7 +152,15 @@
             }
             Committed::Snapshot { index, payload } => self.restore(index, &payload).await?,
             Committed::SnapshotRequested { index } => self.store_snapshot(index)?,
-            Committed::ProposalFailed { proposal, failure } => self.pending.fail(proposal, failure),
+            Committed::ProposalFailed { proposal, failure } => {
+                if failure == ProposalFailure::NoSpace {
+                    self.telemetry.metrics.replication.count_refused_proposal();
+                    if self.pending.is_schedule(proposal) {
+                        self.schedule_paused_until = self.clock.now() + SCHEDULE_RETRY_DELAY;
+                    }
+                }
+                self.pending.fail(proposal, failure);
+            }
             Committed::ReadReady { read } => self.complete_read(read).await,
             Committed::ReadFailed { read, failure } => self.fail_read(read, failure),
             Committed::Leadership(leadership) => self.change_role(leadership).await,
@@ -310,7 +325,7 @@
     /// Proposes the scheduler's decisions, unless earlier ones are not applied yet.
     fn schedule(&mut self, now: TimestampMs) -> Result<(), ActorProcessingErr> {
         let Role::Leader(leader) = &mut self.role else { return Ok(()) };
-        if self.pending.is_scheduling() {
+        if self.pending.is_scheduling() || now < self.schedule_paused_until {
             return Ok(());
         }
         let commands = leader.schedule(self.state.leases(), now);
@@ -335,8 +350,13 @@
         }
         self.observed_at = now;
         let metrics = &self.telemetry.metrics;
-        let commit = self.replication.status().borrow().commit;
+        let (commit, disk_full) = {
+            let status = self.replication.status();
+            let status = status.borrow();
+            (status.commit, status.disk_full)
+        };
         metrics.replication.set_committed_index(commit.get());
+        metrics.replication.set_disk_full(disk_full);
         metrics.view.set_revision(self.state.records().revision());
         let Role::Leader(leader) = &self.role else { return };
         observe::observe_state(metrics, self.state.leases());
@@ -364,7 +384,7 @@
     ) -> Result<(), ActorProcessingErr> {
         let payload = Bytes::from(wire::encode(command)?);
         let proposal = self.pending.add_proposal(waiting);
-        self.replication.propose(proposal, ProposalClass::Essential, payload);
+        self.replication.propose(proposal, command.class(), payload);
         Ok(())
     }
 
--- a/crates/yuccatack_control/src/call.rs
+++ b/crates/yuccatack_control/src/call.rs
@@ -54,6 +54,8 @@
                 status
             }
             CallError::Unknown => Self::new(Code::Aborted, message),
+            // Clients take this code for a refusal, after which the command has had no effect.
+            CallError::NoSpace { .. } => Self::new(Code::ResourceExhausted, message),
             CallError::Stopping => Self::new(Code::Unavailable, message),
             CallError::Invalid { .. } => Self::new(Code::InvalidArgument, message),
         }
--- a/crates/yuccatack_control/src/error.rs
+++ b/crates/yuccatack_control/src/error.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use snafu::Snafu;
+use yuccatack_core::DurationMs;
 
 /// Reason why the control process did not start or stopped before it had drained.
 #[derive(Debug, Snafu)]
@@ -76,6 +77,16 @@
         "leadership changed while the command was on its way; resend it with the same identifier"
     ))]
     Unknown,
+    /// The replicated log refused the command, so that it changed nothing.
+    #[snafu(display(
+        "nothing was stored: the disks of a quorum of control replicas are full or nearly full; \
+         free space on them or withdraw records, then send the command again after {} ms",
+        retry_after_ms.get()
+    ))]
+    NoSpace {
+        /// Delay after which the command may be accepted.
+        retry_after_ms: DurationMs,
+    },
     /// The replica is stopping and accepts no further calls.
     #[snafu(display("this replica is stopping; ask another one"))]
     Stopping,
--- a/crates/yuccatack_control/src/pending.rs
+++ b/crates/yuccatack_control/src/pending.rs
@@ -12,6 +12,10 @@
 use crate::message::{Query, QueryResponse, Reply};
 use crate::state::ControlOutcome;
 
+/// Delay after which the caller of a command that was refused for lack of space may try again. Space
+/// is freed by an operator, or within seconds by a compaction.
+const NO_SPACE_RETRY_DELAY: DurationMs = DurationMs::new(2_000);
+
 /// Origin of a proposal, with the port of the caller that waits for it.
 #[derive(Debug)]
 pub enum PendingProposal {
@@ -69,6 +73,11 @@
         self.proposals.values().any(|(_, waiting)| matches!(waiting, PendingProposal::Schedule))
     }
 
+    /// Returns `true` if the proposal holds decisions of the scheduler.
+    pub fn is_schedule(&self, proposal: ProposalId) -> bool {
+        matches!(self.proposals.get(&proposal), Some((_, PendingProposal::Schedule)))
+    }
+
     /// Responds to the caller of an applied proposal. Returns the time since it was proposed, or
     /// `None` if it is not pending here.
     pub fn complete(&mut self, proposal: ProposalId, outcome: ControlOutcome) -> Option<Duration> {
@@ -98,9 +107,14 @@
     pub fn fail(&mut self, proposal: ProposalId, failure: ProposalFailure) {
         let failure = match failure {
             ProposalFailure::NotLeader { leader_address } => not_leader(leader_address),
-            ProposalFailure::NoSpace | ProposalFailure::Unknown => CallError::Unknown,
+            ProposalFailure::NoSpace => CallError::NoSpace { retry_after_ms: NO_SPACE_RETRY_DELAY },
+            ProposalFailure::Unknown => CallError::Unknown,
         };
-        match self.proposals.remove(&proposal).map(|(_, waiting)| waiting) {
+        let waiting = self.proposals.remove(&proposal).map(|(_, waiting)| waiting);
+        if let (CallError::NoSpace { .. }, Some(waiting)) = (&failure, &waiting) {
+            log_refused(waiting);
+        }
+        match waiting {
             Some(PendingProposal::Change(reply)) => {
                 let _ = reply.send(Err(failure));
             }
@@ -125,6 +139,21 @@
     }
 }
 
+/// Logs that the replicated log refused a proposal for lack of space, so that nothing was stored.
+fn log_refused(waiting: &PendingProposal) {
+    let proposal = match waiting {
+        PendingProposal::Change(_) => "change",
+        PendingProposal::Claim(_) => "claim",
+        PendingProposal::Schedule | PendingProposal::Reports => "lease_commands",
+        PendingProposal::Retention => "removal",
+    };
+    log::warn!(
+        event = "proposal_refused", proposal = proposal, cause = "no_space";
+        "the {proposal} was not stored: the disks of a quorum are full or nearly full, or too much \
+         waits to be written to them"
+    );
+}
+
 /// Returns the error that refers the caller to the leader.
 pub fn not_leader(leader_address: Option<SocketAddr>) -> CallError {
     CallError::NotLeader { leader_address }
--- a/crates/yuccatack_control/src/state.rs
+++ b/crates/yuccatack_control/src/state.rs
@@ -6,6 +6,7 @@
 use yuccatack_records::{
     Change, ChangeOutcome, Operation, Record, RecordStore, Refusal, RefusalKind, ValidatedChange,
 };
+use yuccatack_replication::ProposalClass;
 use yuccatack_requests::claims::{ClaimCommand, ClaimLimits, ClaimOutcome, ClaimTable};
 
 use crate::specs;
@@ -34,6 +35,24 @@
     },
 }
 
+impl ControlCommand {
+    /// Returns the class by which the replicated log refuses the command while disks are full.
+    pub fn class(&self) -> ProposalClass {
+        match self {
+            Self::Change { change, .. } => match change.operation {
+                Operation::Submit | Operation::Change => ProposalClass::Growth,
+                Operation::Withdraw => ProposalClass::Essential,
+            },
+            Self::Claim { command, .. } => match command {
+                ClaimCommand::Claim { .. } => ProposalClass::Growth,
+                ClaimCommand::Settle { .. } => ProposalClass::Essential,
+            },
+            // Reports of workers and decisions about jobs that are stored already.
+            Self::Leases { .. } => ProposalClass::Essential,
+        }
+    }
+}
+
 /// Result of a [`ControlCommand`].
 #[derive(Clone, Debug)]
 pub enum ControlOutcome {
