Never answer a resent record change as not stored

Resends of a change that was accepted, or is still in flight, would be refused with 'nothing was stored' once the disks are full. A change whose id is retained is essential now, and a command that is refused while an equal one is in flight is answered Unknown.

--- a/crates/yuccatack_control/src/actor.rs
+++ b/crates/yuccatack_control/src/actor.rs
@@ -384,7 +384,7 @@
     ) -> Result<(), ActorProcessingErr> {
         let payload = Bytes::from(wire::encode(command)?);
         let proposal = self.pending.add_proposal(waiting);
-        self.replication.propose(proposal, command.class(), payload);
+        self.replication.propose(proposal, self.state.class_of(command), payload);
         Ok(())
     }
 
@@ -395,7 +395,8 @@
     ) -> Result<(), ActorProcessingErr> {
         let Some(reply) = self.admit(reply) else { return Ok(()) };
         let now = self.clock.now();
-        self.propose(&ControlCommand::Change { change, now }, PendingProposal::Change(reply))
+        let waiting = PendingProposal::Change(change.change_id.clone(), reply);
+        self.propose(&ControlCommand::Change { change, now }, waiting)
     }
 
     fn claim(
@@ -405,7 +406,8 @@
     ) -> Result<(), ActorProcessingErr> {
         let Some(reply) = self.admit(reply) else { return Ok(()) };
         let now = self.clock.now();
-        self.propose(&ControlCommand::Claim { command, now }, PendingProposal::Claim(reply))
+        let waiting = PendingProposal::Claim(command.clone(), reply);
+        self.propose(&ControlCommand::Claim { command, now }, waiting)
     }
 
     fn read(&mut self, query: Query, reply: Reply<QueryResponse>) {
--- a/crates/yuccatack_control/src/pending.rs
+++ b/crates/yuccatack_control/src/pending.rs
@@ -6,7 +6,7 @@
 use yuccatack_core::prelude::*;
 use yuccatack_records::ChangeOutcome;
 use yuccatack_replication::{ProposalFailure, ProposalId, ReadId};
-use yuccatack_requests::claims::ClaimOutcome;
+use yuccatack_requests::claims::{ClaimCommand, ClaimOutcome};
 
 use crate::error::CallError;
 use crate::message::{Query, QueryResponse, Reply};
@@ -20,9 +20,9 @@
 #[derive(Debug)]
 pub enum PendingProposal {
     /// A change by an operator.
-    Change(Reply<ChangeOutcome>),
+    Change(ChangeId, Reply<ChangeOutcome>),
     /// A claim or settlement by an entry.
-    Claim(Reply<ClaimOutcome>),
+    Claim(ClaimCommand, Reply<ClaimOutcome>),
     /// Decisions of the scheduler; no further ones are proposed until these are applied.
     Schedule,
     /// Reports of workers, for which no caller waits.
@@ -84,10 +84,10 @@
         let (proposed_at, waiting) = self.proposals.remove(&proposal)?;
         // An error means that the caller has stopped waiting; its resend finds the applied command.
         match (waiting, outcome) {
-            (PendingProposal::Change(reply), ControlOutcome::Change(outcome)) => {
+            (PendingProposal::Change(_, reply), ControlOutcome::Change(outcome)) => {
                 let _ = reply.send(Ok(outcome));
             }
-            (PendingProposal::Claim(reply), ControlOutcome::Claim(outcome)) => {
+            (PendingProposal::Claim(_, reply), ControlOutcome::Claim(outcome)) => {
                 let _ = reply.send(Ok(outcome));
             }
             (PendingProposal::Schedule | PendingProposal::Reports, ControlOutcome::Leases(_))
@@ -105,20 +105,24 @@
 
     /// Sends the error to the caller of a failed proposal.
     pub fn fail(&mut self, proposal: ProposalId, failure: ProposalFailure) {
+        let waiting = self.proposals.remove(&proposal).map(|(_, waiting)| waiting);
         let failure = match failure {
             ProposalFailure::NotLeader { leader_address } => not_leader(leader_address),
-            ProposalFailure::NoSpace => CallError::NoSpace { retry_after_ms: NO_SPACE_RETRY_DELAY },
+            ProposalFailure::NoSpace => {
+                waiting.as_ref().inspect(|waiting| log_refused(waiting));
+                // The same command may be in flight for an earlier call and take effect.
+                match waiting.as_ref().is_some_and(|waiting| self.is_in_flight(waiting)) {
+                    true => CallError::Unknown,
+                    false => CallError::NoSpace { retry_after_ms: NO_SPACE_RETRY_DELAY },
+                }
+            }
             ProposalFailure::Unknown => CallError::Unknown,
         };
-        let waiting = self.proposals.remove(&proposal).map(|(_, waiting)| waiting);
-        if let (CallError::NoSpace { .. }, Some(waiting)) = (&failure, &waiting) {
-            log_refused(waiting);
-        }
         match waiting {
-            Some(PendingProposal::Change(reply)) => {
+            Some(PendingProposal::Change(_, reply)) => {
                 let _ = reply.send(Err(failure));
             }
-            Some(PendingProposal::Claim(reply)) => {
+            Some(PendingProposal::Claim(_, reply)) => {
                 let _ = reply.send(Err(failure));
             }
             Some(
@@ -133,6 +137,17 @@
         self.reads.remove(&read)
     }
 
+    /// Returns `true` while another call with the command of `waiting` is pending.
+    fn is_in_flight(&self, waiting: &PendingProposal) -> bool {
+        self.proposals.values().any(|(_, other)| match (waiting, other) {
+            (PendingProposal::Change(id, _), PendingProposal::Change(other, _)) => id == other,
+            (PendingProposal::Claim(command, _), PendingProposal::Claim(other, _)) => {
+                command == other
+            }
+            _ => false,
+        })
+    }
+
     fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
@@ -142,8 +157,8 @@
 /// Logs that the replicated log refused a proposal for lack of space, so that nothing was stored.
 fn log_refused(waiting: &PendingProposal) {
     let proposal = match waiting {
-        PendingProposal::Change(_) => "change",
-        PendingProposal::Claim(_) => "claim",
+        PendingProposal::Change(..) => "change",
+        PendingProposal::Claim(..) => "claim",
         PendingProposal::Schedule | PendingProposal::Reports => "lease_commands",
         PendingProposal::Retention => "removal",
     };
--- a/crates/yuccatack_control/src/state.rs
+++ b/crates/yuccatack_control/src/state.rs
@@ -35,24 +35,6 @@
     },
 }
 
-impl ControlCommand {
-    /// Returns the class by which the replicated log refuses the command while disks are full.
-    pub fn class(&self) -> ProposalClass {
-        match self {
-            Self::Change { change, .. } => match change.operation {
-                Operation::Submit | Operation::Change => ProposalClass::Growth,
-                Operation::Withdraw => ProposalClass::Essential,
-            },
-            Self::Claim { command, .. } => match command {
-                ClaimCommand::Claim { .. } => ProposalClass::Growth,
-                ClaimCommand::Settle { .. } => ProposalClass::Essential,
-            },
-            // Reports of workers and decisions about jobs that are stored already.
-            Self::Leases { .. } => ProposalClass::Essential,
-        }
-    }
-}
-
 /// Result of a [`ControlCommand`].
 #[derive(Clone, Debug)]
 pub enum ControlOutcome {
@@ -97,6 +79,28 @@
         &self.claims
     }
 
+    /// Returns the class by which the replicated log refuses the command while disks are full.
+    pub fn class_of(&self, command: &ControlCommand) -> ProposalClass {
+        match command {
+            // A resent change gets its first outcome again and adds nothing.
+            ControlCommand::Change { change, .. }
+                if self.records.change(&change.change_id).is_some() =>
+            {
+                ProposalClass::Essential
+            }
+            ControlCommand::Change { change, .. } => match change.operation {
+                Operation::Submit | Operation::Change => ProposalClass::Growth,
+                Operation::Withdraw => ProposalClass::Essential,
+            },
+            ControlCommand::Claim { command, .. } => match command {
+                ClaimCommand::Claim { .. } => ProposalClass::Growth,
+                ClaimCommand::Settle { .. } => ProposalClass::Essential,
+            },
+            // Reports of workers and decisions about jobs that are stored already.
+            ControlCommand::Leases { .. } => ProposalClass::Essential,
+        }
+    }
+
     /// Applies one command and returns its result.
     pub fn apply(&mut self, command: ControlCommand) -> ControlOutcome {
         match command {
