Spread the retry delays of refused changes by a hash of the proposal

Callers of equal sequences of calls got the same delay of 3 s each, because every sequence uses up three IDs; seen in a trial with a log that refuses marked payloads (not committed).

--- a/crates/yuccatack_queue_control/src/calls.rs
+++ b/crates/yuccatack_queue_control/src/calls.rs
@@ -100,7 +100,9 @@
     if is_in_flight {
         return Response::Unknown;
     }
-    let longer_ms = 1_000 * (proposal.get() % NO_SPACE_RETRY_DELAY_COUNT);
+    // Equal sequences of calls use up equally many IDs each, so the ID itself may not spread them.
+    let hash = proposal.get().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+    let longer_ms = 1_000 * (hash % NO_SPACE_RETRY_DELAY_COUNT);
     Response::Busy { retry_after_ms: NO_SPACE_RETRY_DELAY + DurationMs::new(longer_ms) }
 }
 
