--- a/crates/yuccatack_replication/src/state/follower.rs
+++ b/crates/yuccatack_replication/src/state/follower.rs
@@ -67,6 +67,7 @@
             }
             memberships_changed |= matches!(entry.payload, EntryPayload::Membership(_));
             self.log.push(entry.clone());
+            self.stored_log_bytes += entry.size_bytes() as u64;
             added.push(entry);
         }
         if memberships_changed {
@@ -109,7 +110,7 @@
         if commit <= self.log.last().index {
             self.advance_commit_to(commit);
         }
-        let body = MessageBody::HeartbeatResponse { round };
+        let body = MessageBody::HeartbeatResponse { round, disk_full: self.disk_full };
         self.send_after_hard_state(from, incarnation, body);
     }
 
--- a/crates/yuccatack_replication/src/state/leader.rs
+++ b/crates/yuccatack_replication/src/state/leader.rs
@@ -5,9 +5,13 @@
 use bytes::Bytes;
 use yuccatack_core::{Incarnation, TimestampMs};
 
+use super::handover::OwnLag;
 use super::membership_change::ActiveChange;
-use super::progress::{Progress, ReplicationMode, SnapshotTransfer, WINDOW_ENTRY_COUNT};
+use super::progress::{
+    Progress, ReplicationMode, SnapshotTransfer, WINDOW_BYTES, WINDOW_ENTRY_COUNT,
+};
 use super::reads::ReadQueue;
+use super::space::SpaceShortage;
 use super::{Replica, Role};
 use crate::committed::{Committed, ProposalClass, ProposalFailure};
 use crate::error::ChangeError;
@@ -37,6 +41,9 @@
     pub reads: ReadQueue,
     pub change: Option<ActiveChange>,
     pub transfer: Option<LeadershipTransfer>,
+    pub own_lag: Option<OwnLag>,
+    /// Reason for which the last proposal was refused, if it was.
+    shortage: Option<SpaceShortage>,
 }
 
 impl LeaderState {
@@ -50,6 +57,8 @@
             reads: ReadQueue::default(),
             change: None,
             transfer: None,
+            own_lag: None,
+            shortage: None,
         }
     }
 }
@@ -68,6 +77,7 @@
             self.match_progress_to_membership();
         }
         self.log.push(entry.clone());
+        self.stored_log_bytes += entry.size_bytes() as u64;
         match self.operations.last_mut() {
             Some(PersistOperation::Append(entries)) => entries.push(entry),
             _ => self.operations.push(PersistOperation::Append(vec![entry])),
@@ -97,7 +107,7 @@
     pub(super) fn on_propose(
         &mut self,
         proposal: ProposalId,
-        _class: ProposalClass,
+        class: ProposalClass,
         payload: Bytes,
     ) {
         let accepts_proposals =
@@ -108,12 +118,39 @@
             self.outputs.committed.push(Committed::ProposalFailed { proposal, failure });
             return;
         }
+        let shortage = self.space_shortage(class, payload.len() as u64);
+        self.log_shortage(class, shortage);
+        if shortage.is_some() {
+            let failure = ProposalFailure::NoSpace;
+            self.outputs.committed.push(Committed::ProposalFailed { proposal, failure });
+            return;
+        }
         let index = self.append_as_leader(EntryPayload::Command(payload));
         if let Role::Leader(leader) = &mut self.role {
             leader.proposals.insert(index, proposal);
         }
     }
 
+    /// Logs that proposals that add to the state begin or cease to be refused.
+    fn log_shortage(&mut self, class: ProposalClass, shortage: Option<SpaceShortage>) {
+        let stored_log_bytes = self.stored_log_bytes;
+        let Role::Leader(leader) = &mut self.role else { return };
+        if class == ProposalClass::Essential || leader.shortage == shortage {
+            return;
+        }
+        leader.shortage = shortage;
+        match shortage {
+            Some(cause) => log::warn!(
+                event = "growth_refused", cause:? = cause, log_bytes = stored_log_bytes;
+                "refusing proposals that add to the state"
+            ),
+            None => log::info!(
+                event = "growth_accepted", log_bytes = stored_log_bytes;
+                "accepting proposals that add to the state again"
+            ),
+        }
+    }
+
     /// Reports all pending proposals, reads and membership changes as failed.
     pub(super) fn fail_pending(&mut self, state: LeaderState) {
         for proposal in state.proposals.into_values() {
@@ -297,7 +334,7 @@
         voters
             .filter_map(|replica| leader.progress.get(replica).map(|progress| (replica, progress)))
             .filter(|(_, progress)| responded_recently(progress))
-            .max_by_key(|(_, progress)| progress.matched)
+            .max_by_key(|(_, progress)| (!progress.disk_full, progress.matched))
             .map(|(replica, progress)| (*replica, progress.incarnation))
     }
 
@@ -354,7 +391,11 @@
         ReplicationMode::Probe { waiting } => *waiting = true,
         ReplicationMode::Stream => {
             let outstanding = progress.next.get() - progress.matched.next().get();
-            if progress.next > log.last().index || outstanding > WINDOW_ENTRY_COUNT {
+            let outstanding_bytes = log.bytes_between(progress.matched, previous);
+            if progress.next > log.last().index
+                || outstanding > WINDOW_ENTRY_COUNT
+                || outstanding_bytes > WINDOW_BYTES
+            {
                 return None;
             }
             if outstanding == 0 {
--- a/crates/yuccatack_replication/src/state/progress.rs
+++ b/crates/yuccatack_replication/src/state/progress.rs
@@ -9,6 +9,10 @@
 /// queues.
 pub(super) const WINDOW_ENTRY_COUNT: u64 = 8_192;
 
+/// Size of unacknowledged entries above which a member is sent no more. The member holds them in
+/// memory until they are on its disk.
+pub(super) const WINDOW_BYTES: u64 = 4 * 1024 * 1024;
+
 /// Replication mode of a member.
 #[derive(Debug)]
 pub(super) enum ReplicationMode {
@@ -48,6 +52,8 @@
     pub last_progress: TimestampMs,
     /// Newest confirmation round that the member responded to.
     pub round: u64,
+    /// `true` if the member has reported that its disk takes no more bytes.
+    pub disk_full: bool,
 }
 
 impl Progress {
@@ -60,6 +66,7 @@
             last_response: now,
             last_progress: now,
             round: 0,
+            disk_full: false,
         }
     }
 
