Propose one removal of ended jobs at a time

While disks hang, each interval would add another log entry with the same names. stored_bytes, shared_names and whole_path pass; no test covers the removal after its retention period of 10 minutes.

--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -538,7 +538,9 @@
             self.metrics.queues.set_agents(dispatcher.connected_count());
             self.agents.send_heartbeats(dispatcher.token());
         }
-        if self.dispatcher.is_some() && now.since(self.jobs_removed_at) >= self.job_removal_interval
+        if self.dispatcher.is_some()
+            && now.since(self.jobs_removed_at) >= self.job_removal_interval
+            && !self.is_removing_jobs()
         {
             self.jobs_removed_at = now;
             let expired = self.queue_state.expired_jobs(unix_now_ms());
@@ -554,6 +556,12 @@
         Ok(())
     }
 
+    /// Returns `true` while a removal is in flight. Another one would propose the same jobs again
+    /// while the disks do not respond.
+    fn is_removing_jobs(&self) -> bool {
+        self.proposals.values().any(|pending| matches!(pending, PendingProposal::Housekeeping))
+    }
+
     fn add_up_stored_bytes(&mut self, now: TimestampMs) {
         self.stored_bytes_at = now;
         let in_flight = self.proposals.values().map(|pending| match pending {
