--- a/crates/yuccatack_control/src/pending.rs
+++ b/crates/yuccatack_control/src/pending.rs
@@ -6,19 +6,23 @@
 use yuccatack_core::prelude::*;
 use yuccatack_records::ChangeOutcome;
 use yuccatack_replication::{ProposalFailure, ProposalId, ReadId};
-use yuccatack_requests::claims::ClaimOutcome;
+use yuccatack_requests::claims::{ClaimCommand, ClaimOutcome};
 
 use crate::error::CallError;
 use crate::message::{Query, QueryResponse, Reply};
 use crate::state::ControlOutcome;
 
+/// Delay after which the caller of a command that was refused for lack of space may try again. Space
+/// is freed by an operator, or within seconds by a compaction.
+const NO_SPACE_RETRY_DELAY: DurationMs = DurationMs::new(2_000);
+
 /// Origin of a proposal, with the port of the caller that waits for it.
 #[derive(Debug)]
 pub enum PendingProposal {
     /// A change by an operator.
-    Change(Reply<ChangeOutcome>),
+    Change(ChangeId, Reply<ChangeOutcome>),
     /// A claim or settlement by an entry.
-    Claim(Reply<ClaimOutcome>),
+    Claim(ClaimCommand, Reply<ClaimOutcome>),
     /// Decisions of the scheduler; no further ones are proposed until these are applied.
     Schedule,
     /// Reports of workers, for which no caller waits.
@@ -69,16 +73,21 @@
         self.proposals.values().any(|(_, waiting)| matches!(waiting, PendingProposal::Schedule))
     }
 
+    /// Returns `true` if the proposal holds decisions of the scheduler.
+    pub fn is_schedule(&self, proposal: ProposalId) -> bool {
+        matches!(self.proposals.get(&proposal), Some((_, PendingProposal::Schedule)))
+    }
+
     /// Responds to the caller of an applied proposal. Returns the time since it was proposed, or
     /// `None` if it is not pending here.
     pub fn complete(&mut self, proposal: ProposalId, outcome: ControlOutcome) -> Option<Duration> {
         let (proposed_at, waiting) = self.proposals.remove(&proposal)?;
         // An error means that the caller has stopped waiting; its resend finds the applied command.
         match (waiting, outcome) {
-            (PendingProposal::Change(reply), ControlOutcome::Change(outcome)) => {
+            (PendingProposal::Change(_, reply), ControlOutcome::Change(outcome)) => {
                 let _ = reply.send(Ok(outcome));
             }
-            (PendingProposal::Claim(reply), ControlOutcome::Claim(outcome)) => {
+            (PendingProposal::Claim(_, reply), ControlOutcome::Claim(outcome)) => {
                 let _ = reply.send(Ok(outcome));
             }
             (PendingProposal::Schedule | PendingProposal::Reports, ControlOutcome::Leases(_))
@@ -96,15 +105,24 @@
 
     /// Sends the error to the caller of a failed proposal.
     pub fn fail(&mut self, proposal: ProposalId, failure: ProposalFailure) {
+        let waiting = self.proposals.remove(&proposal).map(|(_, waiting)| waiting);
         let failure = match failure {
             ProposalFailure::NotLeader { leader_address } => not_leader(leader_address),
-            ProposalFailure::NoSpace | ProposalFailure::Unknown => CallError::Unknown,
+            ProposalFailure::NoSpace => {
+                waiting.as_ref().inspect(|waiting| log_refused(waiting));
+                // The same command may be in flight for an earlier call and take effect.
+                match waiting.as_ref().is_some_and(|waiting| self.is_in_flight(waiting)) {
+                    true => CallError::Unknown,
+                    false => CallError::NoSpace { retry_after_ms: NO_SPACE_RETRY_DELAY },
+                }
+            }
+            ProposalFailure::Unknown => CallError::Unknown,
         };
-        match self.proposals.remove(&proposal).map(|(_, waiting)| waiting) {
-            Some(PendingProposal::Change(reply)) => {
+        match waiting {
+            Some(PendingProposal::Change(_, reply)) => {
                 let _ = reply.send(Err(failure));
             }
-            Some(PendingProposal::Claim(reply)) => {
+            Some(PendingProposal::Claim(_, reply)) => {
                 let _ = reply.send(Err(failure));
             }
             Some(
@@ -119,12 +137,38 @@
         self.reads.remove(&read)
     }
 
+    /// Returns `true` while another call with the command of `waiting` is pending.
+    fn is_in_flight(&self, waiting: &PendingProposal) -> bool {
+        self.proposals.values().any(|(_, other)| match (waiting, other) {
+            (PendingProposal::Change(id, _), PendingProposal::Change(other, _)) => id == other,
+            (PendingProposal::Claim(command, _), PendingProposal::Claim(other, _)) => {
+                command == other
+            }
+            _ => false,
+        })
+    }
+
     fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
     }
 }
 
+/// Logs that the replicated log refused a proposal for lack of space, so that nothing was stored.
+fn log_refused(waiting: &PendingProposal) {
+    let proposal = match waiting {
+        PendingProposal::Change(..) => "change",
+        PendingProposal::Claim(..) => "claim",
+        PendingProposal::Schedule | PendingProposal::Reports => "lease_commands",
+        PendingProposal::Retention => "removal",
+    };
+    log::warn!(
+        event = "proposal_refused", proposal = proposal, cause = "no_space";
+        "the {proposal} was not stored: the disks of a quorum are full or nearly full, or too much \
+         waits to be written to them"
+    );
+}
+
 /// Returns the error that refers the caller to the leader.
 pub fn not_leader(leader_address: Option<SocketAddr>) -> CallError {
     CallError::NotLeader { leader_address }
--- a/crates/yuccatack_control/src/state.rs
+++ b/crates/yuccatack_control/src/state.rs
@@ -6,6 +6,7 @@
 use yuccatack_records::{
     Change, ChangeOutcome, Operation, Record, RecordStore, Refusal, RefusalKind, ValidatedChange,
 };
+use yuccatack_replication::ProposalClass;
 use yuccatack_requests::claims::{ClaimCommand, ClaimLimits, ClaimOutcome, ClaimTable};
 
 use crate::specs;
@@ -78,6 +79,28 @@
         &self.claims
     }
 
+    /// Returns the class by which the replicated log refuses the command while disks are full.
+    pub fn class_of(&self, command: &ControlCommand) -> ProposalClass {
+        match command {
+            // A resent change gets its first outcome again and adds nothing.
+            ControlCommand::Change { change, .. }
+                if self.records.change(&change.change_id).is_some() =>
+            {
+                ProposalClass::Essential
+            }
+            ControlCommand::Change { change, .. } => match change.operation {
+                Operation::Submit | Operation::Change => ProposalClass::Growth,
+                Operation::Withdraw => ProposalClass::Essential,
+            },
+            ControlCommand::Claim { command, .. } => match command {
+                ClaimCommand::Claim { .. } => ProposalClass::Growth,
+                ClaimCommand::Settle { .. } => ProposalClass::Essential,
+            },
+            // Reports of workers and decisions about jobs that are stored already.
+            ControlCommand::Leases { .. } => ProposalClass::Essential,
+        }
+    }
+
     /// Applies one command and returns its result.
     pub fn apply(&mut self, command: ControlCommand) -> ControlOutcome {
         match command {
