Sync what a replica recovers before it confirms it

A process that was killed between a write and its sync found the written entries and the vote in its files after its restart and took them for durable. It acknowledged such an entry at once when the leader sent it again, since there was nothing left to write, and repeated such a vote. A loss of power then undid an acknowledged job or configuration, or let the replica vote twice in a term.

--- a/crates/yuccatack_storage/src/folder.rs
+++ b/crates/yuccatack_storage/src/folder.rs
@@ -148,6 +148,20 @@
         self.remember_failure(self.reserve.refill())
     }
 
+    /// Syncs all data files and the names in the folder.
+    pub(crate) fn sync_files(&self) -> Result<(), StorageError> {
+        self.run_unless_failed(|| {
+            for path in DATA_FILES.map(|name| self.path.join(name)) {
+                if path.exists() {
+                    let opened = self.file_system.open_for_append(&path);
+                    let mut file = opened.map_err(|source| StorageError::from_io(&path, source))?;
+                    file.sync().map_err(|source| StorageError::from_sync(&path, source))?;
+                }
+            }
+            sync_folder(&self.path)
+        })
+    }
+
     /// Returns the file system on which the folder's files are written.
     pub(crate) fn file_system(&self) -> &dyn FileSystem {
         self.file_system.as_ref()
--- a/crates/yuccatack_storage/src/lib.rs
+++ b/crates/yuccatack_storage/src/lib.rs
@@ -1,7 +1,7 @@
 //! Durable storage of a replica in its data folder: log, snapshot and hard state, with checksums.
 //!
 //! [`DataFolder::open`] locks the folder and checks that it belongs to this replica.
-//! [`Store::open`] then recovers all synced data. After a failed write or sync, all stores of the
+//! [`Store::open`] then recovers what is on disk and syncs it. After a failed write or sync, all stores of the
 //! folder refuse further operations, because the content of the page cache may differ from that of
 //! the disk. A full disk is the exception: the operation is undone and can be tried again.
 
--- a/crates/yuccatack_storage/src/store.rs
+++ b/crates/yuccatack_storage/src/store.rs
@@ -31,7 +31,8 @@
 }
 
 impl Store {
-    /// Opens the files of `folder` and checks that no entry is missing between snapshot and log.
+    /// Opens the files of `folder`, checks that no entry is missing between snapshot and log, and
+    /// syncs what it has recovered.
     pub fn open(folder: &DataFolder) -> Result<(Self, Recovered), StorageError> {
         refuse_missing_log(folder)?;
         let (hard_state, recovered_state) = HardStateStore::open(folder)?;
@@ -65,6 +66,9 @@
             opened.entries.clear();
             log.rewrite(opened.base, &[])?;
         }
+        // A process that stopped between a write and its sync leaves content that a power loss would
+        // still undo, and what is recovered here counts as durable.
+        folder.sync_files()?;
         let store = Self { log, snapshots, hard_state };
         let recovered = Recovered {
             hard_state: recovered_state,
