Announce the loss of a leader also while a vote is being written

A replica with a hanging disk went on naming a dead leader to callers: it skipped the announcement together with the election. Found by reading, in a review; the tests of yuccatack_replication pass.

--- a/crates/yuccatack_replication/src/state/election.rs
+++ b/crates/yuccatack_replication/src/state/election.rs
@@ -28,14 +28,16 @@
 
     pub(super) fn on_election_timeout(&mut self) {
         self.reset_election_deadline();
-        // Another election would only queue one more vote behind the one that is being written.
-        let writes_vote = self.hard_state_sequence > self.synced_sequence;
-        if writes_vote || !self.may_start_election() {
+        if !self.may_start_election() {
             return;
         }
         if self.leader.is_some() {
             self.announce_leader(None);
         }
+        // Another election would only queue one more vote behind the one that is being written.
+        if self.hard_state_sequence > self.synced_sequence {
+            return;
+        }
         self.start_pre_vote();
     }
 
