Pause between attempts to hand the leadership over

A transfer that timed out was begun again in the same tick, and proposals are refused while one is in progress, so a leader whose disk lagged refused them without a break. Found by reading, in a review; the next attempt now waits for another election timeout.

--- a/crates/yuccatack_replication/src/state/handover.rs
+++ b/crates/yuccatack_replication/src/state/handover.rs
@@ -37,6 +37,8 @@
             "the disk of this leader does not take entries that a quorum holds; handing the \
              leadership over"
         );
+        // A transfer that fails is not repeated at once: proposals are refused while one goes on.
+        leader.own_lag = Some(OwnLag { index: commit, since: now });
         self.on_transfer_request();
     }
 }
