--- a/crates/yuccatack_replication/src/state/delivery.rs
+++ b/crates/yuccatack_replication/src/state/delivery.rs
@@ -71,9 +71,7 @@
     }
 
     fn request_snapshot(&mut self) {
-        let snapshot_index =
-            self.snapshot.as_ref().map_or(LogIndex::default(), |snapshot| snapshot.last.index);
-        let behind = self.delivered.get().saturating_sub(snapshot_index.get());
+        let behind = self.delivered.get().saturating_sub(self.snapshot_index().get());
         let is_due = behind >= self.settings.snapshot_entry_count || self.log_bytes_need_snapshot();
         if self.snapshot_requested_at.is_none() && is_due {
             self.snapshot_requested_at = Some(self.delivered);
--- a/crates/yuccatack_replication/src/state/leader.rs
+++ b/crates/yuccatack_replication/src/state/leader.rs
@@ -42,6 +42,8 @@
     pub change: Option<ActiveChange>,
     pub transfer: Option<LeadershipTransfer>,
     pub own_lag: Option<OwnLag>,
+    /// Size of the log file when the disks of a quorum became full; `None` while they have space.
+    pub full_from_log_bytes: Option<u64>,
     /// Reason for which the last proposal was refused, if it was.
     shortage: Option<SpaceShortage>,
 }
@@ -58,6 +60,7 @@
             change: None,
             transfer: None,
             own_lag: None,
+            full_from_log_bytes: None,
             shortage: None,
         }
     }
@@ -118,6 +121,7 @@
             self.outputs.committed.push(Committed::ProposalFailed { proposal, failure });
             return;
         }
+        self.note_full_disks();
         let shortage = self.space_shortage(class, payload.len() as u64);
         self.log_shortage(class, shortage);
         if shortage.is_some() {
@@ -334,7 +338,9 @@
         voters
             .filter_map(|replica| leader.progress.get(replica).map(|progress| (replica, progress)))
             .filter(|(_, progress)| responded_recently(progress))
-            .max_by_key(|(_, progress)| (!progress.disk_full, progress.matched))
+            .max_by_key(|(_, progress)| {
+                (progress.matched >= self.commit, !progress.disk_full, progress.matched)
+            })
             .map(|(replica, progress)| (*replica, progress.incarnation))
     }
 
--- a/crates/yuccatack_replication/src/state/snapshots.rs
+++ b/crates/yuccatack_replication/src/state/snapshots.rs
@@ -55,11 +55,14 @@
 }
 
 impl Replica {
+    /// Returns the index of the last entry that the newest snapshot includes; 0 for none.
+    pub(super) fn snapshot_index(&self) -> LogIndex {
+        self.snapshot.as_ref().map_or(LogIndex::default(), |snapshot| snapshot.last.index)
+    }
+
     pub(super) fn on_store_snapshot(&mut self, index: LogIndex, payload: Bytes) {
         self.snapshot_requested_at = None;
-        let last_held =
-            self.snapshot.as_ref().map_or(LogIndex::default(), |snapshot| snapshot.last.index);
-        if index <= last_held {
+        if index <= self.snapshot_index() {
             return;
         }
         assert!(index <= self.delivered, "snapshot at {index} includes undelivered entries");
--- a/crates/yuccatack_replication/tests/disk_space.rs
+++ b/crates/yuccatack_replication/tests/disk_space.rs
@@ -178,3 +178,24 @@
         }
     });
 }
+
+/// Guards against essential proposals that use up the reserves of full disks, which a vote needs.
+#[test]
+fn essential_proposals() {
+    for_each_seed(5, |seed| {
+        let (mut simulator, leader) = simulator_with_leader(seed, SMALL_DISK_BYTES);
+        let ids: Vec<ReplicaId> = simulator.nodes.keys().copied().collect();
+        for id in &ids {
+            // The reserve still takes every write.
+            simulator.input(*id, Input::DiskFull { full: true });
+        }
+        simulator.run_for(4 * HEARTBEAT_MS);
+        let acknowledged = simulator.history.acknowledged_count;
+        for _ in 0..100 {
+            propose_bytes(&mut simulator, leader, ProposalClass::Essential, 1_000);
+            simulator.run_for(50);
+        }
+        let accepted = simulator.history.acknowledged_count - acknowledged;
+        assert!((1..=5).contains(&accepted), "{accepted} proposals of 1 kB were accepted");
+    });
+}
