--- a/crates/yuccatack_replication/src/state/election.rs
+++ b/crates/yuccatack_replication/src/state/election.rs
@@ -35,7 +35,9 @@
             self.announce_leader(None);
         }
         // Another election would only queue one more vote behind the one that is being written.
-        if self.hard_state_sequence > self.synced_sequence {
+        let writes_own_vote = matches!(&self.role, Role::Candidate(tally)
+            if tally.own_vote_sequence > self.synced_sequence);
+        if writes_own_vote {
             return;
         }
         self.start_pre_vote();
--- a/crates/yuccatack_replication/tests/cluster_formation.rs
+++ b/crates/yuccatack_replication/tests/cluster_formation.rs
@@ -5,6 +5,7 @@
 
 use rand::RngExt;
 use simulation::seeds::for_each_seed;
+use simulation::simulator::ELECTION_TIMEOUT_MS;
 use simulation::{Simulator, SimulatorSettings};
 use yuccatack_replication::state::RoleView;
 use yuccatack_replication::{ClusterId, HardState, ReplicaId, Term};
@@ -107,3 +108,14 @@
         assert!(simulator.leader().is_some(), "{}", simulator.describe());
     });
 }
+
+/// Guards against a new group that waits for an election timeout, since its founder still writes the
+/// cluster when its election is due.
+#[test]
+fn first_leader() {
+    for_each_seed(20, |seed| {
+        let mut simulator = new_simulator(seed, 3);
+        simulator.run_for(ELECTION_TIMEOUT_MS);
+        assert!(simulator.leader().is_some(), "no leader after an election timeout");
+    });
+}
