--- a/crates/yuccatack_storage/src/file.rs
+++ b/crates/yuccatack_storage/src/file.rs
@@ -7,7 +7,7 @@
 
 use crate::error::StorageError;
 
-/// A file that is written from its start to its end.
+/// A file that is extended at its end, and cut off after an unfinished write.
 pub trait DurableFile: Send {
     /// Appends all of `bytes`; they are durable only after [`DurableFile::sync`].
     fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
