Serve reads of committed entries that the leader's own disk does not hold

The leader's disk was full first. An entry that the other disks still took was committed, but a replica delivered only what was on its own disk, so each read waited for it. The handover did not help: it was tried every 0.6 s, and no successor could catch up on a full disk.

A replica now delivers what is committed. The leadership is handed over only if a member holds the committed entries and has space.

--- a/crates/yuccatack_replication/src/state/delivery.rs
+++ b/crates/yuccatack_replication/src/state/delivery.rs
@@ -6,11 +6,10 @@
 use crate::replicated_log::EntryPayload;
 
 impl Replica {
-    /// Delivers the entries that are committed and on the own disk.
+    /// Delivers the committed entries. A quorum holds them, so they need not be on the own disk yet.
     pub(super) fn deliver(&mut self) {
         self.deliver_snapshot();
-        let last = self.commit.min(self.synced_index);
-        while self.delivered < last {
+        while self.delivered < self.commit {
             if !self.deliver_entry(self.delivered.next()) {
                 break;
             }
--- a/crates/yuccatack_replication/src/state/handover.rs
+++ b/crates/yuccatack_replication/src/state/handover.rs
@@ -14,7 +14,7 @@
 
 impl Replica {
     /// Hands the leadership over if entries that a quorum holds are not on the own disk for longer
-    /// than an election timeout. The leader delivers nothing that is not on its own disk.
+    /// than an election timeout. They would pile up in memory.
     pub(super) fn hand_over_if_disk_lags(&mut self) {
         let (commit, synced, now) = (self.commit, self.synced_index, self.now);
         let timeout = self.settings.election_timeout;
@@ -30,6 +30,14 @@
         if now.since(lag.since) <= timeout || leader.transfer.is_some() {
             return;
         }
+        // A successor needs the committed entries and space for its own.
+        let has_successor = leader
+            .progress
+            .values()
+            .any(|progress| progress.matched >= commit && !progress.disk_full);
+        if !has_successor {
+            return;
+        }
         log::warn!(
             event = "leadership_handed_over", replica = self.settings.replica.get(),
             term = self.hard_state.term.get(), committed = commit.get(), synced = synced.get(),
--- a/crates/yuccatack_replication/tests/disk_space.rs
+++ b/crates/yuccatack_replication/tests/disk_space.rs
@@ -100,6 +100,27 @@
     });
 }
 
+/// Guards against reads that wait for the own disk of a leader: an entry that the other disks took
+/// before they were full as well was committed, but not delivered.
+#[test]
+fn leader_full_first() {
+    for_each_seed(20, |seed| {
+        let (mut simulator, leader) = simulator_with_leader(seed, 1 << 30);
+        simulator.stall_disk(leader, true, true);
+        simulator.propose(leader);
+        simulator.run_for(HEARTBEAT_MS);
+        let reads = simulator.history.read_count;
+        stall_all(&mut simulator, true);
+        simulator.propose(leader);
+        for _ in 0..20 {
+            simulator.read(leader);
+            simulator.run_for(200);
+        }
+        assert_eq!(simulator.leader(), Some(leader), "the leader changed");
+        assert_eq!(simulator.history.read_count, reads + 20, "a read was not served");
+    });
+}
+
 /// Guards against a log that grows without bound in bytes, on a disk and in the memory of a leader
 /// and of a member that falls behind.
 #[test]
