--- a/crates/yuccatack_replication/src/state/leader.rs
+++ b/crates/yuccatack_replication/src/state/leader.rs
@@ -329,6 +329,7 @@
     }
 
     /// Returns the other voter with the longest matching log among those that responded recently.
+    /// Voters that hold all committed entries come first, and among them those whose disk has space.
     fn most_up_to_date_voter(&self) -> Option<(ReplicaId, Incarnation)> {
         let Role::Leader(leader) = &self.role else { return None };
         let responded_recently = |progress: &Progress| {
