--- a/crates/yuccatack_replication/tests/disk_space.rs
+++ b/crates/yuccatack_replication/tests/disk_space.rs
@@ -8,7 +8,9 @@
 use simulation::simulator::{ELECTION_TIMEOUT_MS, HEARTBEAT_MS};
 use simulation::{Simulator, SimulatorSettings};
 use yuccatack_replication::state::Input;
-use yuccatack_replication::{ProposalClass, ProposalId, ReplicaId};
+use yuccatack_replication::{
+    EntryPayload, LogEntry, LogPosition, ProposalClass, ProposalId, ReplicaId, StateSnapshot,
+};
 
 /// Time in which a leader hands over and its successor commits an entry: the lag is noticed after an
 /// election timeout, and an election takes no longer than another one.
@@ -188,8 +190,17 @@
         }
         let ids: Vec<ReplicaId> = simulator.nodes.keys().copied().collect();
         simulator.disk_capacity_bytes = SMALL_DISK_BYTES;
+        simulator.run_for(1_000);
         for id in ids {
+            let membership = simulator.process(id).unwrap().replica.membership().clone();
             simulator.kill(id);
+            let disk = &mut simulator.nodes.get_mut(&id).unwrap().disk;
+            let is_command = |entry: &&LogEntry| matches!(entry.payload, EntryPayload::Command(_));
+            let command_count = disk.entries.iter().filter(is_command).count() as u64;
+            let entry = disk.entries.last().unwrap();
+            let last = LogPosition { index: entry.index, term: entry.term };
+            let payload = Bytes::copy_from_slice(&command_count.to_le_bytes());
+            disk.snapshot = Some(StateSnapshot { last, membership, payload });
             simulator.start(id);
         }
         simulator.run_for(3_000);
