--- a/review/stand_ins_2/cases/mod.rs
+++ b/review/stand_ins_2/cases/mod.rs
@@ -1,7 +1,6 @@
 //! Cases of the review, and what they share.
 
 mod dropped_queue;
-mod frozen_side;
 mod late_departure;
 mod planned_replacement;
 mod silent_channels;
@@ -56,7 +55,6 @@
         "late-departure" => Some(late_departure::run),
         "dropped-queue" => Some(dropped_queue::run),
         "silent-channels" => Some(silent_channels::run),
-        "frozen-side" => Some(frozen_side::run),
         _ => None,
     }
 }
--- a/review/stand_ins_2/deployment.rs
+++ b/review/stand_ins_2/deployment.rs
@@ -42,8 +42,6 @@
 
 const SIGKILL: u64 = 9;
 const SIGTERM: i32 = 15;
-pub const SIGSTOP: i32 = 19;
-pub const SIGCONT: i32 = 18;
 
 struct Process {
     name: String,
@@ -223,7 +221,7 @@
     }
 
     /// Sends a signal to a process that this deployment has started.
-    pub fn signal(&self, name: &str, signal: i32) {
+    fn signal(&self, name: &str, signal: i32) {
         let processes = self.processes.lock().unwrap();
         if let Some(process) = processes.iter().find(|process| process.name == name) {
             self.record.line(&format!("signal {signal} to {name}"));
@@ -232,10 +230,6 @@
         }
     }
 
-    pub fn agent_name(index: usize) -> String {
-        format!("agent-{}", Self::side_machine(index))
-    }
-
     /// Kills all processes. Keeps their logs if `KEEP_LOGS` names a folder.
     pub fn end(&self) {
         for process in self.processes.lock().unwrap().iter_mut() {
