Tie jobs to the address of their queue

A cancel of the new job would cancel the old one.

Cause: a job held only the name of its queue. So that renamed queues keep their jobs, a job whose queue was gone was found from every queue. A queue that took over the name of another one answered for its jobs.

Change: a submission stores host, path prefix and the name that the caller chose, and a job is found by these. Jobs of earlier versions get the address while the configuration that holds it is replaced. The same rule holds for the count of waiting jobs, for submissions in flight, and for jobs under derived names.

Existing tests got the new field; the estimate of stored_bytes now also has to cover an origin.

--- a/crates/yuccatack_dispatch/tests/job_admission.rs
+++ b/crates/yuccatack_dispatch/tests/job_admission.rs
@@ -24,6 +24,7 @@
         stretch: 3.0,
         allowance_ms: DurationMs::new(1_000),
         accepted_at_unix_ms: 0,
+        origin: None,
         spec: JobSpec { payload: "payload".into(), steps: vec![step], schedule: None },
     }
 }
--- a/crates/yuccatack_dispatch/tests/simulated_days/jobs.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/jobs.rs
@@ -75,6 +75,7 @@
         stretch: if priority == 0 { 1.5 } else { 3.0 },
         allowance_ms: DurationMs::new([250, 1_000, 3_000][priority as usize]),
         accepted_at_unix_ms: now.get(),
+        origin: None,
         spec: JobSpec { payload: Arc::from("payload"), steps, schedule: None },
     };
     SubmittedJob { submission, run_time_ms, hopeless }
--- a/crates/yuccatack_dispatch/tests/support/mod.rs
+++ b/crates/yuccatack_dispatch/tests/support/mod.rs
@@ -129,6 +129,7 @@
             stretch: 3.0,
             allowance_ms: DurationMs::new(1_000),
             accepted_at_unix_ms: self.now.get(),
+            origin: None,
             spec: JobSpec { payload: Arc::from("payload"), steps: vec![step], schedule: None },
         });
     }
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -20,7 +20,7 @@
     CallSubject, NewJob, Plan, no_free_name, no_space, plan, response_for, too_many_stored_bytes,
 };
 use crate::command::Command;
-use crate::job_names::{free_name, is_stored};
+use crate::job_names::{free_name, is_same_job, is_stored};
 use crate::message::{ControlMessage, JoinRequest};
 use crate::observe::{
     log_after_apply, log_before_apply, log_derived_name, log_refusal, log_refused_proposal,
@@ -413,7 +413,7 @@
     fn is_being_stored(&self, job: &NewJob) -> bool {
         self.proposals.values().any(|pending| match pending {
             PendingProposal::Submission(other, _) => {
-                other.called == job.called && other.submission.queue == job.submission.queue
+                is_same_job(&self.queue_state, &other.submission, &job.submission)
             }
             _ => false,
         })
--- a/crates/yuccatack_queue_control/src/calls.rs
+++ b/crates/yuccatack_queue_control/src/calls.rs
@@ -9,7 +9,7 @@
 use yuccatack_runs::{CancelOutcome, JobSpec, JobSubmission};
 
 use crate::command::Command;
-use crate::job_names::{find_job, free_name};
+use crate::job_names::{find_job, free_name, is_of_queue, job_origin};
 use crate::state::{Applied, ENDED_JOB_RETENTION, QueueState};
 
 /// Maximum number of stored jobs. A stored job takes some kilobytes, and the control process has a
@@ -159,6 +159,7 @@
         stretch: queue.stretch,
         allowance_ms: queue.allowance_ms,
         accepted_at_unix_ms: now_unix_ms,
+        origin: Some(job_origin(queue, Some(name.clone()))),
         spec,
     };
     Plan::Submit(Box::new(NewJob { called: name, submission }))
@@ -198,7 +199,8 @@
         Err(refusal) => return Response::Denied(refusal),
     };
     if access.remainder.is_empty() {
-        let count = state.jobs.waiting_count(&access.queue.name);
+        let is_in_queue = |submission: &JobSubmission| is_of_queue(submission, access.queue);
+        let count = state.jobs.waiting_count(is_in_queue);
         return Response::Waiting(u64::try_from(count).unwrap_or(u64::MAX));
     }
     let name = JobName::new(access.remainder).ok();
--- a/crates/yuccatack_queue_control/src/state.rs
+++ b/crates/yuccatack_queue_control/src/state.rs
@@ -7,6 +7,7 @@
 use yuccatack_runs::{CancelOutcome, JobTable, SubmitOutcome};
 
 use crate::command::Command;
+use crate::job_names::job_origin;
 
 /// Time for which an ended job can still be read. The platform requires two minutes.
 pub(crate) const ENDED_JOB_RETENTION: DurationMs = DurationMs::new(10 * 60 * 1000);
@@ -38,6 +39,9 @@
                 Applied::Cancelled(self.jobs.cancel(&name, now_unix_ms))
             }
             Command::Configure(configuration) => {
+                if configuration.version > self.configuration.version() {
+                    self.add_missing_origins();
+                }
                 Applied::Configured(self.configuration.accept(configuration))
             }
             Command::Change { changes, now_unix_ms } => {
@@ -53,6 +57,15 @@
         }
     }
 
+    /// Records where the jobs of earlier versions were submitted, while the configuration in force
+    /// tells the addresses of their queues.
+    fn add_missing_origins(&mut self) {
+        let configuration = &self.configuration;
+        self.jobs.add_missing_origins(|submission| {
+            configuration.queue(&submission.queue).map(|queue| job_origin(queue, None))
+        });
+    }
+
     fn apply_change(&mut self, change: TableChange, now_unix_ms: u64) {
         match change {
             TableChange::Begin(group) => {
--- a/crates/yuccatack_queue_control/src/stored_bytes.rs
+++ b/crates/yuccatack_queue_control/src/stored_bytes.rs
@@ -11,7 +11,7 @@
 const STORED_DISK_PART: u64 = 4;
 
 /// Fixed-size fields of a job. Snapshots contain the names of all fields.
-const JOB_BYTES: u64 = 320;
+const JOB_BYTES: u64 = 368;
 
 /// Fixed-size fields of a step.
 const STEP_BYTES: u64 = 384;
@@ -41,11 +41,16 @@
 fn stored_bytes(submission: &JobSubmission, occurrence_count: usize) -> u64 {
     let steps = &submission.spec.steps;
     let organisation = submission.organisation.as_ref();
+    let origin = submission.origin.as_ref();
+    let called = origin.and_then(|origin| origin.name.as_ref());
     let texts = [
         submission.name.as_str(),
         submission.queue.as_str(),
         submission.service.as_str(),
         organisation.map_or("", |organisation| organisation.as_str()),
+        origin.map_or("", |origin| &origin.host),
+        origin.map_or("", |origin| &origin.path_prefix),
+        called.map_or("", |called| called.as_str()),
         &submission.spec.payload,
     ];
     let text_bytes = texts.iter().map(|text| text.len() as u64).sum::<u64>();
--- a/crates/yuccatack_queue_control/tests/stored_bytes.rs
+++ b/crates/yuccatack_queue_control/tests/stored_bytes.rs
@@ -14,7 +14,8 @@
 use yuccatack_queue_control::{job_bytes, stored_limit_bytes, submission_bytes};
 use yuccatack_replication::encode;
 use yuccatack_runs::{
-    Job, JobPhase, JobSpec, JobSubmission, Occurrence, StepProgress, StepSpec, TaskProgress,
+    Job, JobOrigin, JobPhase, JobSpec, JobSubmission, Occurrence, StepProgress, StepSpec,
+    TaskProgress,
 };
 
 /// Disk of which stored jobs may take 1 MB.
@@ -34,6 +35,11 @@
         stretch: 2.5,
         allowance_ms: DurationMs::new(60_000),
         accepted_at_unix_ms: 1_800_000_000_000,
+        origin: Some(JobOrigin {
+            host: Arc::from("host-of-the-queue.example"),
+            path_prefix: Arc::from("/prefix-of-the-queue/"),
+            name: Some(JobName::new("0123456789abcdef").unwrap()),
+        }),
         spec,
     }
 }
--- a/crates/yuccatack_queues/src/store.rs
+++ b/crates/yuccatack_queues/src/store.rs
@@ -93,6 +93,11 @@
         Ok(Access { queue, organisation, remainder: &path[queue.path_prefix.len()..] })
     }
 
+    /// Iterates over the queues of the configuration in force.
+    pub fn queues(&self) -> impl Iterator<Item = &Queue> {
+        self.current.iter().flat_map(|current| &current.queues)
+    }
+
     /// Returns the queue of this name.
     pub fn queue(&self, name: &QueueName) -> Option<&Queue> {
         self.current.as_deref()?.queues.iter().find(|queue| queue.name == *name)
--- a/crates/yuccatack_runs/src/command.rs
+++ b/crates/yuccatack_runs/src/command.rs
@@ -30,10 +30,28 @@
     pub allowance_ms: DurationMs,
     /// Unix time of acceptance, by the leader's clock.
     pub accepted_at_unix_ms: u64,
+    /// Call by which the job was submitted; `None` in records of versions that did not store it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<JobOrigin>,
     /// Steps and payload of the job, as the caller submitted them.
     pub spec: JobSpec,
 }
 
+/// Call by which a job was submitted, which identifies the job to its caller.
+///
+/// Callers address a queue by host and path prefix. Its name in the configuration may change, and
+/// another queue may have it later.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct JobOrigin {
+    /// Host name of the queue.
+    pub host: Arc<str>,
+    /// Path prefix of the queue.
+    pub path_prefix: Arc<str>,
+    /// Name that the caller chose; `None` in origins that were added to older records.
+    #[serde(default)]
+    pub name: Option<JobName>,
+}
+
 /// Outcome of a submission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum SubmitOutcome {
--- a/crates/yuccatack_runs/src/lib.rs
+++ b/crates/yuccatack_runs/src/lib.rs
@@ -11,7 +11,9 @@
 mod spec;
 mod table;
 
-pub use command::{CancelOutcome, JobSubmission, RunEnd, RunOutcome, RunStart, SubmitOutcome};
+pub use command::{
+    CancelOutcome, JobOrigin, JobSubmission, RunEnd, RunOutcome, RunStart, SubmitOutcome,
+};
 pub use identity::{ParseTaskIdError, RunId, TaskId, WorkerIncarnation};
 pub use job::{Job, JobPhase};
 pub use progress::{Checkpoint, Occurrence, StepProgress, TaskProgress};
--- a/crates/yuccatack_runs/src/table.rs
+++ b/crates/yuccatack_runs/src/table.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
-use yuccatack_core::{JobName, QueueName, Resources};
+use yuccatack_core::{JobName, Resources};
 
-use crate::command::{CancelOutcome, JobSubmission, RunEnd, RunStart, SubmitOutcome};
+use crate::command::{CancelOutcome, JobOrigin, JobSubmission, RunEnd, RunStart, SubmitOutcome};
 use crate::identity::{RunId, TaskId, WorkerIncarnation};
 use crate::job::{Job, JobPhase};
 
@@ -24,6 +24,9 @@
 #[serde(from = "StoredTable")]
 pub struct JobTable {
     jobs: BTreeMap<JobName, Job>,
+    /// Index of the stored names by the name that the caller chose, derived from `jobs`.
+    #[serde(skip)]
+    stored_names: BTreeMap<JobName, BTreeSet<JobName>>,
     #[serde(with = "pairs")]
     runs: BTreeMap<RunId, OpenRun>,
     /// Index of the open runs by incarnation, derived from `runs`.
@@ -36,7 +39,7 @@
     next_order: u64,
 }
 
-/// Serialized form of the table, without the derived index.
+/// Serialized form of the table, without the derived indexes.
 #[derive(Deserialize)]
 struct StoredTable {
     jobs: BTreeMap<JobName, Job>,
@@ -55,7 +58,13 @@
         for (run, open) in &runs {
             runs_by_incarnation.entry(open.incarnation.clone()).or_default().insert(run.clone());
         }
-        Self { jobs, runs, runs_by_incarnation, acknowledged_ends, next_order }
+        let mut stored_names: BTreeMap<JobName, BTreeSet<JobName>> = BTreeMap::new();
+        for submission in jobs.values().map(|job| &job.submission) {
+            if let Some(called) = called_name(submission) {
+                stored_names.entry(called.clone()).or_default().insert(submission.name.clone());
+            }
+        }
+        Self { jobs, stored_names, runs, runs_by_incarnation, acknowledged_ends, next_order }
     }
 }
 
@@ -67,6 +76,9 @@
         }
         self.next_order += 1;
         let name = submission.name.clone();
+        if let Some(called) = called_name(&submission) {
+            self.stored_names.entry(called.clone()).or_default().insert(name.clone());
+        }
         self.jobs.insert(name, Job::new(submission, self.next_order));
         SubmitOutcome::Accepted
     }
@@ -140,17 +152,46 @@
     pub fn remove_ended(&mut self, names: &[JobName]) {
         for name in names {
             let ended = self.jobs.get(name).is_some_and(|job| job.phase.is_final());
-            if ended && !self.runs.keys().any(|run| run.task.job == *name) {
-                self.jobs.remove(name);
+            if ended
+                && !self.runs.keys().any(|run| run.task.job == *name)
+                && let Some(job) = self.jobs.remove(name)
+            {
+                self.remove_stored_name(&job.submission);
+            }
+        }
+    }
+
+    fn remove_stored_name(&mut self, submission: &JobSubmission) {
+        let Some(called) = called_name(submission) else { return };
+        if let Some(names) = self.stored_names.get_mut(called) {
+            names.remove(&submission.name);
+            if names.is_empty() {
+                self.stored_names.remove(called);
             }
         }
     }
 
+    /// Adds origins to the jobs that lack one.
+    pub fn add_missing_origins<Find>(&mut self, find_origin: Find)
+    where
+        Find: Fn(&JobSubmission) -> Option<JobOrigin>,
+    {
+        for job in self.jobs.values_mut().filter(|job| job.submission.origin.is_none()) {
+            job.submission.origin = find_origin(&job.submission);
+        }
+    }
+
     /// Returns the job of this name.
     pub fn job(&self, name: &JobName) -> Option<&Job> {
         self.jobs.get(name)
     }
 
+    /// Iterates over the jobs that callers submitted under `name`, as far as their records tell.
+    pub fn jobs_called(&self, name: &JobName) -> impl Iterator<Item = &Job> {
+        let stored_names = self.stored_names.get(name).into_iter().flatten();
+        stored_names.filter_map(|stored_name| self.jobs.get(stored_name))
+    }
+
     /// Iterates over all jobs, in the order of their names.
     pub fn jobs(&self) -> impl Iterator<Item = &Job> {
         self.jobs.values()
@@ -181,13 +222,20 @@
         self.acknowledged_ends.get(incarnation).copied().unwrap_or(0)
     }
 
-    /// Returns the number of jobs of a queue that wait to begin their work.
-    pub fn waiting_count(&self, queue: &QueueName) -> usize {
-        let waits_in_queue = |job: &&Job| job.submission.queue == *queue && job.is_waiting();
-        self.jobs.values().filter(waits_in_queue).count()
+    /// Returns the number of jobs that wait to begin their work, among those that `selects` selects.
+    pub fn waiting_count<Select>(&self, selects: Select) -> usize
+    where
+        Select: Fn(&JobSubmission) -> bool,
+    {
+        self.jobs.values().filter(|job| selects(&job.submission) && job.is_waiting()).count()
     }
 }
 
+/// Returns the name that the caller of a job chose; `None` if the record does not tell.
+fn called_name(submission: &JobSubmission) -> Option<&JobName> {
+    submission.origin.as_ref()?.name.as_ref()
+}
+
 /// Serialization of maps with composite keys as lists of pairs.
 mod pairs {
     use std::collections::BTreeMap;
--- a/crates/yuccatack_runs/tests/job_progress.rs
+++ b/crates/yuccatack_runs/tests/job_progress.rs
@@ -28,6 +28,7 @@
         stretch: 1.0,
         allowance_ms: DurationMs::ZERO,
         accepted_at_unix_ms: NOW_UNIX_MS,
+        origin: None,
         spec: JobSpec { payload: Arc::from("payload"), steps, schedule },
     }
 }
@@ -208,13 +209,14 @@
 #[test]
 fn waiting_until_begun() {
     let queue = QueueName::new("queue").unwrap();
+    let in_queue = |submission: &JobSubmission| submission.queue == queue;
     let mut table = table(vec![step(1, false, &[])]);
-    assert_eq!(table.waiting_count(&queue), 1);
+    assert_eq!(table.waiting_count(in_queue), 1);
     table.begin(&[start(run(0, 0, 1))]);
-    assert_eq!(table.waiting_count(&queue), 0);
+    assert_eq!(table.waiting_count(in_queue), 0);
     table.end(end(run(0, 0, 1), RunOutcome::NeverBegan), NOW_UNIX_MS);
     assert_eq!(
-        table.waiting_count(&queue),
+        table.waiting_count(in_queue),
         1,
         "a job whose run never began no longer counts as waiting"
     );
