Stop runs that the job table does not hold

Cause: orders follow from the open runs of the table only. A run that the table had ended and the worker went on with was never stopped, and its lease was renewed with those of the others.

Change: the leader remembers which executing runs of the latest observation the table does not hold for that incarnation, and orders their stop, again after the usual interval. It waits until a read has confirmed its leadership, since its table may lack commands of earlier leaders before.

--- a/crates/yuccatack_dispatch/src/observation.rs
+++ b/crates/yuccatack_dispatch/src/observation.rs
@@ -33,6 +33,12 @@
         session.record_reading(ClockReading { clock_ms: observation.clock_ms, received_at: now });
         let mut changes = record_ends(session, &observation, table, now, &mut self.run_times);
         changes.extend(update_order_states(session, &observation, table));
+        let is_held = |run: &RunId| {
+            let open = table.open_runs().get(run);
+            open.is_some_and(|open| open.incarnation == observation.incarnation)
+        };
+        let running = observation.running.iter().map(|row| &row.run);
+        session.set_unheld_runs(running.filter(|run| !is_held(run)).cloned());
         let stalled = session.health.on_running(&observation.running, observation.clock_ms);
         for (run, unchanged_ms) in stalled {
             self.on_unchanged_run(node, run, unchanged_ms, table, now);
--- a/crates/yuccatack_dispatch/src/reconcile.rs
+++ b/crates/yuccatack_dispatch/src/reconcile.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use yuccatack_core::{DurationMs, FastHashMap, FastHashSet, JobName, NodeName, TimestampMs};
-use yuccatack_runs::{JobTable, RunId};
+use yuccatack_runs::{JobTable, RunId, WorkerIncarnation};
 
 use crate::protocol::{Orders, StartOrder};
 use crate::session::{OrderState, Session};
@@ -86,6 +86,7 @@
                 }
             }
         }
+        stops.extend(self.unheld_stops(session, &incarnation));
         let renews_lease = lease_until_clock_ms.is_some();
         if !renews_lease && !has_new_acknowledgement && starts.is_empty() && stops.is_empty() {
             return None;
@@ -101,6 +102,32 @@
         })
     }
 
+    /// Returns the stops that are due for executing runs that the table does not hold: the table has
+    /// taken them for lost, and their tasks may begin elsewhere.
+    fn unheld_stops(&self, session: &mut Session, incarnation: &WorkerIncarnation) -> Vec<RunId> {
+        // Until the leadership is confirmed, the table may lack commands of earlier leaders.
+        if session.confirmed_reading.is_none() {
+            return Vec::new();
+        }
+        let mut stops = Vec::new();
+        for (run, sent_at) in &mut session.unheld_runs {
+            let is_due = sent_at.is_none_or(|at| self.now.since(at) > self.stop_resend_interval());
+            let is_held = || {
+                let open = self.table.open_runs().get(run);
+                open.is_some_and(|open| open.incarnation == *incarnation)
+            };
+            if is_due && !is_held() {
+                log::warn!(
+                    event = "unheld_run", run:% = run, life:% = incarnation;
+                    "the worker executes a run that has ended by the job table; stopping it"
+                );
+                *sent_at = Some(self.now);
+                stops.push(run.clone());
+            }
+        }
+        stops
+    }
+
     fn stop_resend_interval(&self) -> DurationMs {
         self.settings.stop_timeout_ms + STOP_RESEND_MARGIN_MS
     }
--- a/crates/yuccatack_dispatch/src/session.rs
+++ b/crates/yuccatack_dispatch/src/session.rs
@@ -51,6 +51,9 @@
     pub sent_acknowledged_end: u64,
     /// Order state of each run of the worker.
     pub orders: FastHashMap<RunId, OrderState>,
+    /// Runs that the latest observation lists as executing but the table does not hold for the
+    /// worker, with the time at which their stop was sent.
+    pub unheld_runs: FastHashMap<RunId, Option<TimestampMs>>,
     pub health: Health,
 }
 
@@ -88,6 +91,16 @@
         }
     }
 
+    /// Replaces the executing runs that the table does not hold, and keeps when they were stopped.
+    pub fn set_unheld_runs<Runs>(&mut self, runs: Runs)
+    where
+        Runs: Iterator<Item = RunId>,
+    {
+        let earlier = std::mem::take(&mut self.unheld_runs);
+        self.unheld_runs =
+            runs.map(|run| (run.clone(), earlier.get(&run).copied().flatten())).collect();
+    }
+
     /// Discards the state of the previous incarnation, except for its health if it ended without an
     /// announcement.
     pub fn begin_incarnation(&mut self, state: WorkerState, now: TimestampMs) {
@@ -111,5 +124,6 @@
                 OrderState::Active { .. } | OrderState::Unknown { .. } => {}
             }
         }
+        self.unheld_runs.values_mut().for_each(|sent_at| *sent_at = None);
     }
 }
