Confirm by a poll that a worker has left

Cause: a departure without a start, as the platform sends it, was taken for one of whatever incarnation the agent knew under the name. The leader takes the runs of a worker that left for lost at once.

Change: such a departure makes the agent poll. The worker has left if its address refuses the connection or another incarnation answers. One that answers or is only silent is kept, and its lease decides. A later announcement that it is ready takes the departure back. A newer boot that has announced itself is not forgotten any more either.

--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -105,6 +105,8 @@
     sequence: u64,
     /// Last announcement of the current incarnation if it contradicts those before.
     contradiction: Option<WorkerState>,
+    /// `true` if a worker of the current one's name has announced that it leaves, without its start.
+    departure_announced: bool,
     /// Other incarnation, which replaces the current one once it has answered a poll.
     candidate: Option<Candidate>,
     /// `true` if the last poll was one of the candidate.
@@ -154,6 +156,7 @@
             worker: None,
             sequence: 0,
             contradiction: None,
+            departure_announced: false,
             candidate: None,
             candidate_polled_last: false,
             last_poll_failed: false,
@@ -350,25 +353,43 @@
     fn on_announcement(&mut self, announcement: Announcement) {
         match announcement {
             Announcement::Present { state, sequence } => self.on_present(state, sequence),
-            Announcement::Left { worker, started_at_unix_ms } => {
+            Announcement::Left { worker, started_at_unix_ms: Some(start) } => {
                 let leaves = |state: &WorkerState| {
-                    let WorkerIncarnation { worker: name, started_at_unix_ms: start, .. } =
-                        &state.incarnation;
-                    *name == worker && started_at_unix_ms.is_none_or(|leaving| leaving == *start)
+                    let incarnation = &state.incarnation;
+                    incarnation.worker == worker && incarnation.started_at_unix_ms == start
                 };
                 self.candidate.take_if(|candidate| leaves(&candidate.state));
-                if let Some(worker) = self.worker.take_if(|current| leaves(current)) {
+                if self.worker.as_ref().is_some_and(leaves) {
+                    self.end_incarnation();
+                }
+            }
+            Announcement::Left { worker, started_at_unix_ms: None } => {
+                let current = self.worker.as_ref().map(|state| &state.incarnation);
+                if let Some(incarnation) = current.filter(|current| current.worker == worker) {
+                    // The leader takes the runs of a worker that left for lost at once, so a poll
+                    // must show first that it is not a later incarnation of the name that runs.
                     log::info!(
-                        event = "worker_departed", life:% = worker.incarnation;
-                        "the worker shuts down and gets no more orders"
+                        event = "worker_departure_announced", life:% = incarnation;
+                        "a worker of this name leaves; polling whether it is this incarnation"
                     );
-                    self.reset_incarnation();
-                    self.report(AgentMessage::Left(worker.incarnation));
+                    self.departure_announced = true;
+                    self.next_poll_at = Instant::now();
                 }
             }
         }
     }
 
+    /// Reports that the current incarnation has ended.
+    fn end_incarnation(&mut self) {
+        let Some(worker) = self.worker.take() else { return };
+        log::info!(
+            event = "worker_departed", life:% = worker.incarnation;
+            "the worker shuts down and gets no more orders"
+        );
+        self.reset_incarnation();
+        self.report(AgentMessage::Left(worker.incarnation));
+    }
+
     fn on_present(&mut self, state: WorkerState, sequence: u64) {
         if self.is_current(&state.incarnation) {
             self.on_current_present(state, sequence);
@@ -399,6 +420,9 @@
             }
         }
         self.contradiction = None;
+        if sequence > self.sequence && !state.draining {
+            self.departure_announced = false;
+        }
         // A worker does not take back that it drains, so a late announcement of that counts. It
         // would be missed for good if an odd sequence number had been taken over.
         let begins_to_drain = state.draining && !worker.draining;
@@ -430,7 +454,7 @@
             {
                 self.begin_incarnation(state, sequence);
             }
-            PollResult::Failed => {
+            PollResult::Failed | PollResult::NotListening => {
                 self.candidate = Some(Candidate { state, sequence });
                 self.next_poll_at = Instant::now() + POLL_RETRY_DELAY;
             }
@@ -453,6 +477,7 @@
         self.clock = ClockCheck::default();
         self.orders = OrderTracker::default();
         self.contradiction = None;
+        self.departure_announced = false;
         self.last_poll_failed = false;
     }
 
@@ -529,9 +554,14 @@
                     }
                 }
             }
+            // The process has ended, as announced. A lack of a response would not show that.
+            PollResult::OtherIncarnation | PollResult::NotListening if self.departure_announced => {
+                self.end_incarnation();
+            }
             PollResult::Answered(_)
             | PollResult::AnsweredInPart(_)
             | PollResult::OtherIncarnation
+            | PollResult::NotListening
             | PollResult::Failed => {
                 if !self.last_poll_failed {
                     log::warn!(
--- a/crates/yuccatack_worker_agent/src/port.rs
+++ b/crates/yuccatack_worker_agent/src/port.rs
@@ -22,7 +22,8 @@
     Left {
         /// Name of the worker, which its incarnations may share.
         worker: WorkerName,
-        /// Start of the incarnation that leaves, if the worker sends it.
+        /// Start of the incarnation that leaves, if the worker sends it. Without it, the departure
+        /// may be a late one of an earlier incarnation.
         started_at_unix_ms: Option<u64>,
     },
 }
@@ -92,6 +93,8 @@
     OtherIncarnation,
     /// The worker refused the call or did not respond.
     Failed,
+    /// No process listens at the worker's address.
+    NotListening,
 }
 
 /// State of the worker's runs.
