Promote learners that respond, and replace lost voters before growing

What callers could see: after a lost voter the group tolerates one loss less than it should, for longer than it takes to bring a successor up.

Cause: the learner to promote was chosen whether it responds or not, and an attempt with one that has failed lasts until its time limit of ten election timeouts, by reading. And below its target size the group added a voter before it replaced one that is gone, so that the quorum rose with that voter missing.

Change: the leader's status names the learners that have not responded within an election timeout, and those are not promoted. A silent voter is replaced first.

Neither was seen in a deployment. The status in member_status got the new field.

--- a/crates/yuccatack_control/tests/member_status.rs
+++ b/crates/yuccatack_control/tests/member_status.rs
@@ -29,6 +29,7 @@
         voters_in_force: members(in_force),
         learners: BTreeMap::new(),
         silent_voters: BTreeSet::new(),
+        silent_learners: BTreeSet::new(),
         disk_full: false,
         log_bytes: 0,
         failure: None,
--- a/crates/yuccatack_queue_control/src/membership.rs
+++ b/crates/yuccatack_queue_control/src/membership.rs
@@ -27,6 +27,8 @@
     pub held_by_learners: BTreeMap<ReplicaId, LogIndex>,
     /// Voters that have not responded for a long time.
     pub silent_voters: BTreeSet<ReplicaId>,
+    /// Learners that do not respond at present.
+    pub silent_learners: BTreeSet<ReplicaId>,
     /// Replicas that requested to join and are not members yet.
     pub joins: BTreeMap<ReplicaId, SocketAddr>,
     /// Number of voters that the group grows to.
@@ -49,6 +51,7 @@
             learners: learners.collect(),
             held_by_learners: held.collect(),
             silent_voters: status.silent_voters.clone(),
+            silent_learners: status.silent_learners.clone(),
             joins: joins.clone(),
             target_voter_count,
         }
@@ -83,19 +86,23 @@
     }
     // The learner that holds most of the log comes first, since one whose disk takes no writes would
     // hold up the others.
-    let mut learners: Vec<_> = view.learners.iter().collect();
+    let responds = |replica: &ReplicaId| !view.silent_learners.contains(replica);
+    let mut learners: Vec<_> =
+        view.learners.iter().filter(|(replica, _)| responds(replica)).collect();
     learners.sort_by_key(|(replica, _)| Reverse(view.held_by_learners.get(replica)));
     for (replica, address) in learners {
         let wiped_voter = MembershipView::member_at(&view.voters, *address);
         if wiped_voter.is_some() {
             return Some(MembershipChange::Promote { replica: *replica, replaces: wiped_voter });
         }
-        if view.voters.len() < view.target_voter_count {
-            return Some(MembershipChange::Promote { replica: *replica, replaces: None });
-        }
+        // A further voter beside one that is gone would raise the quorum, but not the number of
+        // voters that respond beyond it.
         if let Some(voter) = view.silent_voters.first() {
             return Some(MembershipChange::Promote { replica: *replica, replaces: Some(*voter) });
         }
+        if view.voters.len() < view.target_voter_count {
+            return Some(MembershipChange::Promote { replica: *replica, replaces: None });
+        }
     }
     None
 }
--- a/crates/yuccatack_queue_control/tests/member_changes.rs
+++ b/crates/yuccatack_queue_control/tests/member_changes.rs
@@ -31,6 +31,7 @@
         silent_voters: unresponsive.iter().map(|number| id(*number)).collect::<BTreeSet<_>>(),
         joins: BTreeMap::new(),
         target_voter_count: 5,
+        ..MembershipView::default()
     }
 }
 
@@ -58,6 +59,25 @@
     assert_eq!(next_change(&stuck), Some(replace));
 }
 
+/// Guards against a voter that is not there: a learner that has failed is promoted, and a running one
+/// waits behind it.
+#[test]
+fn unavailable_learners_kept() {
+    let mut failed = view(&[1, 2, 3, 4, 5], &[6, 7], &[2]);
+    failed.silent_learners.insert(id(6));
+    let replace = MembershipChange::Promote { replica: id(7), replaces: Some(id(2)) };
+    assert_eq!(next_change(&failed), Some(replace));
+    failed.silent_learners.insert(id(7));
+    assert_eq!(next_change(&failed), None);
+}
+
+/// Guards against a group that grows beside a voter that is gone, and then needs one more of the others.
+#[test]
+fn replaced_before_growth() {
+    let replace = MembershipChange::Promote { replica: id(4), replaces: Some(id(1)) };
+    assert_eq!(next_change(&view(&[1, 2, 3], &[4], &[1])), Some(replace));
+}
+
 #[test]
 fn wiped_voter_replaced() {
     let mut wiped = view(&[1, 2, 3, 4, 5], &[], &[]);
--- a/crates/yuccatack_replication/src/handle.rs
+++ b/crates/yuccatack_replication/src/handle.rs
@@ -77,6 +77,9 @@
     /// Voters that have not responded for several election timeouts; empty unless this replica
     /// leads.
     pub silent_voters: BTreeSet<ReplicaId>,
+    /// Learners that have not responded within an election timeout; empty unless this replica
+    /// leads.
+    pub silent_learners: BTreeSet<ReplicaId>,
     /// `true` while the disk of this replica takes no more bytes.
     pub disk_full: bool,
     /// Size of the entries in the log file.
@@ -103,6 +106,7 @@
             voters_in_force: addresses(view.voters_in_force),
             learners: learners.collect(),
             silent_voters: view.silent_voters.clone(),
+            silent_learners: view.silent_learners.clone(),
             disk_full: view.disk_full,
             log_bytes: view.log_bytes,
             failure: None,
--- a/crates/yuccatack_replication/src/state/view.rs
+++ b/crates/yuccatack_replication/src/state/view.rs
@@ -56,6 +56,9 @@
     /// Voters that have not responded for several election timeouts; empty unless this replica
     /// leads.
     pub silent_voters: BTreeSet<ReplicaId>,
+    /// Learners that have not responded within an election timeout; empty unless this replica
+    /// leads.
+    pub silent_learners: BTreeSet<ReplicaId>,
 }
 
 /// Number of election timeouts without a response after which a voter is reported as silent. This
@@ -90,19 +93,32 @@
             ),
             matched,
             silent_voters: self.silent_voters(),
+            silent_learners: self.silent_learners(),
         }
     }
 
     fn silent_voters(&self) -> BTreeSet<ReplicaId> {
-        let Role::Leader(leader) = &self.role else { return BTreeSet::new() };
         let limit_ms = SILENCE_TIMEOUT_FACTOR * self.settings.election_timeout.get();
+        self.silent_members(&self.membership().voters, limit_ms)
+    }
+
+    fn silent_learners(&self) -> BTreeSet<ReplicaId> {
+        self.silent_members(&self.membership().learners, self.settings.election_timeout.get())
+    }
+
+    fn silent_members(
+        &self,
+        members: &BTreeMap<ReplicaId, Member>,
+        limit_ms: u64,
+    ) -> BTreeSet<ReplicaId> {
+        let Role::Leader(leader) = &self.role else { return BTreeSet::new() };
         let is_silent = |replica: &&ReplicaId| {
             leader
                 .progress
                 .get(replica)
                 .is_some_and(|progress| self.now.since(progress.last_response).get() > limit_ms)
         };
-        self.membership().voters.keys().filter(is_silent).copied().collect()
+        members.keys().filter(is_silent).copied().collect()
     }
 
     fn role_view(&self) -> RoleView {
