Hand the vote of a stopping replica over to a learner

Cause: a replica that stops handed over its leadership but kept its vote until it had been silent for 3 s, counted anew by each leader. Until then the group of three had a voter that was gone, and its successor did not vote, so that the next loss took the quorum.

Change: the replica announces its end to the leader, which promotes a learner in its place, and ends once that is committed or after 2.5 s. Without a learner it ends at once. Stopping members are not promoted. A replica that was elected again meanwhile hands over once more.

--- a/crates/yuccatack_queue_client/src/protocol.rs
+++ b/crates/yuccatack_queue_client/src/protocol.rs
@@ -43,6 +43,12 @@
     },
     /// Checks that a leader responds.
     Ping,
+    /// Announces that a member of the replication group stops, so that another one votes in its
+    /// place. Repeated until the response shows that the replica may stop.
+    Leave {
+        /// ID of the member that stops.
+        replica_id: u64,
+    },
 }
 
 impl Request {
@@ -51,7 +57,8 @@
     pub const fn has_effects(&self) -> bool {
         match self {
             Self::Submit(..) | Self::Cancel(_) | Self::Configure(_) | Self::Join { .. } => true,
-            Self::Read(_) | Self::ReadConfiguration | Self::Ping => false,
+            // A repeated announcement has the effect of a single one.
+            Self::Read(_) | Self::ReadConfiguration | Self::Ping | Self::Leave { .. } => false,
         }
     }
 }
@@ -75,6 +82,8 @@
     Joined,
     /// Response to a ping, which only a leader sends.
     Pong,
+    /// Progress of the replacement of a member that stops.
+    Leaving(LeaveProgress),
     /// The caller has no access to the queue.
     Denied(AccessError),
     /// No job of this name is stored.
@@ -92,6 +101,17 @@
     Unknown,
 }
 
+/// Progress of the replacement of a member that stops.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum LeaveProgress {
+    /// The replica does not vote, so its end leaves the group as it is.
+    Complete,
+    /// A learner is being promoted in its place.
+    Replacing,
+    /// No learner can take its place, so it keeps its vote.
+    NoSuccessor,
+}
+
 /// Addresses at which to search for the leader.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LeaderHint {
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -21,7 +21,8 @@
 };
 use crate::command::Command;
 use crate::job_names::{free_name, is_same_job, is_stored};
-use crate::message::{ControlMessage, JoinRequest};
+use crate::membership::leave_progress;
+use crate::message::{ControlMessage, MemberRequest};
 use crate::observe::{
     log_after_apply, log_before_apply, log_derived_name, log_refusal, log_refused_proposal,
     log_too_many_stored_bytes,
@@ -69,7 +70,7 @@
 pub(crate) struct ControlArguments {
     pub replication: ReplicationHandle,
     pub settings: DispatchSettings,
-    pub joins: mpsc::Sender<JoinRequest>,
+    pub member_requests: mpsc::Sender<MemberRequest>,
     pub metrics: Metrics,
     /// Size of the disk that holds the data folder.
     pub disk_capacity_bytes: u64,
@@ -78,7 +79,7 @@
 pub(crate) struct ControlState {
     pub(crate) replication: ReplicationHandle,
     pub(crate) settings: DispatchSettings,
-    pub(crate) joins: mpsc::Sender<JoinRequest>,
+    pub(crate) member_requests: mpsc::Sender<MemberRequest>,
     pub(crate) metrics: Metrics,
     pub(crate) started_at: Instant,
     pub(crate) queue_state: QueueState,
@@ -126,12 +127,17 @@
         _myself: ActorRef<ControlMessage>,
         arguments: ControlArguments,
     ) -> Result<ControlState, ActorProcessingErr> {
-        let ControlArguments { replication, settings, joins, metrics, disk_capacity_bytes } =
-            arguments;
+        let ControlArguments {
+            replication,
+            settings,
+            member_requests,
+            metrics,
+            disk_capacity_bytes,
+        } = arguments;
         Ok(ControlState {
             replication,
             settings,
-            joins,
+            member_requests,
             metrics,
             started_at: Instant::now(),
             queue_state: QueueState::default(),
@@ -248,10 +254,18 @@
             respond(reply, Response::NotLeader(hint));
             return;
         }
-        if let Request::Join { replica_id, address } = request {
-            let join = JoinRequest { replica: ReplicaId::new(replica_id), address };
+        let member_request = match request {
+            Request::Join { replica_id, address } => {
+                Some(MemberRequest::Join { replica: ReplicaId::new(replica_id), address })
+            }
+            Request::Leave { replica_id } => {
+                Some(MemberRequest::Leave { replica: ReplicaId::new(replica_id) })
+            }
+            _ => None,
+        };
+        if let Some(member_request) = member_request {
             // A request that does not fit into the queue is dropped; the replica repeats it.
-            let _ = self.joins.try_send(join);
+            let _ = self.member_requests.try_send(member_request);
         }
         let read = ReadId::new(self.next_id());
         self.reads.insert(read, PendingRead::Call(request, reply));
@@ -428,6 +442,10 @@
                         self.propose(&command, PendingProposal::Call(subject, reply))?
                     }
                     Plan::Submit(job) => self.submit(job, reply)?,
+                    Plan::LeaveGroup(replica) => {
+                        let progress = leave_progress(&self.replication.status().borrow(), replica);
+                        respond(reply, Response::Leaving(progress));
+                    }
                 }
             }
             Some(PendingRead::Leases { began_at }) => {
--- a/crates/yuccatack_queue_control/src/calls.rs
+++ b/crates/yuccatack_queue_control/src/calls.rs
@@ -5,7 +5,7 @@
 use yuccatack_core::{DurationMs, JobName};
 use yuccatack_queue_client::protocol::{CallTarget, Request, Response};
 use yuccatack_queues::{Acceptance, Access, Configuration, ConfigurationVersion};
-use yuccatack_replication::ProposalId;
+use yuccatack_replication::{ProposalId, ReplicaId};
 use yuccatack_runs::{CancelOutcome, JobSpec, JobSubmission};
 
 use crate::command::Command;
@@ -35,6 +35,8 @@
     Propose(CallSubject, Command),
     /// Stores a new job if the dispatcher admits it.
     Submit(Box<NewJob>),
+    /// Responds with the progress of the replica's replacement.
+    LeaveGroup(ReplicaId),
 }
 
 /// Subject of a call that changes the state without storing a job.
@@ -69,6 +71,7 @@
             Plan::Respond(Response::Configuration(document))
         }
         Request::Join { .. } => Plan::Respond(Response::Joined),
+        Request::Leave { replica_id } => Plan::LeaveGroup(ReplicaId::new(replica_id)),
         Request::Ping => Plan::Respond(Response::Pong),
     }
 }
--- a/crates/yuccatack_queue_control/src/lib.rs
+++ b/crates/yuccatack_queue_control/src/lib.rs
@@ -9,6 +9,7 @@
 mod identity;
 mod job_names;
 mod join;
+mod leave;
 mod membership;
 mod message;
 mod observe;
--- a/crates/yuccatack_queue_control/src/membership.rs
+++ b/crates/yuccatack_queue_control/src/membership.rs
@@ -6,16 +6,21 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval};
+use yuccatack_queue_client::protocol::LeaveProgress;
 use yuccatack_replication::{
     LogIndex, MembershipChange, ReplicaId, ReplicationHandle, ReplicationStatus, RoleName,
 };
 
-use crate::message::JoinRequest;
+use crate::message::MemberRequest;
 
 /// Interval at which the leader checks for a due membership change.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which a member that announced its end counts as leaving. It repeats the announcement
+/// more often while it waits for its replacement.
+const LEAVING_VALIDITY: Duration = Duration::from_secs(1);
+
 /// Input of [`next_change`].
 #[derive(Clone, Debug, Default)]
 pub struct MembershipView {
@@ -29,6 +34,8 @@
     pub silent_voters: BTreeSet<ReplicaId>,
     /// Learners that do not respond at present.
     pub silent_learners: BTreeSet<ReplicaId>,
+    /// Members that have announced that they stop.
+    pub leaving: BTreeSet<ReplicaId>,
     /// Replicas that requested to join and are not members yet.
     pub joins: BTreeMap<ReplicaId, SocketAddr>,
     /// Number of voters that the group grows to.
@@ -39,6 +46,7 @@
     fn from_status(
         status: &ReplicationStatus,
         joins: &BTreeMap<ReplicaId, SocketAddr>,
+        leaving: &BTreeMap<ReplicaId, Instant>,
         target_voter_count: usize,
     ) -> Self {
         let learners = status.learners.iter().map(|(replica, learner)| (*replica, learner.address));
@@ -52,6 +60,7 @@
             held_by_learners: held.collect(),
             silent_voters: status.silent_voters.clone(),
             silent_learners: status.silent_learners.clone(),
+            leaving: leaving.keys().copied().collect(),
             joins: joins.clone(),
             target_voter_count,
         }
@@ -71,8 +80,8 @@
 
 /// Returns the membership change that is due, if any.
 ///
-/// A voter that does not respond is not removed for that alone, since in a network partition it may
-/// still be running. Only a learner that has received the log replaces it.
+/// A voter that stops or does not respond is not removed for that alone: it may come back, or still be
+/// running in a network partition. Only a learner that has received the log replaces it.
 pub fn next_change(view: &MembershipView) -> Option<MembershipChange> {
     for (replica, address) in &view.joins {
         if view.is_member(*replica) {
@@ -86,9 +95,11 @@
     }
     // The learner that holds most of the log comes first, since one whose disk takes no writes would
     // hold up the others.
-    let responds = |replica: &ReplicaId| !view.silent_learners.contains(replica);
+    let is_eligible = |replica: &ReplicaId| {
+        !view.silent_learners.contains(replica) && !view.leaving.contains(replica)
+    };
     let mut learners: Vec<_> =
-        view.learners.iter().filter(|(replica, _)| responds(replica)).collect();
+        view.learners.iter().filter(|(replica, _)| is_eligible(replica)).collect();
     learners.sort_by_key(|(replica, _)| Reverse(view.held_by_learners.get(replica)));
     for (replica, address) in learners {
         let wiped_voter = MembershipView::member_at(&view.voters, *address);
@@ -97,7 +108,9 @@
         }
         // A further voter beside one that is gone would raise the quorum, but not the number of
         // voters that respond beyond it.
-        if let Some(voter) = view.silent_voters.first() {
+        let mut leaving = view.leaving.iter().filter(|replica| view.voters.contains_key(replica));
+        let gone = leaving.next().or_else(|| view.silent_voters.first());
+        if let Some(voter) = gone {
             return Some(MembershipChange::Promote { replica: *replica, replaces: Some(*voter) });
         }
         if view.voters.len() < view.target_voter_count {
@@ -107,27 +120,48 @@
     None
 }
 
+/// Returns how far the replacement of a member that stops has come, by the status of the leader.
+pub(crate) fn leave_progress(status: &ReplicationStatus, replica: ReplicaId) -> LeaveProgress {
+    if !status.voters.contains_key(&replica) && !status.voters_in_force.contains_key(&replica) {
+        return LeaveProgress::Complete;
+    }
+    let is_being_replaced = !status.voters.contains_key(&replica);
+    let has_successor =
+        status.learners.keys().any(|learner| !status.silent_learners.contains(learner));
+    if is_being_replaced || has_successor {
+        LeaveProgress::Replacing
+    } else {
+        LeaveProgress::NoSuccessor
+    }
+}
+
 /// Carries out due membership changes, one at a time, while this replica leads.
 pub(crate) async fn maintain_membership(
     replication: ReplicationHandle,
-    mut requests: mpsc::Receiver<JoinRequest>,
+    mut requests: mpsc::Receiver<MemberRequest>,
     target_voter_count: usize,
 ) {
     let status = replication.status();
     let mut joins = BTreeMap::new();
+    let mut leaving = BTreeMap::new();
     let mut checks = interval(CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             _ = checks.tick() => {}
             request = requests.recv() => match request {
-                Some(JoinRequest { replica, address }) => {
+                Some(MemberRequest::Join { replica, address }) => {
                     joins.retain(|_, joining| *joining != address);
                     joins.insert(replica, address);
+                    leaving.remove(&replica);
+                }
+                Some(MemberRequest::Leave { replica }) => {
+                    leaving.insert(replica, Instant::now());
                 }
                 None => return,
             }
         }
+        leaving.retain(|_, announced_at: &mut Instant| announced_at.elapsed() <= LEAVING_VALIDITY);
         let change = {
             let status = status.borrow();
             if status.role != RoleName::Leader {
@@ -137,7 +171,8 @@
             joins.retain(|replica, _| {
                 !status.voters.contains_key(replica) && !status.learners.contains_key(replica)
             });
-            next_change(&MembershipView::from_status(&status, &joins, target_voter_count))
+            let view = MembershipView::from_status(&status, &joins, &leaving, target_voter_count);
+            next_change(&view)
         };
         let Some(change) = change else { continue };
         match replication.change_membership(change).await {
--- a/crates/yuccatack_queue_control/src/message.rs
+++ b/crates/yuccatack_queue_control/src/message.rs
@@ -43,11 +43,11 @@
     },
 }
 
-/// Request of a replica to become a member of the group.
+/// Request of a replica that concerns its own membership of the group.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct JoinRequest {
-    pub replica: ReplicaId,
-    pub address: SocketAddr,
+pub(crate) enum MemberRequest {
+    Join { replica: ReplicaId, address: SocketAddr },
+    Leave { replica: ReplicaId },
 }
 
 impl From<Committed> for ControlMessage {
--- a/crates/yuccatack_queue_control/src/process.rs
+++ b/crates/yuccatack_queue_control/src/process.rs
@@ -14,7 +14,9 @@
 use yuccatack_dispatch::DispatchSettings;
 use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
 use yuccatack_queue_client::QueueClient;
-use yuccatack_replication::{ReplicationConfig, ReplicationService, forward_committed};
+use yuccatack_replication::{
+    ReplicaId, ReplicationConfig, ReplicationHandle, ReplicationService, forward_committed,
+};
 use yuccatack_storage::DiskSettings;
 use yuccatack_telemetry::Metrics;
 
@@ -22,6 +24,7 @@
 use crate::error::{ActorSnafu, ControlError, ListenSnafu, ReplicationSnafu};
 use crate::identity::{ReplicaIdentity, replica_identity};
 use crate::join::maintain_joined;
+use crate::leave::leave_group;
 use crate::membership::maintain_membership;
 use crate::message::ControlMessage;
 use crate::service::QueueService;
@@ -44,8 +47,8 @@
 /// Time that pending calls get to complete after the shutdown has begun.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Number of join requests that may be queued; a replica repeats a dropped one.
-const JOIN_QUEUE_LENGTH: usize = 16;
+/// Number of requests of replicas that may be queued; a replica repeats a dropped one.
+const MEMBER_REQUEST_QUEUE_LENGTH: usize = 16;
 
 /// Configuration of one control replica.
 #[derive(Clone, Debug)]
@@ -115,11 +118,11 @@
     let replication_config = replication_config(&config, identity);
     let (replication, committed, replication_service) =
         yuccatack_replication::start(replication_config).await.context(ReplicationSnafu)?;
-    let (joins, join_requests) = mpsc::channel(JOIN_QUEUE_LENGTH);
+    let (member_requests, queued_requests) = mpsc::channel(MEMBER_REQUEST_QUEUE_LENGTH);
     let arguments = ControlArguments {
         replication: replication.clone(),
         settings: config.dispatch.clone(),
-        joins,
+        member_requests,
         metrics,
         disk_capacity_bytes: config.disk.capacity_bytes,
     };
@@ -129,8 +132,14 @@
     let target_voter_count = 2 * config.tolerated_loss_count + 1;
     let background = [
         tokio::spawn(tick(actor.clone())),
-        tokio::spawn(maintain_membership(replication.clone(), join_requests, target_voter_count)),
-        tokio::spawn(maintain_joined(replication.clone(), client, replica, address, is_founder)),
+        tokio::spawn(maintain_membership(replication.clone(), queued_requests, target_voter_count)),
+        tokio::spawn(maintain_joined(
+            replication.clone(),
+            client.clone(),
+            replica,
+            address,
+            is_founder,
+        )),
     ];
     let mut forwarder = tokio::spawn(forward_committed(committed, actor.clone()));
     let mut server = tokio::spawn(serve(listener, actor.clone(), replication_service));
@@ -141,7 +150,7 @@
     );
     let result = tokio::select! {
         () = shutdown.wait_for(ShutdownPhase::Draining) => {
-            drain(&actor, &replication).await;
+            drain(&actor, &replication, &client, replica).await;
             Ok(())
         }
         _ = &mut forwarder => {
@@ -208,11 +217,17 @@
     ControlError::Server { detail }
 }
 
-/// Transfers the leadership and waits until every accepted call has its response.
+/// Transfers the leadership, hands the vote over to a learner and waits until every accepted call has
+/// its response.
 async fn drain(
     actor: &ActorRef<ControlMessage>,
-    replication: &yuccatack_replication::ReplicationHandle,
+    replication: &ReplicationHandle,
+    client: &QueueClient,
+    replica: ReplicaId,
 ) {
+    replication.transfer_leadership().await;
+    leave_group(replication, client, replica).await;
+    // The replica may have been elected meanwhile.
     replication.transfer_leadership().await;
     let (reply, drained) = oneshot::channel();
     if actor.cast(ControlMessage::Drain { reply }).is_ok()
--- a/crates/yuccatack_queue_control/tests/member_changes.rs
+++ b/crates/yuccatack_queue_control/tests/member_changes.rs
@@ -59,16 +59,27 @@
     assert_eq!(next_change(&stuck), Some(replace));
 }
 
-/// Guards against a voter that is not there: a learner that has failed is promoted, and a running one
-/// waits behind it.
+/// Guards against a voter that stops as planned and keeps its vote although its successor runs.
+#[test]
+fn leaving_voter_replaced() {
+    let mut stopping = view(&[1, 2, 3, 4, 5], &[6], &[]);
+    stopping.leaving.insert(id(3));
+    let replace = MembershipChange::Promote { replica: id(6), replaces: Some(id(3)) };
+    assert_eq!(next_change(&stopping), Some(replace));
+    stopping.learners.clear();
+    assert_eq!(next_change(&stopping), None, "a voter without a successor lost its vote");
+}
+
+/// Guards against a voter that is not there: a learner that stops or has failed is promoted, and a
+/// running one waits behind it.
 #[test]
 fn unavailable_learners_kept() {
-    let mut failed = view(&[1, 2, 3, 4, 5], &[6, 7], &[2]);
-    failed.silent_learners.insert(id(6));
+    let mut stopping = view(&[1, 2, 3, 4, 5], &[6, 7], &[2]);
+    stopping.leaving.insert(id(6));
     let replace = MembershipChange::Promote { replica: id(7), replaces: Some(id(2)) };
-    assert_eq!(next_change(&failed), Some(replace));
-    failed.silent_learners.insert(id(7));
-    assert_eq!(next_change(&failed), None);
+    assert_eq!(next_change(&stopping), Some(replace));
+    stopping.silent_learners.insert(id(7));
+    assert_eq!(next_change(&stopping), None);
 }
 
 /// Guards against a group that grows beside a voter that is gone, and then needs one more of the others.
--- a/crates/yuccatack_queue_control/tests/support/mod.rs
+++ b/crates/yuccatack_queue_control/tests/support/mod.rs
@@ -219,6 +219,22 @@
         self.replicas.push(replica);
     }
 
+    /// Starts a replica at a new address, which joins the group.
+    pub fn add_replica(&mut self) {
+        let address = founder_address(self.disks.len());
+        self.disks.insert(address, DiskStandIn::new(self.disk_bytes));
+        self.restart(tempfile::tempdir().unwrap(), address);
+    }
+
+    /// Stops the replica at `address` as planned, for good.
+    pub async fn stop(&mut self, address: SocketAddr) {
+        let index = self.replicas.iter().position(|replica| replica.address == address).unwrap();
+        let mut replica = self.replicas.remove(index);
+        replica.trigger.advance(ShutdownPhase::Draining);
+        (&mut replica.task).await.unwrap();
+        replica.end_runtime().await;
+    }
+
     pub async fn stop_all(&mut self) -> Vec<(TempDir, SocketAddr)> {
         let mut stopped = Vec::new();
         for mut replica in self.replicas.drain(..) {
