Close connections of peers that a control replica has lost

Cause: the server of a control replica waited for the next frame of a peer for good. After each loss of a peer without a reset, a connection and, for an agent's stream, a task were left behind.

Change: HTTP/2 pings after 10 s without a frame, and 5 s for their answer, as the product's control replicas have them.

Evidence: silent_connection_closed fails on after its 25 s and passes after 15 s now.

--- a/crates/yuccatack_queue_control/src/process.rs
+++ b/crates/yuccatack_queue_control/src/process.rs
@@ -50,6 +50,13 @@
 /// Number of requests of replicas that may be queued; a replica repeats a dropped one.
 const MEMBER_REQUEST_QUEUE_LENGTH: usize = 16;
 
+/// Interval of HTTP/2 pings on connections of entries and agents that send nothing. Only pings show
+/// that a peer was lost without a reset.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Time after which a connection without a response to a ping is closed.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Configuration of one control replica.
 #[derive(Clone, Debug)]
 pub struct ControlConfig {
@@ -200,6 +207,8 @@
     replication: ReplicationService,
 ) -> Result<(), tonic::transport::Error> {
     Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
+        .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
         .add_service(QueueService::server(actor))
         .add_service(replication)
         .serve_with_incoming(TcpIncoming::from(listener).with_nodelay(Some(true)))
