Test replicas that stop at once in planned_replacement

Two replicas that are told to stop together may hand the leadership or a vote over to each other. All three pairs of three replicas keep the group able to bear the next lost disk; the fault was not seen. The other two tests stop the same replicas as before.

--- a/crates/yuccatack_queue_control/tests/planned_replacement.rs
+++ b/crates/yuccatack_queue_control/tests/planned_replacement.rs
@@ -15,20 +15,22 @@
 /// Time in which a new replica joins and receives the log.
 const JOIN_TIME: Duration = Duration::from_secs(3);
 
-/// Starts a successor of each stopped replica, stops them in turn, and loses the disk of `wiped` right
-/// after. Replicas are numbered in the order of their first start.
-async fn replace(stopped: &[usize], wiped: usize) {
+/// Starts a successor of each stopped replica, stops each group of replicas together and the groups in
+/// turn, and loses the disk of `wiped` right after. Replicas are numbered in the order of their first
+/// start.
+async fn replace(groups: &[&[usize]], wiped: usize) {
     let mut deployment = Deployment::start().await;
     deployment.configure(1, "key").await;
     deployment.submit("a", job(1)).await;
-    for _ in stopped {
+    for _ in groups.iter().copied().flatten() {
         deployment.add_replica();
     }
     let addresses: Vec<SocketAddr> =
         deployment.replicas.iter().map(|replica| replica.address).collect();
     sleep(JOIN_TIME).await;
-    for index in stopped {
-        deployment.stop(addresses[*index]).await;
+    for group in groups {
+        let stopped: Vec<SocketAddr> = group.iter().map(|index| addresses[*index]).collect();
+        deployment.stop(&stopped).await;
     }
     let is_wiped = |address: SocketAddr| address == addresses[wiped];
     let index = deployment.replicas.iter().position(|replica| is_wiped(replica.address)).unwrap();
@@ -43,7 +45,7 @@
 async fn disk_lost_after_replacement() {
     // One of the replicas leads, so that its end hands over the leadership as well as the vote.
     for stopped in 0..3 {
-        replace(&[stopped], (stopped + 1) % 3).await;
+        replace(&[&[stopped]], (stopped + 1) % 3).await;
     }
 }
 
@@ -51,5 +53,13 @@
 /// successor loses its disk, since the clients and the wiped replica need a seed that is left.
 #[tokio::test(flavor = "multi_thread")]
 async fn disk_lost_after_two_replacements() {
-    replace(&[0, 1], 3).await;
+    replace(&[&[0], &[1]], 3).await;
+}
+
+/// Guards against two replicas that stop at once and hand leadership or votes over to each other.
+#[tokio::test(flavor = "multi_thread")]
+async fn overlapping_replacements() {
+    for stopped in [[0, 1], [1, 2], [0, 2]] {
+        replace(&[&stopped], 3).await;
+    }
 }
--- a/crates/yuccatack_queue_control/tests/support/mod.rs
+++ b/crates/yuccatack_queue_control/tests/support/mod.rs
@@ -226,13 +226,20 @@
         self.restart(tempfile::tempdir().unwrap(), address);
     }
 
-    /// Stops the replica at `address` as planned, for good.
-    pub async fn stop(&mut self, address: SocketAddr) {
-        let index = self.replicas.iter().position(|replica| replica.address == address).unwrap();
-        let mut replica = self.replicas.remove(index);
-        replica.trigger.advance(ShutdownPhase::Draining);
-        (&mut replica.task).await.unwrap();
-        replica.end_runtime().await;
+    /// Stops the replicas at these addresses together, as planned and for good.
+    pub async fn stop(&mut self, addresses: &[SocketAddr]) {
+        let mut stopped = Vec::new();
+        for address in addresses {
+            let is_stopped = |replica: &Replica| replica.address == *address;
+            let index = self.replicas.iter().position(is_stopped).unwrap();
+            let replica = self.replicas.remove(index);
+            replica.trigger.advance(ShutdownPhase::Draining);
+            stopped.push(replica);
+        }
+        for mut replica in stopped {
+            (&mut replica.task).await.unwrap();
+            replica.end_runtime().await;
+        }
     }
 
     pub async fn stop_all(&mut self) -> Vec<(TempDir, SocketAddr)> {
