Split the scheduling pass into steps

Dispatcher::decide held the whole pass, and the methods of Dispatcher in dispatcher.rs, eviction.rs, observation.rs and admission.rs called each other in a circle, so that no step could change without the others.

decide is now a sequence of steps over Pass, the view of one pass. Each step has its own file and state: lost_runs.rs, pass.rs, starts.rs, Evictions and EvictionSearch in eviction.rs, Summaries in summary.rs. Observer and AdmissionInputs hold only the state that they need, and start results belong to Session. TableChange has its own file.

--- a/crates/yuccatack_dispatch/src/admission.rs
+++ b/crates/yuccatack_dispatch/src/admission.rs
@@ -15,7 +15,7 @@
 
 use crate::capacity::{WorkerSnapshot, footprint};
 use crate::demand::{TaskGroup, first_groups, is_within_guarantee, value_ends_ms};
-use crate::dispatcher::Dispatcher;
+use crate::pass::Pass;
 use crate::placement::{CapacityKind, occupy, place};
 use crate::restraint::Waivers;
 use crate::run_time::RunTimes;
@@ -124,14 +124,8 @@
 
 impl Backlog {
     /// Adds up the unfinished work of all jobs that still have value.
-    pub fn new(
-        waiting: &[&TaskGroup<'_>],
-        workers: Vec<WorkerSnapshot>,
-        shares: MinimumShares,
-        table: &JobTable,
-        run_times: &RunTimes,
-        unix_ms: u64,
-    ) -> Self {
+    pub fn new(pass: Pass<'_>, run_times: &RunTimes) -> Self {
+        let Pass { table, unix_ms, waiting, workers, shares, .. } = pass;
         let starved = waiting.iter().filter_map(|group| StarvedGroup::new(group, run_times));
         let starved = starved.collect();
         let mut backlog = Self { workers, shares, work_ms: FastHashMap::default(), starved };
@@ -189,19 +183,19 @@
     }
 }
 
-impl Dispatcher {
-    /// Decides whether a job is stored. `submission` must not be stored or about to be.
-    ///
-    /// Jobs within a guarantee, with a schedule or with tasks that run until they are cancelled are
-    /// always accepted, and so are those that fit into free capacity.
-    pub fn admit(
-        &mut self,
-        submission: &JobSubmission,
-        table: &JobTable,
-        configuration: &ConfigurationStore,
-        unix_ms: u64,
-    ) -> Result<(), Refusal> {
-        let Some(backlog) = &mut self.backlog else { return Ok(()) };
+/// State on which the admission of a job depends beside the backlog.
+pub(crate) struct AdmissionInputs<'a> {
+    pub table: &'a JobTable,
+    pub configuration: &'a ConfigurationStore,
+    pub sessions: &'a BTreeMap<NodeName, Session>,
+    pub run_times: &'a RunTimes,
+    pub unix_ms: u64,
+}
+
+impl AdmissionInputs<'_> {
+    /// Decides whether a job is stored while `backlog` waits. See `Dispatcher::admit`.
+    pub fn admit(&self, submission: &JobSubmission, backlog: &mut Backlog) -> Result<(), Refusal> {
+        let Self { table, configuration, unix_ms, .. } = *self;
         let spec = &submission.spec;
         let is_open_ended = spec.steps.iter().any(|step| step.long_running);
         if spec.schedule.is_some()
@@ -211,18 +205,18 @@
             return Ok(());
         }
         let job = Job::new(submission.clone(), u64::MAX);
-        let groups = first_groups(&job, &self.run_times, unix_ms);
-        let work_ms = backlog.remaining_ms(&job, &self.run_times);
+        let groups = first_groups(&job, self.run_times, unix_ms);
+        let work_ms = backlog.remaining_ms(&job, self.run_times);
         if let Some(workers) = place_all(&groups, &backlog.workers) {
             backlog.workers = workers;
             backlog.add(submission, work_ms);
             return Ok(());
         }
-        if !could_hold(submission, &self.sessions) {
+        if !could_hold(submission, self.sessions) {
             let retry_after_ms = spread(SHAPE_RETRY_DELAY.get() as f64, &submission.name);
             return Err(Refusal { cause: RefusalCause::Shape, retry_after_ms });
         }
-        let value_ends_ms = latest_value_end_ms(&job, &self.run_times);
+        let value_ends_ms = latest_value_end_ms(&job, self.run_times);
         let is_experienced = self.run_times.typical_ms(&submission.queue).is_some();
         let limit_ms = (value_ends_ms as f64 * PREDICTION_MARGIN) as u64;
         let cause = match backlog.starved_before(&groups) {
@@ -230,7 +224,7 @@
             // The most urgent jobs pass those that wait for a wider shape, and evict other work.
             None if submission.priority == 0 || !is_experienced => return Ok(()),
             None => {
-                let predicted_ms = backlog.completion_ms(&job, &self.run_times);
+                let predicted_ms = backlog.completion_ms(&job, self.run_times);
                 if predicted_ms <= limit_ms as f64 {
                     backlog.add(submission, work_ms);
                     return Ok(());
@@ -247,11 +241,11 @@
         let delay_ms = excess_ms.clamp(shortest_ms, longest_ms) as f64;
         Err(Refusal { cause, retry_after_ms: spread(delay_ms, &submission.name) })
     }
+}
 
-    /// Returns `true` once the agents had time to attach to this leader.
-    pub(crate) fn has_settled(&self, now: TimestampMs) -> bool {
-        now.since(self.leading_since) >= SETTLING_TIME
-    }
+/// Returns `true` once the agents had time to attach to a leader.
+pub(crate) fn has_settled(leading_since: TimestampMs, now: TimestampMs) -> bool {
+    now.since(leading_since) >= SETTLING_TIME
 }
 
 /// Returns the time from its acceptance after which completing the job certainly has no value. An
--- a/crates/yuccatack_dispatch/src/eviction.rs
+++ b/crates/yuccatack_dispatch/src/eviction.rs
@@ -1,76 +1,136 @@
 //! Capacity for urgent task groups: reserved on workers whose runs are already stopping, or freed
 //! by evicting less urgent runs.
+//!
+//! Answers bursts of urgent jobs on workers that are full of other work.
 
-use yuccatack_core::{FastHashMap, FastHashSet, OrganisationName};
-use yuccatack_queues::ConfigurationStore;
+use std::collections::BTreeMap;
+
+use yuccatack_core::{FastHashSet, NodeName};
 use yuccatack_runs::{JobTable, RunId};
 
 use crate::capacity::{WorkerSnapshot, add, footprint, subtract};
 use crate::demand::{TaskGroup, Tier};
-use crate::dispatcher::Dispatcher;
 use crate::loss::RunProgress;
+use crate::pass::Pass;
 use crate::placement::{CapacityKind, place};
-use crate::reclaim::Reclaim;
+use crate::reclaim::{Eviction, Reclaim};
 use crate::restraint::{Restraint, Waivers};
-use crate::session::OrderState;
-use crate::share::MinimumShares;
-
-/// State of a scheduling pass that the choice of runs to evict depends on.
-pub(crate) struct EvictionInputs<'a> {
-    pub table: &'a JobTable,
-    pub configuration: &'a ConfigurationStore,
-    pub urgent_demand: &'a FastHashMap<OrganisationName, u64>,
-    pub shares: &'a mut MinimumShares,
+use crate::session::{OrderState, Session};
+
+/// Number of tasks for which one scheduling pass searches for runs to evict. A group is searched as
+/// a whole, so the last one may exceed the limit. A search visits every run for every task, so a
+/// burst of urgent jobs would otherwise delay the leader's heartbeats.
+const EVICTION_SEARCH_TASK_COUNT: usize = 32;
+
+/// Runs that must stop although their job continues.
+#[derive(Debug, Default)]
+pub(crate) struct Evictions {
+    runs: FastHashSet<RunId>,
+    /// Number of evictions since the last call of [`Self::take_count`].
+    count: u64,
 }
 
-impl Dispatcher {
+impl Evictions {
+    pub fn runs(&self) -> &FastHashSet<RunId> {
+        &self.runs
+    }
+
+    pub fn contains(&self, run: &RunId) -> bool {
+        self.runs.contains(run)
+    }
+
+    /// Evicts a run that is open in the table.
+    pub fn add(&mut self, run: RunId) {
+        self.count += 1;
+        self.runs.insert(run);
+    }
+
+    /// Forgets the runs that have ended.
+    pub fn retain_open(&mut self, table: &JobTable) {
+        self.runs.retain(|run| table.open_runs().contains_key(run));
+    }
+
+    /// Returns the number of evictions since the last call, stalled runs included, and resets it.
+    pub fn take_count(&mut self) -> u64 {
+        std::mem::take(&mut self.count)
+    }
+
+    /// Returns all runs that are being stopped, evicted ones included.
+    pub fn stopping_runs(&self, sessions: &BTreeMap<NodeName, Session>) -> FastHashSet<RunId> {
+        let per_session = sessions.values().flat_map(|session| &session.orders);
+        per_session
+            .filter(|(_, order)| matches!(order, OrderState::Stopping { .. }))
+            .map(|(run, _)| run.clone())
+            .chain(self.runs.iter().cloned())
+            .collect()
+    }
+}
+
+/// Search for runs to evict during one scheduling pass.
+#[derive(Debug)]
+pub(crate) struct EvictionSearch {
+    remaining_task_count: usize,
+}
+
+impl Default for EvictionSearch {
+    fn default() -> Self {
+        Self { remaining_task_count: EVICTION_SEARCH_TASK_COUNT }
+    }
+}
+
+impl EvictionSearch {
     /// Evicts less urgent runs for a group that does not fit, and reserves their capacity for it.
-    /// Returns `false` if no eviction makes the group fit, or if it would lose too much work.
-    pub(crate) fn evict_for(
+    /// Returns `false` if no eviction makes the group fit, if it would lose too much work, or if the
+    /// pass has searched enough.
+    pub fn evict_for(
         &mut self,
         group: &TaskGroup<'_>,
-        workers: &mut [WorkerSnapshot],
-        inputs: EvictionInputs<'_>,
+        pass: &mut Pass<'_>,
+        evictions: &mut Evictions,
     ) -> bool {
-        let stopping = self.stopping_runs();
-        let progress = self.progress();
-        let reclaim = Reclaim { inputs: &inputs, stopping: &stopping, progress: &progress };
-        let Some(eviction) = reclaim.find(group, workers) else { return false };
-        let victims = eviction.victims.iter().map(ToString::to_string).collect::<Vec<_>>();
-        log::info!(
-            event = "run_evicted", count = victims.len(), runs = victims.join(",").as_str(),
-            for_job = group.job.submission.name.as_str();
-            "evicting the runs to free their capacity for a more urgent job"
-        );
-        for victim in eviction.victims {
-            inputs.shares.release(&victim, inputs.table);
-            self.eviction_count += 1;
-            self.evicted.insert(victim);
-        }
-        let need = footprint(group.spec);
-        for (index, freed) in eviction.placement.into_iter().zip(eviction.freed) {
-            workers[index].reserved = true;
-            workers[index].free_after_stops =
-                subtract(add(workers[index].free_after_stops, freed), need);
+        if !may_evict(group) || self.remaining_task_count == 0 {
+            return false;
         }
+        self.remaining_task_count = self.remaining_task_count.saturating_sub(group.tasks.len());
+        let stopping = evictions.stopping_runs(pass.sessions);
+        let progress = run_progress(pass.sessions);
+        let reclaim = Reclaim { pass, stopping: &stopping, progress: &progress };
+        let Some(eviction) = reclaim.find(group) else { return false };
+        carry_out(eviction, group, pass, evictions);
         true
     }
+}
 
-    fn progress(&self) -> RunProgress {
-        let per_session = self.sessions.values().flat_map(|session| session.health.progress());
-        per_session.map(|(run, percent)| (run.clone(), percent)).collect()
+/// Evicts the runs and reserves the workers of the placement for the group.
+fn carry_out(
+    eviction: Eviction,
+    group: &TaskGroup<'_>,
+    pass: &mut Pass<'_>,
+    evictions: &mut Evictions,
+) {
+    let victims = eviction.victims.iter().map(ToString::to_string).collect::<Vec<_>>();
+    log::info!(
+        event = "run_evicted", count = victims.len(), runs = victims.join(",").as_str(),
+        for_job = group.job.submission.name.as_str();
+        "evicting the runs to free their capacity for a more urgent job"
+    );
+    for victim in eviction.victims {
+        pass.shares.release(&victim, pass.table);
+        evictions.add(victim);
     }
-
-    pub(crate) fn stopping_runs(&self) -> FastHashSet<RunId> {
-        let per_session = self.sessions.values().flat_map(|session| &session.orders);
-        per_session
-            .filter(|(_, order)| matches!(order, OrderState::Stopping { .. }))
-            .map(|(run, _)| run.clone())
-            .chain(self.evicted.iter().cloned())
-            .collect()
+    let need = footprint(group.spec);
+    for (index, freed) in eviction.placement.into_iter().zip(eviction.freed) {
+        let worker = &mut pass.workers[index];
+        worker.reserved = true;
+        worker.free_after_stops = subtract(add(worker.free_after_stops, freed), need);
     }
 }
 
+fn run_progress(sessions: &BTreeMap<NodeName, Session>) -> RunProgress {
+    let per_session = sessions.values().flat_map(|session| session.health.progress());
+    per_session.map(|(run, percent)| (run.clone(), percent)).collect()
+}
+
 /// Reserves capacity for the group on workers where it fits once the runs being stopped have ended.
 /// Returns `false` if it does not fit there either.
 pub(crate) fn reserve_after_stops(group: &TaskGroup<'_>, workers: &mut [WorkerSnapshot]) -> bool {
@@ -86,6 +146,6 @@
     true
 }
 
-pub(crate) fn may_evict(group: &TaskGroup<'_>) -> bool {
+fn may_evict(group: &TaskGroup<'_>) -> bool {
     matches!(group.urgency.tier, Tier::Guaranteed | Tier::Urgent)
 }
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -13,7 +13,9 @@
 mod health;
 mod lease;
 mod loss;
+mod lost_runs;
 mod observation;
+mod pass;
 mod pending;
 mod placement;
 mod protocol;
@@ -24,11 +26,13 @@
 mod session;
 mod settings;
 mod share;
+mod starts;
 mod summary;
+mod table_change;
 mod waiting;
 
 pub use admission::{Refusal, RefusalCause};
-pub use dispatcher::{Dispatcher, TableChange};
+pub use dispatcher::Dispatcher;
 pub use lease::ClockReading;
 pub use pending::PendingChanges;
 pub use protocol::{
@@ -36,3 +40,4 @@
 };
 pub use settings::DispatchSettings;
 pub use summary::{ByPriority, PassSummary, WaitingGroup};
+pub use table_change::TableChange;
--- a/crates/yuccatack_dispatch/src/observation.rs
+++ b/crates/yuccatack_dispatch/src/observation.rs
@@ -1,21 +1,31 @@
 //! Handling of observations of a worker: ended, started, missing and stalled runs.
 
+use std::collections::BTreeMap;
+
 use yuccatack_core::{DurationMs, NodeName, TimestampMs};
 use yuccatack_runs::{JobTable, RunEnd, RunId, RunOutcome};
 
-use crate::dispatcher::{Dispatcher, TableChange};
+use crate::eviction::Evictions;
 use crate::health::stall_timeout;
 use crate::lease::ClockReading;
 use crate::protocol::Observation;
 use crate::run_time::RunTimes;
 use crate::session::{OrderState, Session};
+use crate::table_change::TableChange;
 
 /// Number of consecutive observations in which a run must be missing before it is stopped. A single
 /// one may predate the start of the run, since worker and agent may respond out of order.
 const MISSING_OBSERVATION_COUNT: u8 = 2;
 
-impl Dispatcher {
-    pub(crate) fn on_observation(
+/// State of the dispatcher that observations update.
+pub(crate) struct Observer<'a> {
+    pub sessions: &'a mut BTreeMap<NodeName, Session>,
+    pub evictions: &'a mut Evictions,
+    pub run_times: &'a mut RunTimes,
+}
+
+impl Observer<'_> {
+    pub fn on_observation(
         &mut self,
         node: &NodeName,
         observation: Observation,
@@ -31,7 +41,7 @@
             return Vec::new();
         }
         session.record_reading(ClockReading { clock_ms: observation.clock_ms, received_at: now });
-        let mut changes = record_ends(session, &observation, table, now, &mut self.run_times);
+        let mut changes = record_ends(session, &observation, table, now, self.run_times);
         changes.extend(update_order_states(session, &observation, table));
         let is_held = |run: &RunId| {
             let open = table.open_runs().get(run);
@@ -62,7 +72,7 @@
         if unchanged_ms < stall_timeout(run_time_ms) {
             return;
         }
-        if self.evicted.contains(&run) {
+        if self.evictions.contains(&run) {
             return;
         }
         if spec.gang {
@@ -72,8 +82,7 @@
                     absent:% = absent;
                     "a member of the gang is not executing; stopping the members that wait for it"
                 );
-                self.eviction_count += 1;
-                self.evicted.insert(run);
+                self.evictions.add(run);
                 return;
             }
             if self.waits_for_slower_member(&run, table) {
@@ -84,8 +93,7 @@
             event = "run_stalled", run:% = run, agent = node.as_str();
             "the run makes no progress; stopping it and quarantining its worker"
         );
-        self.eviction_count += 1;
-        self.evicted.insert(run);
+        self.evictions.add(run);
         if let Some(session) = self.sessions.get_mut(node) {
             session.health.quarantine(now);
         }
--- a/crates/yuccatack_dispatch/src/pending.rs
+++ b/crates/yuccatack_dispatch/src/pending.rs
@@ -3,7 +3,7 @@
 use yuccatack_core::{DurationMs, FastHashSet, TimestampMs};
 use yuccatack_runs::RunId;
 
-use crate::dispatcher::TableChange;
+use crate::table_change::TableChange;
 
 /// Longest time for which decisions wait until no reported changes are left. A decision beside
 /// reported ends does not know the capacity that they free and may evict runs in vain. Without a
--- a/crates/yuccatack_dispatch/src/reclaim.rs
+++ b/crates/yuccatack_dispatch/src/reclaim.rs
@@ -5,8 +5,8 @@
 
 use crate::capacity::{WorkerSnapshot, add, footprint, subtract};
 use crate::demand::{TaskGroup, Tier, within_guarantee};
-use crate::eviction::EvictionInputs;
 use crate::loss::{RunProgress, eviction_loss, task_work};
+use crate::pass::Pass;
 use crate::placement::{Placement, candidate_sets, step_allowance};
 use crate::restraint::Waivers;
 
@@ -15,8 +15,8 @@
 const EVICTION_LOSS_FACTOR: u64 = 2;
 
 /// Inputs of the search for runs to evict.
-pub(crate) struct Reclaim<'a> {
-    pub inputs: &'a EvictionInputs<'a>,
+pub(crate) struct Reclaim<'a, 'p> {
+    pub pass: &'a Pass<'p>,
     /// Runs that are already being stopped.
     pub stopping: &'a FastHashSet<RunId>,
     pub progress: &'a RunProgress,
@@ -40,12 +40,13 @@
     released_fractions: FastHashMap<u32, f64>,
 }
 
-impl Reclaim<'_> {
+impl Reclaim<'_, '_> {
     /// Finds the runs with the smallest loss whose eviction lets the group fit.
     ///
     /// Returns `None` if no eviction makes the group fit, or if the loss is out of proportion to
     /// the work of a group without a guarantee.
-    pub fn find(&self, group: &TaskGroup<'_>, workers: &[WorkerSnapshot]) -> Option<Eviction> {
+    pub fn find(&self, group: &TaskGroup<'_>) -> Option<Eviction> {
+        let workers = &self.pass.workers;
         let sets = candidate_sets(group, workers, Waivers::NONE);
         let evictions = sets.iter().filter_map(|set| self.find_in_set(group, workers, set));
         let (loss, eviction) = evictions.min_by_key(|(loss, _)| *loss)?;
@@ -109,7 +110,7 @@
             .iter()
             .filter(|run| !victims.runs.contains(run) && !self.stopping.contains(run))
             .filter(|run| self.may_evict(group, run))
-            .map(|run| (eviction_loss(run, self.inputs.table, self.progress), run))
+            .map(|run| (eviction_loss(run, self.pass.table, self.progress), run))
             .collect();
         candidates.sort_unstable();
         let mut protected = Vec::new();
@@ -143,31 +144,31 @@
     /// Counts the capacity of the run as released. Returns `false` if its priority would fall below
     /// its minimum share.
     fn release_surplus(&self, run: &RunId, victims: &mut Victims) -> bool {
-        let Some(job) = self.inputs.table.job(&run.task.job) else { return true };
+        let Some(job) = self.pass.table.job(&run.task.job) else { return true };
         let Some(spec) = job.step_spec(run.task.step) else { return true };
         let (service, priority) = (&job.submission.service, job.submission.priority);
-        let fraction = self.inputs.shares.dominant_fraction(service, spec);
+        let fraction = self.pass.shares.dominant_fraction(service, spec);
         let released_fraction = victims.released_fractions.entry(priority).or_default();
-        let surplus_fraction = self.inputs.shares.surplus_fraction(service, priority);
+        let surplus_fraction = self.pass.shares.surplus_fraction(service, priority);
         let allowed = *released_fraction + fraction <= surplus_fraction;
         *released_fraction += if allowed { fraction } else { 0.0 };
         allowed
     }
 
     fn spec_of(&self, run: &RunId) -> Option<&StepSpec> {
-        self.inputs.table.job(&run.task.job)?.step_spec(run.task.step)
+        self.pass.table.job(&run.task.job)?.step_spec(run.task.step)
     }
 
     /// Returns `true` if the group may evict the run: only less urgent runs are evicted, and runs
     /// within a guarantee never are.
     fn may_evict(&self, group: &TaskGroup<'_>, run: &RunId) -> bool {
-        let Some(job) = self.inputs.table.job(&run.task.job) else { return false };
+        let Some(job) = self.pass.table.job(&run.task.job) else { return false };
         let submission = &job.submission;
         let guaranteed = submission.priority == 0
             && within_guarantee(
                 submission.organisation.as_ref(),
-                self.inputs.urgent_demand,
-                self.inputs.configuration,
+                &self.pass.urgent_demand,
+                self.pass.configuration,
             );
         match group.urgency.tier {
             Tier::Guaranteed => !guaranteed,
--- a/crates/yuccatack_dispatch/src/session.rs
+++ b/crates/yuccatack_dispatch/src/session.rs
@@ -2,12 +2,12 @@
 
 use std::collections::VecDeque;
 
-use yuccatack_core::{FastHashMap, TimestampMs};
+use yuccatack_core::{FastHashMap, NodeName, TimestampMs};
 use yuccatack_runs::{RunId, WorkerIncarnation};
 
 use crate::health::Health;
 use crate::lease::ClockReading;
-use crate::protocol::WorkerState;
+use crate::protocol::{StartResult, WorkerState};
 use crate::settings::MAX_READING_AGE_MS;
 
 /// Number of clock readings that may wait for a confirmation of leadership. Agents poll up to seven
@@ -126,4 +126,31 @@
         }
         self.unheld_runs.values_mut().for_each(|sent_at| *sent_at = None);
     }
+    /// Handles the result of a start order.
+    pub fn on_start_result(
+        &mut self,
+        node: &NodeName,
+        run: &RunId,
+        result: StartResult,
+        now: TimestampMs,
+    ) {
+        let Some(order) = self.orders.get_mut(run) else { return };
+        if !matches!(order, OrderState::Starting { .. } | OrderState::Unknown { .. }) {
+            return;
+        }
+        if result != StartResult::Begun {
+            log::warn!(
+                event = "start_refused", run:% = run, agent = node.as_str(),
+                result:? = result;
+                "start not confirmed; the run is barred, or observed if the result is unknown"
+            );
+        }
+        self.health.on_start_result(result, now);
+        *order = match result {
+            StartResult::Begun => OrderState::Active { missing_count: 0 },
+            StartResult::Unknown => OrderState::Unknown { missing_count: 0 },
+            // An earlier copy of the same start may still be in flight, so the run is barred.
+            StartResult::NoRoom | StartResult::Refused => OrderState::Stopping { sent_at: None },
+        };
+    }
 }
--- a/crates/yuccatack_dispatch/src/summary.rs
+++ b/crates/yuccatack_dispatch/src/summary.rs
@@ -3,14 +3,39 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use yuccatack_core::{DurationMs, JobName};
+use yuccatack_core::{DurationMs, JobName, TimestampMs};
 use yuccatack_runs::JobTable;
 
 use crate::capacity::WorkerSnapshot;
 use crate::demand::TaskGroup;
+use crate::pass::Pass;
 use crate::placement::wait_cause;
 use crate::restraint::WaitCause;
 
+/// Interval of the summaries of what waits for capacity.
+const SUMMARY_INTERVAL: DurationMs = DurationMs::new(1_000);
+
+/// Latest summary that was not taken yet.
+#[derive(Debug, Default)]
+pub(crate) struct Summaries {
+    latest: Option<PassSummary>,
+    summarized_at: TimestampMs,
+}
+
+impl Summaries {
+    /// Summarizes the pass if it left groups waiting and the interval has passed.
+    pub fn update(&mut self, pass: &Pass<'_>) {
+        if !pass.waiting.is_empty() && pass.now.since(self.summarized_at) >= SUMMARY_INTERVAL {
+            self.summarized_at = pass.now;
+            self.latest = Some(PassSummary::new(&pass.waiting, &pass.workers, pass.table));
+        }
+    }
+
+    pub fn take(&mut self) -> Option<PassSummary> {
+        self.latest.take()
+    }
+}
+
 /// Amounts by the priority of the queue.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ByPriority(BTreeMap<u32, u64>);
@@ -85,7 +110,7 @@
 impl PassSummary {
     /// Summarizes a pass that left the groups in `waiting` without capacity.
     pub(crate) fn new(
-        waiting: &[&TaskGroup<'_>],
+        waiting: &[TaskGroup<'_>],
         workers: &[WorkerSnapshot],
         table: &JobTable,
     ) -> Self {
--- a/crates/yuccatack_dispatch/src/waiting.rs
+++ b/crates/yuccatack_dispatch/src/waiting.rs
@@ -81,12 +81,12 @@
     /// however much of the capacity is in use.
     pub fn update(
         &mut self,
-        waiting: &[&TaskGroup<'_>],
+        waiting: &[TaskGroup<'_>],
         services: &UnusedServices,
         now: TimestampMs,
     ) {
         self.waits.retain(|_, wait| now.since(wait.unused_at) <= MAX_GAP_MS);
-        let counts = |group: &&&TaskGroup<'_>| {
+        let counts = |group: &&TaskGroup<'_>| {
             group.spec.long_running || services.contains(&group.job.submission.service)
         };
         for group in waiting.iter().filter(counts) {
