Learn from changes within a serving run only

A task that serves users does not end and counts many times on the same worker. Compared with the tasks on other workers, whatever makes that worker slow would be blamed on the images beside it, ever more surely.

Such runs are no longer compared with others, and count every 400 samples instead of 200, so that one covers both conditions more often.

--- a/crates/yuccatack_interference/src/model.rs
+++ b/crates/yuccatack_interference/src/model.rs
@@ -104,6 +104,7 @@
     /// Handles the end of a run, however it ended. The run then counts once.
     pub fn on_end(&mut self, run: &RunId, now: TimestampMs) {
         let Some(mut observed) = self.runs.remove(run) else { return };
+        let serves_users = observed.serves_users();
         let mut observations = observed.take_observations();
         let Some(image) = self.images.get_mut(&observed.image) else { return };
         if observations.is_empty() {
@@ -115,6 +116,9 @@
         let key = (run.task.job.clone(), run.task.occurrence, run.task.step);
         let step = self.steps.get(&key);
         let run_variance = if observed.gang { MEMBER_VARIANCE } else { TASK_VARIANCE };
+        // A task that serves users counts many times on the same worker. What makes that worker slow
+        // would look like a slowdown if the task were compared with those on other workers.
+        let step = step.filter(|_| !serves_users);
         let level = step.and_then(|step| step.expected(run_variance));
         let log_rate = run_level(&observations, &image.regression);
         let was_known: Vec<Arc<str>> = known_images(&image.regression);
@@ -132,7 +136,8 @@
         }
         let is_known = known_images(&image.regression).len();
         self.known_pair_count = (self.known_pair_count + is_known).saturating_sub(was_known.len());
-        if self.steps.len() < MAX_STEP_COUNT || self.steps.contains_key(&key) {
+        let has_room = self.steps.len() < MAX_STEP_COUNT || self.steps.contains_key(&key);
+        if has_room && !serves_users {
             self.steps.entry(key).or_insert_with(|| StepLevels::new(now)).add(log_rate, now);
         }
     }
--- a/crates/yuccatack_interference/src/observed_run.rs
+++ b/crates/yuccatack_interference/src/observed_run.rs
@@ -15,8 +15,8 @@
 const MAX_GAP: DurationMs = DurationMs::new(2_000);
 
 /// Number of latency samples after which a run that serves users counts as another run, because it
-/// does not end. It is about half a minute of polls.
-const LATENCY_RUN_SAMPLE_COUNT: u32 = 200;
+/// does not end. It is about a minute of polls.
+const LATENCY_RUN_SAMPLE_COUNT: u32 = 400;
 
 /// Latest observation of a run.
 #[derive(Clone, Copy, Debug)]
@@ -111,6 +111,11 @@
         Some(self.exposures.len() - 1)
     }
 
+    /// Returns `true` if the latency of the run is measured.
+    pub fn serves_users(&self) -> bool {
+        self.exposures.iter().any(|exposure| exposure.latency_sample_count() > 0)
+    }
+
     /// Returns what was measured, and begins anew.
     pub fn take_observations(&mut self) -> Vec<Observation> {
         self.reading = None;
