Place groups by the speed of the machines

In a pool in which one worker in three is 2.4 times slower, a gang with one slow member is late: an urgent job has only half of its run time as slack. Placement did not know the speeds.

Dispatcher::set_speeds takes the speed of each machine. Workers of a service form classes of about equal speed. Urgent groups go on classes that are fast enough for their objective, groups with slack on the slowest of these, one class at a time. An urgent group that only slow free workers hold waits for fast ones that become free or are freed by an eviction, for at most 800 ms. Headroom is held on fast workers first, and a run that ends within the stop timeout is not evicted.

Each test of machine_speeds fails without the rule that it covers, except for equal_speeds_inert, which compares with unknown speeds.

--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -37,6 +37,10 @@
     pub backing_off: bool,
     /// Number of failures of any kind since the last completed task.
     pub failure_count: u32,
+    /// Relative progress rate of the machine: the mean of its speed class, 1 while unknown.
+    pub speed: f64,
+    /// Speed class within the service; 0 is the fastest.
+    pub speed_class: usize,
     /// Reserved for a group that is more urgent than those placed later in the pass.
     pub reserved: bool,
     /// Headroom for urgent groups that may arrive soon.
@@ -86,6 +90,8 @@
                 quarantined: !session.health.is_usable(now),
                 backing_off: session.health.is_backing_off(now),
                 failure_count: session.health.failure_count(),
+                speed: 1.0,
+                speed_class: 0,
                 reserved: false,
                 held_for_urgent: false,
                 has_less_urgent: false,
--- a/crates/yuccatack_dispatch/src/demand.rs
+++ b/crates/yuccatack_dispatch/src/demand.rs
@@ -18,6 +18,10 @@
     /// Number that the runs of all tasks get.
     pub run_number: u32,
     pub urgency: Urgency,
+    /// Predicted run time of a task on a machine of speed 1.
+    pub run_ms: u64,
+    /// Time in which the tasks must end so that the job still meets its objective.
+    pub remaining_ms: u64,
     /// Time since the job was accepted, or its occurrence was due.
     pub waited_ms: DurationMs,
     /// `true` if the group may be placed on workers that are held for urgent work.
@@ -32,6 +36,13 @@
         self.job.submission.priority == 0
     }
 
+    /// Returns the speed of a machine on which the group meets its objective if it begins after a
+    /// delay; infinite if there is no such speed.
+    pub fn needed_speed(&self, delay_ms: u64) -> f64 {
+        let remaining_ms = self.remaining_ms.saturating_sub(delay_ms);
+        if remaining_ms == 0 { f64::INFINITY } else { self.run_ms as f64 / remaining_ms as f64 }
+    }
+
     /// Returns `true` for jobs so late that completing them has no value.
     pub fn is_overdue(&self) -> bool {
         matches!(self.urgency.tier, Tier::Overdue(_))
@@ -73,6 +84,7 @@
     since_unix_ms: u64,
     /// Predicted length of the longest chain of steps that begins with each step.
     chains_ms: &'a [u64],
+    run_times: &'a RunTimes,
 }
 
 /// Multiple of its objective after which a job has no value.
@@ -149,7 +161,7 @@
     unix_ms: u64,
 ) -> Vec<TaskGroup<'a>> {
     let chains_ms = run_times.chains_ms(job);
-    let timing = Timing { since_unix_ms: unix_ms, chains_ms: &chains_ms };
+    let timing = Timing { since_unix_ms: unix_ms, chains_ms: &chains_ms, run_times };
     let mut groups = Vec::new();
     collect_occurrence(job, 0, timing, false, unix_ms, &mut groups);
     groups
@@ -174,7 +186,7 @@
                 break;
             }
             let since_unix_ms = due.unwrap_or(job.submission.accepted_at_unix_ms);
-            let timing = Timing { since_unix_ms, chains_ms: &chains_ms };
+            let timing = Timing { since_unix_ms, chains_ms: &chains_ms, run_times };
             collect_occurrence(job, occurrence, timing, guaranteed, unix_ms, &mut groups);
         }
     }
@@ -219,6 +231,9 @@
         }
         let urgency = urgency(job, step, timing, guaranteed, unix_ms);
         let max_attempts = job.submission.max_attempts;
+        let run_ms = timing.run_times.predict(&job.submission.queue, spec).get();
+        let latest_begin_unix_ms = latest_begin_unix_ms(job, step, timing);
+        let remaining_ms = latest_begin_unix_ms.saturating_add(run_ms).saturating_sub(unix_ms);
         let group = |tasks: Vec<u32>, failed_count: u32| TaskGroup {
             job,
             spec,
@@ -227,6 +242,8 @@
             run_number: step_progress.next_run(spec, tasks[0]),
             tasks,
             urgency,
+            run_ms,
+            remaining_ms,
             may_use_headroom: job.submission.priority == 0,
             waited_ms: DurationMs::new(unix_ms.saturating_sub(timing.since_unix_ms)),
             last_attempt: !spec.long_running && failed_count + 1 >= max_attempts,
@@ -244,13 +261,20 @@
     }
 }
 
+/// Returns the latest time at which a step can begin so that the job meets its objective on machines
+/// of speed 1.
+fn latest_begin_unix_ms(job: &Job, step: u32, timing: Timing<'_>) -> u64 {
+    let Timing { since_unix_ms, chains_ms, .. } = timing;
+    let objective_ms = objective_ms(&job.submission, chains_ms);
+    let chain_ms = chains_ms.get(step as usize).copied().unwrap_or(0);
+    since_unix_ms.saturating_add(objective_ms).saturating_sub(chain_ms)
+}
+
 fn urgency(job: &Job, step: u32, timing: Timing<'_>, guaranteed: bool, unix_ms: u64) -> Urgency {
-    let Timing { since_unix_ms, chains_ms } = timing;
+    let Timing { since_unix_ms, chains_ms, .. } = timing;
     let submission = &job.submission;
-    let objective_ms = objective_ms(submission, chains_ms);
     let remaining_ms = chains_ms.get(step as usize).copied().unwrap_or(0);
-    let latest_begin_unix_ms =
-        since_unix_ms.saturating_add(objective_ms).saturating_sub(remaining_ms);
+    let latest_begin_unix_ms = latest_begin_unix_ms(job, step, timing);
     let margin_ms = remaining_ms.saturating_mul(LATE_MARGIN_PERCENT) / 100;
     let late = unix_ms > latest_begin_unix_ms.saturating_add(margin_ms);
     let overdue = unix_ms > since_unix_ms.saturating_add(value_ends_ms(submission, chains_ms));
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -17,6 +17,8 @@
 use crate::run_time::RunTimes;
 use crate::session::Session;
 use crate::settings::DispatchSettings;
+use crate::speed::MachineSpeeds;
+use crate::speed_wait::SpeedWaits;
 use crate::starts::Starts;
 use crate::summary::{PassSummary, Summaries};
 use crate::table_change::TableChange;
@@ -32,7 +34,9 @@
     evictions: Evictions,
     headroom: Headroom,
     run_times: RunTimes,
+    speeds: MachineSpeeds,
     waiting_steps: WaitingSteps,
+    speed_waits: SpeedWaits,
     /// Work that the last pass left waiting; `None` if it placed everything.
     backlog: Option<Backlog>,
     summaries: Summaries,
@@ -50,7 +54,9 @@
             evictions: Evictions::default(),
             headroom: Headroom::default(),
             run_times: RunTimes::default(),
+            speeds: MachineSpeeds::default(),
             waiting_steps: WaitingSteps::default(),
+            speed_waits: SpeedWaits::default(),
             backlog: None,
             summaries: Summaries::default(),
         }
@@ -98,6 +104,11 @@
         }
     }
 
+    /// Replaces the speeds of the machines, which only order choices.
+    pub fn set_speeds(&mut self, speeds: MachineSpeeds) {
+        self.speeds = speeds;
+    }
+
     /// Handles a message from an agent and returns the resulting changes of the table.
     pub fn on_message(
         &mut self,
@@ -140,15 +151,23 @@
         let (leading_since, lease_ms) = (self.leading_since, self.settings.lease_ms);
         let mut changes = expired_run_ends(&self.sessions, table, leading_since, lease_ms, now);
         self.headroom.update(table, now);
-        let inputs = PassInputs { table, configuration, now, unix_ms };
-        let Some(mut pass) = Pass::new(inputs, &self.sessions, &self.evictions, &self.run_times)
-        else {
+        let inputs = PassInputs {
+            table,
+            configuration,
+            speeds: &self.speeds,
+            run_times: &self.run_times,
+            stop_timeout_ms: self.settings.stop_timeout_ms,
+            now,
+            unix_ms,
+        };
+        let Some(mut pass) = Pass::new(inputs, &self.sessions, &self.evictions) else {
             self.backlog = None;
             return changes;
         };
         let mut starts = Starts {
             headroom: &self.headroom,
             waiting_steps: &self.waiting_steps,
+            speed_waits: &mut self.speed_waits,
             evictions: &mut self.evictions,
         };
         starts.handle_groups(&mut pass);
--- a/crates/yuccatack_dispatch/src/eviction.rs
+++ b/crates/yuccatack_dispatch/src/eviction.rs
@@ -12,10 +12,11 @@
 use crate::demand::{TaskGroup, Tier};
 use crate::loss::RunProgress;
 use crate::pass::Pass;
-use crate::placement::{CapacityKind, place};
+use crate::placement::{CapacityKind, Placement};
 use crate::reclaim::{Eviction, Reclaim};
 use crate::restraint::{Restraint, Waivers};
 use crate::session::{OrderState, Session};
+use crate::speed_range::{SpeedRange, fast_enough_range, place_by_speed};
 
 /// Number of tasks for which one scheduling pass searches for runs to evict. A group is searched as
 /// a whole, so the last one may exceed the limit. A search visits every run for every task, so a
@@ -94,8 +95,40 @@
         self.remaining_task_count = self.remaining_task_count.saturating_sub(group.tasks.len());
         let stopping = evictions.stopping_runs(pass.sessions);
         let progress = run_progress(pass.sessions);
-        let reclaim = Reclaim { pass, stopping: &stopping, progress: &progress };
-        let Some(eviction) = reclaim.find(group) else { return false };
+        let reclaim =
+            Reclaim { pass, stopping: &stopping, progress: &progress, tier: group.urgency.tier };
+        let stop_ms = pass.stop_timeout_ms.get();
+        let fast_enough = fast_enough_range(group, pass.classes(group), stop_ms)
+            .filter(|_| pass.speed_classes.differ(&group.job.submission.service));
+        let fast_eviction = fast_enough.and_then(|range| reclaim.find(group, range));
+        let eviction = fast_eviction.or_else(|| reclaim.find(group, SpeedRange::ALL));
+        let Some(eviction) = eviction else { return false };
+        carry_out(eviction, group, pass, evictions);
+        true
+    }
+
+    /// Evicts runs on workers on which the group meets its objective if it begins after `delay_ms`.
+    /// The group could begin on slower workers, so that also guaranteed ones evict less urgent runs
+    /// only, and only if that loses little.
+    pub fn evict_for_speed(
+        &mut self,
+        group: &TaskGroup<'_>,
+        pass: &mut Pass<'_>,
+        evictions: &mut Evictions,
+        delay_ms: u64,
+    ) -> bool {
+        if !may_evict(group) || self.remaining_task_count == 0 {
+            return false;
+        }
+        let Some(range) = fast_enough_range(group, pass.classes(group), delay_ms) else {
+            return false;
+        };
+        self.remaining_task_count = self.remaining_task_count.saturating_sub(group.tasks.len());
+        let stopping = evictions.stopping_runs(pass.sessions);
+        let progress = run_progress(pass.sessions);
+        let reclaim =
+            Reclaim { pass, stopping: &stopping, progress: &progress, tier: Tier::Urgent };
+        let Some(eviction) = reclaim.find(group, range) else { return false };
         carry_out(eviction, group, pass, evictions);
         true
     }
@@ -133,17 +166,27 @@
 
 /// Reserves capacity for the group on workers where it fits once the runs being stopped have ended.
 /// Returns `false` if it does not fit there either.
-pub(crate) fn reserve_after_stops(group: &TaskGroup<'_>, workers: &mut [WorkerSnapshot]) -> bool {
+pub(crate) fn reserve_after_stops(group: &TaskGroup<'_>, pass: &mut Pass<'_>) -> bool {
     let waivers = Waivers::NONE.with(Restraint::Reservation);
-    let Some(placement) = place(group, workers, CapacityKind::FreeAfterStops, waivers) else {
-        return false;
-    };
+    let kind = CapacityKind::FreeAfterStops;
+    let found = place_by_speed(group, &pass.workers, pass.classes(group), kind, waivers);
+    let Some(found) = found else { return false };
+    reserve(group, &found.placement, &mut pass.workers);
+    true
+}
+
+/// Reserves the workers of a placement for the group.
+pub(crate) fn reserve(
+    group: &TaskGroup<'_>,
+    placement: &Placement,
+    workers: &mut [WorkerSnapshot],
+) {
     let need = footprint(group.spec);
     for index in placement {
-        workers[index].reserved = true;
-        workers[index].free_after_stops = subtract(workers[index].free_after_stops, need);
+        let worker = &mut workers[*index];
+        worker.reserved = true;
+        worker.free_after_stops = subtract(worker.free_after_stops, need);
     }
-    true
 }
 
 fn may_evict(group: &TaskGroup<'_>) -> bool {
--- a/crates/yuccatack_dispatch/src/headroom.rs
+++ b/crates/yuccatack_dispatch/src/headroom.rs
@@ -62,19 +62,21 @@
         self.updated_at = now;
     }
 
-    /// Holds workers for urgent work until the headroom is covered. Racks with the most free
-    /// accelerators come first, since most gangs need a single rack.
+    /// Holds workers for urgent work until the headroom is covered, the fastest ones first. Among these,
+    /// racks with the most free accelerators come first, since most gangs need a single rack.
     pub fn reserve(&self, workers: &mut [WorkerSnapshot]) {
-        let mut rack_free: FastHashMap<Option<Arc<str>>, u32> = FastHashMap::default();
+        let mut rack_free: FastHashMap<(usize, Option<Arc<str>>), u32> = FastHashMap::default();
         let may_be_held = |worker: &WorkerSnapshot| !worker.reserved && !worker.quarantined;
         for worker in workers.iter().filter(|worker| may_be_held(worker)) {
-            *rack_free.entry(worker.rack.clone()).or_default() += worker.free.accelerator_count;
+            let rack = (worker.speed_class, worker.rack.clone());
+            *rack_free.entry(rack).or_default() += worker.free.accelerator_count;
         }
         let mut order: Vec<usize> =
             (0..workers.len()).filter(|index| may_be_held(&workers[*index])).collect();
         order.sort_by_key(|index| {
             let worker = &workers[*index];
-            (Reverse(rack_free[&worker.rack]), Reverse(worker.free.accelerator_count))
+            let rack_free = rack_free[&(worker.speed_class, worker.rack.clone())];
+            (worker.speed_class, Reverse(rack_free), Reverse(worker.free.accelerator_count))
         });
         let mut remaining = self.average_accelerators * HEADROOM_RATIO;
         for index in order {
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -26,9 +26,14 @@
 mod session;
 mod settings;
 mod share;
+mod slack_speed;
+mod speed;
+mod speed_range;
+mod speed_wait;
 mod starts;
 mod summary;
 mod table_change;
+mod urgent_speed;
 mod waiting;
 
 pub use admission::{Refusal, RefusalCause};
@@ -39,5 +44,6 @@
     AgentMessage, EndedRun, Observation, Orders, RunningRun, StartOrder, StartResult, WorkerState,
 };
 pub use settings::DispatchSettings;
+pub use speed::MachineSpeeds;
 pub use summary::{ByPriority, PassSummary, WaitingGroup};
 pub use table_change::TableChange;
--- a/crates/yuccatack_dispatch/src/pass.rs
+++ b/crates/yuccatack_dispatch/src/pass.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use yuccatack_core::{FastHashMap, NodeName, OrganisationName, TimestampMs};
+use yuccatack_core::{DurationMs, FastHashMap, NodeName, OrganisationName, TimestampMs};
 use yuccatack_queues::ConfigurationStore;
-use yuccatack_runs::JobTable;
+use yuccatack_runs::{JobTable, RunId};
 
 use crate::capacity::{WorkerSnapshot, available_workers};
 use crate::demand::{TaskGroup, ready_task_groups, urgent_accelerator_demand};
@@ -13,6 +13,7 @@
 use crate::run_time::RunTimes;
 use crate::session::Session;
 use crate::share::MinimumShares;
+use crate::speed::{MachineSpeeds, SpeedClasses};
 use crate::table_change::TableChange;
 
 /// Inputs of a scheduling pass from outside the dispatcher.
@@ -20,6 +21,9 @@
 pub(crate) struct PassInputs<'a> {
     pub table: &'a JobTable,
     pub configuration: &'a ConfigurationStore,
+    pub speeds: &'a MachineSpeeds,
+    pub run_times: &'a RunTimes,
+    pub stop_timeout_ms: DurationMs,
     pub now: TimestampMs,
     pub unix_ms: u64,
 }
@@ -29,6 +33,9 @@
     pub table: &'a JobTable,
     pub configuration: &'a ConfigurationStore,
     pub sessions: &'a BTreeMap<NodeName, Session>,
+    pub run_times: &'a RunTimes,
+    /// Time that a worker may take to stop a run.
+    pub stop_timeout_ms: DurationMs,
     pub now: TimestampMs,
     pub unix_ms: u64,
     /// Accelerators that the most urgent unfinished jobs of each organisation need.
@@ -36,6 +43,7 @@
     /// Ready groups that no step has handled yet, most urgent first.
     pub groups: Vec<TaskGroup<'a>>,
     pub workers: Vec<WorkerSnapshot>,
+    pub speed_classes: SpeedClasses,
     pub shares: MinimumShares,
     /// Groups that do not begin in this pass.
     pub waiting: Vec<TaskGroup<'a>>,
@@ -48,9 +56,9 @@
         inputs: PassInputs<'a>,
         sessions: &'a BTreeMap<NodeName, Session>,
         evictions: &Evictions,
-        run_times: &RunTimes,
     ) -> Option<Self> {
-        let PassInputs { table, configuration, now, unix_ms } = inputs;
+        let PassInputs { table, configuration, speeds, run_times, stop_timeout_ms, now, unix_ms } =
+            inputs;
         let urgent_demand = urgent_accelerator_demand(table);
         let mut groups =
             ready_task_groups(table, configuration, &urgent_demand, run_times, unix_ms);
@@ -58,7 +66,8 @@
             return None;
         }
         share_headroom(&mut groups);
-        let workers = available_workers(sessions, table, now);
+        let mut workers = available_workers(sessions, table, now);
+        let speed_classes = SpeedClasses::assign(&mut workers, speeds);
         let stopping = evictions.stopping_runs(sessions);
         let shares = MinimumShares::new(&groups, &workers, table, &stopping);
         shares.promote(&mut groups);
@@ -66,14 +75,33 @@
             table,
             configuration,
             sessions,
+            run_times,
+            stop_timeout_ms,
             now,
             unix_ms,
             urgent_demand,
             groups,
             workers,
+            speed_classes,
             shares,
             waiting: Vec::new(),
             changes: Vec::new(),
         })
     }
+    /// Returns the speeds of the classes of workers of a group's service, the fastest first.
+    pub fn classes(&self, group: &TaskGroup<'_>) -> &[f64] {
+        self.speed_classes.of(&group.job.submission.service)
+    }
+
+    /// Predicts the time until a run on the worker ends. Returns `None` for runs that last until they
+    /// are cancelled.
+    pub fn remaining_ms(&self, run: &RunId, worker: &WorkerSnapshot) -> Option<u64> {
+        let job = self.table.job(&run.task.job)?;
+        let spec = job.step_spec(run.task.step).filter(|spec| !spec.long_running)?;
+        let run_ms = self.run_times.predict(&job.submission.queue, spec).get() as f64;
+        let session = self.sessions.get(&worker.node);
+        let percent = session.and_then(|session| session.health.percent(run)).unwrap_or(0);
+        let remaining_fraction = f64::from(100 - percent.min(100)) / 100.0;
+        Some((run_ms * remaining_fraction / worker.speed) as u64)
+    }
 }
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -9,6 +9,7 @@
 use crate::capacity::{WorkerSnapshot, footprint, subtract};
 use crate::demand::TaskGroup;
 use crate::restraint::{Restraint, WaitCause, Waivers};
+use crate::speed_range::SpeedRange;
 
 /// Worker of each task of a group, as an index into the list of workers.
 pub(crate) type Placement = Vec<usize>;
@@ -108,7 +109,23 @@
     waivers: Waivers,
 ) -> Option<Placement> {
     let sets = candidate_sets(group, workers, waivers);
-    let placements = sets.iter().filter_map(|set| place_in(group, workers, set, kind, waivers));
+    place_in_sets(group, workers, &sets, kind, waivers, SpeedRange::ALL)
+}
+
+/// Places the group on one of the sets, on workers of a range of speed classes.
+pub(crate) fn place_in_sets(
+    group: &TaskGroup<'_>,
+    workers: &[WorkerSnapshot],
+    sets: &[Vec<usize>],
+    kind: CapacityKind,
+    waivers: Waivers,
+    range: SpeedRange,
+) -> Option<Placement> {
+    let placements = sets.iter().filter_map(|set| {
+        let in_range: Vec<usize> =
+            set.iter().copied().filter(|index| range.contains(&workers[*index])).collect();
+        place_in(group, workers, &in_range, kind, waivers)
+    });
     placements.min_by_key(|placement| placement_cost(placement, workers, kind))
 }
 
@@ -129,6 +146,9 @@
 /// Returns the reason why a group has no placement on free capacity.
 pub(crate) fn wait_cause(group: &TaskGroup<'_>, workers: &[WorkerSnapshot]) -> WaitCause {
     let fits_with = |waivers| place(group, workers, CapacityKind::Free, waivers).is_some();
+    if fits_with(Waivers::NONE) {
+        return WaitCause::Restrained(Restraint::Speed);
+    }
     let single =
         Restraint::ALL.into_iter().find(|restraint| fits_with(Waivers::NONE.with(*restraint)));
     match single {
--- a/crates/yuccatack_dispatch/src/reclaim.rs
+++ b/crates/yuccatack_dispatch/src/reclaim.rs
@@ -9,6 +9,7 @@
 use crate::pass::Pass;
 use crate::placement::{Placement, candidate_sets, step_allowance};
 use crate::restraint::Waivers;
+use crate::speed_range::SpeedRange;
 
 /// A group without a guarantee may cause evictions that lose at most this many times its own work.
 /// Beyond that, the lost work costs more than the group is worth.
@@ -20,6 +21,8 @@
     /// Runs that are already being stopped.
     pub stopping: &'a FastHashSet<RunId>,
     pub progress: &'a RunProgress,
+    /// Tier that determines which runs the group may evict, and at which loss.
+    pub tier: Tier,
 }
 
 /// Placement of a group that becomes possible once the victims have stopped.
@@ -41,17 +44,22 @@
 }
 
 impl Reclaim<'_, '_> {
-    /// Finds the runs with the smallest loss whose eviction lets the group fit.
+    /// Finds the runs with the smallest loss whose eviction lets the group fit on workers of a range
+    /// of speed classes.
     ///
     /// Returns `None` if no eviction makes the group fit, or if the loss is out of proportion to
     /// the work of a group without a guarantee.
-    pub fn find(&self, group: &TaskGroup<'_>) -> Option<Eviction> {
+    pub fn find(&self, group: &TaskGroup<'_>, range: SpeedRange) -> Option<Eviction> {
         let workers = &self.pass.workers;
         let sets = candidate_sets(group, workers, Waivers::NONE);
-        let evictions = sets.iter().filter_map(|set| self.find_in_set(group, workers, set));
+        let evictions = sets.iter().filter_map(|set| {
+            let in_range: Vec<usize> =
+                set.iter().copied().filter(|index| range.contains(&workers[*index])).collect();
+            self.find_in_set(group, workers, &in_range)
+        });
         let (loss, eviction) = evictions.min_by_key(|(loss, _)| *loss)?;
         // Guaranteed capacity is reclaimed at any cost to other organisations.
-        let guaranteed = group.urgency.tier == Tier::Guaranteed;
+        let guaranteed = self.tier == Tier::Guaranteed;
         let work = task_work(group.spec).saturating_mul(group.tasks.len() as u64);
         (guaranteed || loss <= EVICTION_LOSS_FACTOR * work).then_some(eviction)
     }
@@ -109,7 +117,7 @@
             .runs
             .iter()
             .filter(|run| !victims.runs.contains(run) && !self.stopping.contains(run))
-            .filter(|run| self.may_evict(group, run))
+            .filter(|run| self.may_evict(run) && !self.ends_soon(run, worker))
             .map(|run| (eviction_loss(run, self.pass.table, self.progress), run))
             .collect();
         candidates.sort_unstable();
@@ -126,7 +134,7 @@
                 return Some(victims);
             }
         }
-        if group.urgency.tier != Tier::Guaranteed {
+        if self.tier != Tier::Guaranteed {
             return None;
         }
         for (loss, run) in protected {
@@ -159,9 +167,17 @@
         self.pass.table.job(&run.task.job)?.step_spec(run.task.step)
     }
 
+    /// Returns `true` if the run ends before it would have stopped. Not predicted while the speeds of
+    /// the machines are unknown.
+    fn ends_soon(&self, run: &RunId, worker: &WorkerSnapshot) -> bool {
+        let stop_timeout_ms = self.pass.stop_timeout_ms.get();
+        self.pass.speed_classes.differ(&worker.service)
+            && self.pass.remaining_ms(run, worker).is_some_and(|left| left <= stop_timeout_ms)
+    }
+
     /// Returns `true` if the group may evict the run: only less urgent runs are evicted, and runs
     /// within a guarantee never are.
-    fn may_evict(&self, group: &TaskGroup<'_>, run: &RunId) -> bool {
+    fn may_evict(&self, run: &RunId) -> bool {
         let Some(job) = self.pass.table.job(&run.task.job) else { return false };
         let submission = &job.submission;
         let guaranteed = submission.priority == 0
@@ -170,7 +186,7 @@
                 &self.pass.urgent_demand,
                 self.pass.configuration,
             );
-        match group.urgency.tier {
+        match self.tier {
             Tier::Guaranteed => !guaranteed,
             Tier::Urgent => submission.priority > 0,
             Tier::MinimumShare(_) | Tier::LateUrgent | Tier::Priority(_) | Tier::Overdue(_) => {
--- a/crates/yuccatack_dispatch/src/restraint.rs
+++ b/crates/yuccatack_dispatch/src/restraint.rs
@@ -18,16 +18,19 @@
     LastAttempt,
     /// The worker is quarantined.
     Quarantine,
+    /// An urgent group waits for workers on which it meets its objective.
+    Speed,
 }
 
 impl Restraint {
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::DataRack,
         Self::SingleRack,
         Self::Headroom,
         Self::Reservation,
         Self::LastAttempt,
         Self::Quarantine,
+        Self::Speed,
     ];
 
     /// Returns the name that logs use.
@@ -39,6 +42,7 @@
             Self::Reservation => "reservation",
             Self::LastAttempt => "last_attempt",
             Self::Quarantine => "quarantine",
+            Self::Speed => "speed",
         }
     }
 
--- a/crates/yuccatack_dispatch/src/starts.rs
+++ b/crates/yuccatack_dispatch/src/starts.rs
@@ -9,8 +9,10 @@
 use crate::eviction::{EvictionSearch, Evictions, reserve_after_stops};
 use crate::headroom::Headroom;
 use crate::pass::Pass;
-use crate::placement::{CapacityKind, Placement, occupy, place};
+use crate::placement::{CapacityKind, Placement, occupy};
 use crate::restraint::Waivers;
+use crate::speed_range::place_by_speed;
+use crate::speed_wait::SpeedWaits;
 use crate::table_change::TableChange;
 use crate::waiting::WaitingSteps;
 
@@ -18,10 +20,19 @@
 /// fails the job.
 type EqualTasks = (u64, u32, u32, bool);
 
+/// Result of the search for free capacity for a group.
+enum FreePlacement {
+    Found(Placement),
+    /// The group fits, but only on workers that are too slow for its objective, and waits for others.
+    WaitsForSpeed,
+    None,
+}
+
 /// State of the dispatcher on which the starts of a pass depend.
 pub(crate) struct Starts<'a> {
     pub headroom: &'a Headroom,
     pub waiting_steps: &'a WaitingSteps,
+    pub speed_waits: &'a mut SpeedWaits,
     pub evictions: &'a mut Evictions,
 }
 
@@ -29,6 +40,7 @@
     /// Begins the groups that fit and makes room for others. Moves those that do not begin to
     /// `waiting`.
     pub fn handle_groups(&mut self, pass: &mut Pass<'_>) {
+        self.speed_waits.expire(pass.now);
         let mut search = EvictionSearch::default();
         // Once one of several equal tasks does not fit, the others do not either.
         let mut blocked_tasks = FastHashSet::default();
@@ -40,13 +52,22 @@
             }
             let equal_tasks = equal_tasks(&group);
             let is_blocked = blocked_tasks.contains(&equal_tasks);
-            if !is_blocked && let Some(placement) = self.free_placement(&group, pass) {
-                let runs = occupy(&group, &placement, &mut pass.workers);
-                pass.changes.push(TableChange::Begin(runs));
-                continue;
+            if !is_blocked {
+                match self.free_placement(&group, pass, &mut search) {
+                    FreePlacement::Found(placement) => {
+                        let runs = occupy(&group, &placement, &mut pass.workers);
+                        pass.changes.push(TableChange::Begin(runs));
+                        continue;
+                    }
+                    FreePlacement::WaitsForSpeed => {
+                        pass.waiting.push(group);
+                        continue;
+                    }
+                    FreePlacement::None => {}
+                }
             }
             let will_fit = !is_blocked
-                && (reserve_after_stops(&group, &mut pass.workers)
+                && (reserve_after_stops(&group, pass)
                     || search.evict_for(&group, pass, self.evictions));
             if !will_fit {
                 blocked_tasks.insert(equal_tasks);
@@ -57,9 +78,25 @@
 
     /// Places the group on free capacity, without the restraints that have kept it waiting for too
     /// long.
-    fn free_placement(&self, group: &TaskGroup<'_>, pass: &Pass<'_>) -> Option<Placement> {
-        place(group, &pass.workers, CapacityKind::Free, Waivers::NONE)
-            .or_else(|| self.waiting_steps.place_waiting(group, &pass.workers, pass.now))
+    fn free_placement(
+        &mut self,
+        group: &TaskGroup<'_>,
+        pass: &mut Pass<'_>,
+        search: &mut EvictionSearch,
+    ) -> FreePlacement {
+        let classes = pass.classes(group);
+        let found =
+            place_by_speed(group, &pass.workers, classes, CapacityKind::Free, Waivers::NONE);
+        if let Some(found) = found {
+            if !found.is_fast_enough
+                && self.speed_waits.wait_for(group, pass, search, self.evictions)
+            {
+                return FreePlacement::WaitsForSpeed;
+            }
+            return FreePlacement::Found(found.placement);
+        }
+        let waiting = self.waiting_steps.place_waiting(group, &pass.workers, pass.now);
+        waiting.map_or(FreePlacement::None, FreePlacement::Found)
     }
 }
 
--- a/crates/yuccatack_dispatch/src/waiting.rs
+++ b/crates/yuccatack_dispatch/src/waiting.rs
@@ -31,13 +31,14 @@
 /// that make it slower, then those that make it more likely to fail.
 const WAIVER_STEPS: [Waivers; 4] = {
     let idle = Waivers::NONE.with(Restraint::Headroom).with(Restraint::Reservation);
+    let idle = idle.with(Restraint::Speed);
     let far = idle.with(Restraint::DataRack).with(Restraint::SingleRack);
     let unreliable = far.with(Restraint::LastAttempt);
     [idle, far, unreliable, unreliable.with(Restraint::Quarantine)]
 };
 
 /// Step of an occurrence of a job, by the order of the job.
-type StepKey = (u64, u32, u32);
+pub(crate) type StepKey = (u64, u32, u32);
 
 /// Wait of a group while most of the capacity of its service is unused.
 #[derive(Clone, Copy, Debug)]
@@ -97,7 +98,7 @@
     }
 }
 
-fn step_key(group: &TaskGroup<'_>) -> StepKey {
+pub(crate) fn step_key(group: &TaskGroup<'_>) -> StepKey {
     (group.job.order, group.occurrence, group.step)
 }
 
--- a/crates/yuccatack_dispatch/tests/support/mod.rs
+++ b/crates/yuccatack_dispatch/tests/support/mod.rs
@@ -119,7 +119,25 @@
         priority: u32,
         step: StepSpec,
     ) {
-        self.table.submit(JobSubmission {
+        let submission = self.submission(name, organisation, priority, step);
+        self.table.submit(submission);
+    }
+
+    /// Submits an urgent job whose objective leaves little slack: half of the run time and 300 ms.
+    pub fn submit_tight(&mut self, name: &str, organisation: Option<&str>, step: StepSpec) {
+        let submission = self.submission(name, organisation, 0, step);
+        let allowance_ms = DurationMs::new(300);
+        self.table.submit(JobSubmission { stretch: 1.5, allowance_ms, ..submission });
+    }
+
+    fn submission(
+        &self,
+        name: &str,
+        organisation: Option<&str>,
+        priority: u32,
+        step: StepSpec,
+    ) -> JobSubmission {
+        JobSubmission {
             name: JobName::new(name).unwrap(),
             queue: QueueName::new("queue").unwrap(),
             service: ServiceName::new("pool").unwrap(),
@@ -131,7 +149,7 @@
             accepted_at_unix_ms: self.now.get(),
             origin: None,
             spec: JobSpec { payload: Arc::from("payload"), steps: vec![step], schedule: None },
-        });
+        }
     }
 
     pub fn advance(&mut self, milliseconds: u64) {
