Start nothing on workers of evacuated data centres

An operator must be able to empty a data centre without stopping what runs there. Until now the dispatcher knew no reason other than a draining worker to start nothing on one.

The set of evacuated data centres, `EvacuationStore`, lies beside the store of the configuration, and the dispatcher gets it by `set_evacuations`. Workers of these data centres are not available, so that placement, minimum shares, headroom and evictions count the remaining ones only. Admission and the rule for unused capacity leave them out too, the latter also with the runs on them. A run that is in the table and was never ordered there is observed and barred, as on a draining worker.

Without an evacuation every decision stays as it was.

--- a/crates/yuccatack_dispatch/src/admission.rs
+++ b/crates/yuccatack_dispatch/src/admission.rs
@@ -10,7 +10,7 @@
 use yuccatack_core::{
     DurationMs, FastHashMap, JobName, NodeName, QueueName, Resources, ServiceName, TimestampMs,
 };
-use yuccatack_queues::ConfigurationStore;
+use yuccatack_queues::{ConfigurationStore, EvacuationStore};
 use yuccatack_runs::{Job, JobPhase, JobSubmission, JobTable, StepProgress};
 
 use crate::capacity::{WorkerSnapshot, footprint};
@@ -218,7 +218,7 @@
             backlog.add(submission, work_ms);
             return Ok(());
         }
-        if !could_hold(submission, &self.sessions) {
+        if !could_hold(submission, &self.sessions, &self.evacuations) {
             let retry_after_ms = spread(SHAPE_RETRY_DELAY.get() as f64, &submission.name);
             return Err(Refusal { cause: RefusalCause::Shape, retry_after_ms });
         }
@@ -275,10 +275,16 @@
 
 /// Returns `true` if the announced workers of the service could hold each step of the job if nothing
 /// else ran there: a whole gang, or one task of any other step. Labels are not considered, since the
-/// workers that have one may be about to return.
-fn could_hold(submission: &JobSubmission, sessions: &BTreeMap<NodeName, Session>) -> bool {
+/// workers that have one may be about to return; workers of evacuated data centres do not count.
+fn could_hold(
+    submission: &JobSubmission,
+    sessions: &BTreeMap<NodeName, Session>,
+    evacuations: &EvacuationStore,
+) -> bool {
+    let remaining = |session: &&Session| !session.is_evacuated(evacuations);
     let states = || {
-        let states = sessions.values().filter_map(|session| session.state.as_ref());
+        let sessions = sessions.values().filter(remaining);
+        let states = sessions.filter_map(|session| session.state.as_ref());
         states.filter(|state| state.service == submission.service)
     };
     // Without any worker, the service may just be starting.
--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use yuccatack_core::{NodeName, Resources, ServiceName, TimestampMs};
+use yuccatack_queues::EvacuationStore;
 use yuccatack_runs::{JobTable, RunId, StepSpec, WorkerIncarnation};
 
 use crate::session::{OrderState, Session};
@@ -62,15 +63,16 @@
 }
 
 /// Returns the workers that can take new runs, quarantined ones included, with the capacity that open
-/// runs leave free.
+/// runs leave free. Those of evacuated data centres take none.
 pub(crate) fn available_workers(
     sessions: &BTreeMap<NodeName, Session>,
+    evacuations: &EvacuationStore,
     table: &JobTable,
     now: TimestampMs,
 ) -> Vec<WorkerSnapshot> {
     let mut workers: Vec<WorkerSnapshot> = sessions
         .iter()
-        .filter(|(_, session)| session.is_available(now))
+        .filter(|(_, session)| session.is_available(now) && !session.is_evacuated(evacuations))
         .filter_map(|(node, session)| {
             let state = session.state.as_ref()?;
             Some(WorkerSnapshot {
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use yuccatack_core::{DurationMs, FastHashSet, NodeName, TimestampMs};
-use yuccatack_queues::ConfigurationStore;
+use yuccatack_queues::{ConfigurationStore, EvacuationStore};
 use yuccatack_runs::{JobTable, OpenRun, RunEnd, RunId, RunOutcome, RunStart, WorkerIncarnation};
 
 use crate::admission::Backlog;
@@ -52,6 +52,7 @@
     pub(crate) leading_since: TimestampMs,
     pub(crate) sessions: BTreeMap<NodeName, Session>,
     pub(crate) evicted: FastHashSet<RunId>,
+    pub(crate) evacuations: EvacuationStore,
     headroom: Headroom,
     pub(crate) run_times: RunTimes,
     waiting_steps: WaitingSteps,
@@ -73,6 +74,7 @@
             leading_since: now,
             sessions: BTreeMap::new(),
             evicted: FastHashSet::default(),
+            evacuations: EvacuationStore::default(),
             headroom: Headroom::default(),
             run_times: RunTimes::default(),
             waiting_steps: WaitingSteps::default(),
@@ -88,6 +90,11 @@
         self.token
     }
 
+    /// Replaces the evacuations, which take effect from the next decision and order on.
+    pub fn set_evacuations(&mut self, evacuations: &EvacuationStore) {
+        self.evacuations = evacuations.clone();
+    }
+
     /// Marks the agent of `node` as connected.
     pub fn connect(&mut self, node: &NodeName) {
         self.sessions.entry(node.clone()).or_default().reconnect();
@@ -229,7 +236,7 @@
             self.backlog = None;
             return changes;
         }
-        let mut workers = available_workers(&self.sessions, table, now);
+        let mut workers = available_workers(&self.sessions, &self.evacuations, table, now);
         let mut shares = MinimumShares::new(&groups, &workers, table, &self.stopping_runs());
         shares.promote(&mut groups);
         let mut remaining_search_tasks = EVICTION_SEARCH_TASK_COUNT;
@@ -272,7 +279,7 @@
             }
             blocked_steps.insert(step);
         }
-        let services = UnusedServices::new(&self.sessions, table);
+        let services = UnusedServices::new(&self.sessions, &self.evacuations, table);
         self.waiting_steps.update(&waiting, &services, now);
         if !waiting.is_empty() && now.since(self.summarized_at) >= SUMMARY_INTERVAL {
             self.summarized_at = now;
@@ -327,6 +334,7 @@
             settings: &self.settings,
             table,
             evicted: &self.evicted,
+            evacuations: &self.evacuations,
             token: self.token,
             now,
         };
--- a/crates/yuccatack_dispatch/src/reconcile.rs
+++ b/crates/yuccatack_dispatch/src/reconcile.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use yuccatack_core::{DurationMs, FastHashMap, FastHashSet, JobName, NodeName, TimestampMs};
+use yuccatack_queues::EvacuationStore;
 use yuccatack_runs::{JobTable, RunId, WorkerIncarnation};
 
 use crate::protocol::{Orders, StartOrder};
@@ -19,6 +20,7 @@
     pub table: &'a JobTable,
     /// Runs that must stop although their job continues.
     pub evicted: &'a FastHashSet<RunId>,
+    pub evacuations: &'a EvacuationStore,
     pub token: u64,
     pub now: TimestampMs,
 }
@@ -43,7 +45,8 @@
         incomplete: &FastHashSet<GangRun>,
     ) -> Option<Orders> {
         let state = session.state.as_ref()?;
-        let (incarnation, draining) = (state.incarnation.clone(), state.draining);
+        let incarnation = state.incarnation.clone();
+        let takes_starts = !state.draining && !session.is_evacuated(self.evacuations);
         let lease_until_clock_ms = self.renew_lease(session);
         let acknowledged_end = self.table.acknowledged_end(&incarnation);
         let has_new_acknowledgement = acknowledged_end > session.sent_acknowledged_end;
@@ -53,7 +56,7 @@
             let should_run = self.should_run(run, incomplete);
             match session.orders.get(run).copied() {
                 // The run may execute since an earlier leadership. Observations show whether it does.
-                None if should_run && draining => {
+                None if should_run && !takes_starts => {
                     let unknown = OrderState::Unknown { missing_count: 0 };
                     session.orders.insert(run.clone(), unknown);
                 }
--- a/crates/yuccatack_dispatch/src/session.rs
+++ b/crates/yuccatack_dispatch/src/session.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use yuccatack_core::{FastHashMap, TimestampMs};
+use yuccatack_queues::EvacuationStore;
 use yuccatack_runs::{RunId, WorkerIncarnation};
 
 use crate::health::Health;
@@ -73,6 +74,11 @@
             && self.confirmed_reading.as_ref().is_some_and(is_recent)
     }
 
+    /// Returns `true` if the worker runs in an evacuated data centre.
+    pub fn is_evacuated(&self, evacuations: &EvacuationStore) -> bool {
+        self.state.as_ref().is_some_and(|state| evacuations.contains(&state.data_centre))
+    }
+
     /// Adds a reading, from which leases may be renewed once leadership is confirmed.
     pub fn record_reading(&mut self, reading: ClockReading) {
         self.latest_reading = Some(reading);
--- a/crates/yuccatack_dispatch/src/waiting.rs
+++ b/crates/yuccatack_dispatch/src/waiting.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 
 use yuccatack_core::{DurationMs, FastHashMap, NodeName, Resources, ServiceName, TimestampMs};
+use yuccatack_queues::EvacuationStore;
 use yuccatack_runs::JobTable;
 
 use crate::capacity::{WorkerSnapshot, add, footprint};
@@ -106,15 +107,27 @@
 pub(crate) struct UnusedServices(Vec<ServiceName>);
 
 impl UnusedServices {
-    /// Compares the open runs with the capacity of all announced workers.
-    pub fn new(sessions: &BTreeMap<NodeName, Session>, table: &JobTable) -> Self {
+    /// Compares the open runs with the capacity of all announced workers, both without those of
+    /// evacuated data centres.
+    pub fn new(
+        sessions: &BTreeMap<NodeName, Session>,
+        evacuations: &EvacuationStore,
+        table: &JobTable,
+    ) -> Self {
+        let remaining = |session: &&Session| !session.is_evacuated(evacuations);
         let mut totals: BTreeMap<&ServiceName, Resources> = BTreeMap::new();
-        for state in sessions.values().filter_map(|session| session.state.as_ref()) {
+        let states =
+            sessions.values().filter(remaining).filter_map(|session| session.state.as_ref());
+        for state in states {
             let total = totals.entry(&state.service).or_default();
             *total = add(*total, state.capacity);
         }
         let mut used: BTreeMap<&ServiceName, Resources> = BTreeMap::new();
-        for run in table.open_runs().keys() {
+        for (run, open) in table.open_runs() {
+            let session = sessions.get(&open.incarnation.node);
+            if session.is_some_and(|session| session.is_evacuated(evacuations)) {
+                continue;
+            }
             let Some(job) = table.job(&run.task.job) else { continue };
             let Some(spec) = job.step_spec(run.task.step) else { continue };
             let sum = used.entry(&job.submission.service).or_default();
