Store orders to evacuate a data centre and take them from operators

Operators' orders to evacuate a data centre were answered 404.

An order in force is acknowledged without an entry, unless an order for the same data centre is in flight: an operator may have given that one up and reverse it, and the later order has to be the last one in the log.

--- a/crates/yuccatack_queue_client/src/protocol.rs
+++ b/crates/yuccatack_queue_client/src/protocol.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use yuccatack_core::{DurationMs, NodeName};
+use yuccatack_core::{DataCentreName, DurationMs, NodeName};
 use yuccatack_dispatch::{AgentMessage, Orders};
 use yuccatack_queues::{Acceptance, AccessError, AccessKey, Configuration};
 use yuccatack_runs::{JobPhase, JobSpec};
@@ -49,6 +49,18 @@
         /// ID of the member that stops.
         replica_id: u64,
     },
+    /// Orders that nothing more starts in a data centre.
+    Evacuate {
+        /// Data centre that is evacuated.
+        data_centre: DataCentreName,
+    },
+    /// Withdraws the evacuation of a data centre.
+    Readmit {
+        /// Data centre in which work may start again.
+        data_centre: DataCentreName,
+    },
+    /// Reads which data centres are evacuated.
+    ReadEvacuations,
 }
 
 impl Request {
@@ -56,9 +68,18 @@
     /// taken effect.
     pub const fn has_effects(&self) -> bool {
         match self {
-            Self::Submit(..) | Self::Cancel(_) | Self::Configure(_) | Self::Join { .. } => true,
+            Self::Submit(..)
+            | Self::Cancel(_)
+            | Self::Configure(_)
+            | Self::Join { .. }
+            | Self::Evacuate { .. }
+            | Self::Readmit { .. } => true,
             // A repeated announcement has the effect of a single one.
-            Self::Read(_) | Self::ReadConfiguration | Self::Ping | Self::Leave { .. } => false,
+            Self::Read(_)
+            | Self::ReadConfiguration
+            | Self::Ping
+            | Self::Leave { .. }
+            | Self::ReadEvacuations => false,
         }
     }
 }
@@ -99,6 +120,8 @@
     NotLeader(LeaderHint),
     /// The replica lost the leadership meanwhile; the request may or may not take effect.
     Unknown,
+    /// Evacuated data centres, after the order that the request gave, if any.
+    Evacuations(Vec<DataCentreName>),
 }
 
 /// Progress of the replacement of a member that stops.
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -17,7 +17,8 @@
 
 use crate::agents::Agents;
 use crate::calls::{
-    CallSubject, NewJob, Plan, no_free_name, no_space, plan, response_for, too_many_stored_bytes,
+    CallSubject, EvacuationOrder, NewJob, Plan, evacuations, no_free_name, no_space, plan,
+    response_for, too_many_stored_bytes,
 };
 use crate::command::Command;
 use crate::job_names::{free_name, is_same_job, is_stored};
@@ -27,7 +28,7 @@
     log_after_apply, log_before_apply, log_derived_name, log_refusal, log_refused_proposal,
     log_too_many_stored_bytes,
 };
-use crate::state::{QueueState, REMOVAL_LIMIT_COUNT};
+use crate::state::{Applied, QueueState, REMOVAL_LIMIT_COUNT};
 use crate::stored_bytes::{job_bytes, stored_limit_bytes, submission_bytes};
 
 /// Interval of heartbeats to agents. An agent closes its stream after about three missed ones.
@@ -323,7 +324,9 @@
                 let now = self.now();
                 self.leader_address = None;
                 self.add_up_stored_bytes(now);
-                self.dispatcher = Some(Dispatcher::new(self.settings.clone(), term.get(), now));
+                let mut dispatcher = Dispatcher::new(self.settings.clone(), term.get(), now);
+                dispatcher.set_evacuations(&self.queue_state.evacuations);
+                self.dispatcher = Some(dispatcher);
             }
             Leadership::Follower { leader_address } => {
                 self.leader_address = leader_address;
@@ -353,6 +356,11 @@
             (command.clone(), unfinished)
         });
         let applied = self.queue_state.apply(command);
+        if matches!(applied, Applied::Evacuated { .. })
+            && let Some(dispatcher) = &mut self.dispatcher
+        {
+            dispatcher.set_evacuations(&self.queue_state.evacuations);
+        }
         if let Some((command, unfinished)) = &logged {
             log_after_apply(command, applied, unfinished, &self.queue_state, index);
             self.metrics.queues.set_open_runs(self.queue_state.jobs.open_runs().len());
@@ -368,7 +376,7 @@
                 self.store_under_next_name(job, reply)?;
             }
             Some(PendingProposal::Call(_, reply) | PendingProposal::Submission(_, reply)) => {
-                respond(reply, response_for(applied));
+                respond(reply, response_for(applied, &self.queue_state));
             }
             Some(PendingProposal::Changes) => self.pending_changes.on_committed(&proposal),
             Some(PendingProposal::Housekeeping) | None => {}
@@ -442,6 +450,7 @@
                         self.propose(&command, PendingProposal::Call(subject, reply))?
                     }
                     Plan::Submit(job) => self.submit(job, reply)?,
+                    Plan::Evacuate(order) => self.evacuate(order, reply)?,
                     Plan::LeaveGroup(replica) => {
                         let progress = leave_progress(&self.replication.status().borrow(), replica);
                         respond(reply, Response::Leaving(progress));
@@ -460,6 +469,28 @@
         Ok(())
     }
 
+    /// Proposes an order for a data centre, unless it is in force and stays so. An order in flight may
+    /// be one that the operator gave up and now reverses, so the later one needs an entry after it.
+    fn evacuate(
+        &mut self,
+        order: EvacuationOrder,
+        reply: oneshot::Sender<Response>,
+    ) -> Result<(), ActorProcessingErr> {
+        let is_in_flight = self.proposals.values().any(|pending| {
+            matches!(
+                pending,
+                PendingProposal::Call(CallSubject::Evacuation(other), _)
+                    if other.data_centre == order.data_centre
+            )
+        });
+        if !is_in_flight && order.is_in_force(&self.queue_state.evacuations) {
+            respond(reply, evacuations(&self.queue_state));
+            return Ok(());
+        }
+        let command = Command::from(order.clone());
+        self.propose(&command, PendingProposal::Call(CallSubject::Evacuation(order), reply))
+    }
+
     /// Stores a job if the dispatcher admits it. A job that is being stored already must not be
     /// refused: it may run.
     fn submit(
@@ -478,7 +509,7 @@
             return Ok(());
         }
         if !is_being_stored && let Some(dispatcher) = &mut self.dispatcher {
-            let QueueState { configuration, jobs } = &self.queue_state;
+            let QueueState { configuration, jobs, .. } = &self.queue_state;
             let admission = dispatcher.admit(submission, jobs, configuration, unix_now_ms());
             if let Err(refusal) = admission {
                 log_refusal(submission, &refusal);
--- a/crates/yuccatack_queue_control/src/calls.rs
+++ b/crates/yuccatack_queue_control/src/calls.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use yuccatack_core::{DurationMs, JobName};
+use yuccatack_core::{DataCentreName, DurationMs, JobName};
 use yuccatack_queue_client::protocol::{CallTarget, Request, Response};
-use yuccatack_queues::{Acceptance, Access, Configuration, ConfigurationVersion};
+use yuccatack_queues::{Acceptance, Access, Configuration, ConfigurationVersion, EvacuationStore};
 use yuccatack_replication::{ProposalId, ReplicaId};
 use yuccatack_runs::{CancelOutcome, JobSpec, JobSubmission};
 
@@ -35,6 +35,8 @@
     Propose(CallSubject, Command),
     /// Stores a new job if the dispatcher admits it.
     Submit(Box<NewJob>),
+    /// Begins or ends an evacuation, unless that order is in force.
+    Evacuate(EvacuationOrder),
     /// Responds with the progress of the replica's replacement.
     LeaveGroup(ReplicaId),
 }
@@ -45,6 +47,29 @@
     /// Cancellation of the job that is stored under this name.
     Cancellation(JobName),
     Configuration(ConfigurationVersion),
+    Evacuation(EvacuationOrder),
+}
+
+/// Order of an operator that concerns the evacuation of a data centre.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct EvacuationOrder {
+    pub data_centre: DataCentreName,
+    /// `true` if nothing more is to start in the data centre, `false` if the evacuation ends.
+    pub evacuated: bool,
+}
+
+impl EvacuationOrder {
+    /// Returns `true` if the order holds, so that it needs no entry in the log.
+    pub fn is_in_force(&self, evacuations: &EvacuationStore) -> bool {
+        evacuations.contains(&self.data_centre) == self.evacuated
+    }
+}
+
+impl From<EvacuationOrder> for Command {
+    fn from(order: EvacuationOrder) -> Self {
+        let EvacuationOrder { data_centre, evacuated } = order;
+        if evacuated { Self::Evacuate { data_centre } } else { Self::Readmit { data_centre } }
+    }
 }
 
 /// New job that is to be stored.
@@ -73,11 +98,33 @@
         Request::Join { .. } => Plan::Respond(Response::Joined),
         Request::Leave { replica_id } => Plan::LeaveGroup(ReplicaId::new(replica_id)),
         Request::Ping => Plan::Respond(Response::Pong),
+        Request::Evacuate { data_centre } => plan_evacuate(state, data_centre),
+        Request::Readmit { data_centre } => {
+            Plan::Evacuate(EvacuationOrder { data_centre, evacuated: false })
+        }
+        Request::ReadEvacuations => Plan::Respond(evacuations(state)),
+    }
+}
+
+/// Returns the response to an operator whose order holds or who asks for the evacuations.
+pub(crate) fn evacuations(state: &QueueState) -> Response {
+    Response::Evacuations(state.evacuations.iter().cloned().collect())
+}
+
+fn plan_evacuate(state: &QueueState, data_centre: DataCentreName) -> Plan {
+    if state.evacuations.is_full() && !state.evacuations.contains(&data_centre) {
+        let detail = format!(
+            "cannot evacuate `{data_centre}`: {} data centres are evacuated already; withdraw an \
+             evacuation first",
+            state.evacuations.count()
+        );
+        return Plan::Respond(Response::Invalid(Arc::from(detail)));
     }
+    Plan::Evacuate(EvacuationOrder { data_centre, evacuated: true })
 }
 
-/// Returns the response to the caller of a committed command.
-pub(crate) fn response_for(applied: Applied) -> Response {
+/// Returns the response to the caller of a committed command. `state` is the state after it.
+pub(crate) fn response_for(applied: Applied, state: &QueueState) -> Response {
     match applied {
         Applied::Submitted(_) => Response::Accepted,
         Applied::Cancelled(CancelOutcome::NotFound) => Response::NoSuchJob,
@@ -85,6 +132,7 @@
             Response::Cancelled
         }
         Applied::Configured(acceptance) => Response::Configured(acceptance),
+        Applied::Evacuated { .. } => evacuations(state),
         Applied::Changed => Response::Pong,
     }
 }
--- a/crates/yuccatack_queue_control/src/command.rs
+++ b/crates/yuccatack_queue_control/src/command.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use yuccatack_core::JobName;
+use yuccatack_core::{DataCentreName, JobName};
 use yuccatack_dispatch::TableChange;
 use yuccatack_queues::Configuration;
 use yuccatack_replication::ProposalClass;
@@ -25,6 +25,14 @@
     /// Removes ended jobs whose retention period is over.
     #[serde(rename = "Forget")]
     RemoveEnded(Vec<JobName>),
+    /// Orders that nothing more starts in a data centre.
+    Evacuate {
+        data_centre: DataCentreName,
+    },
+    /// Withdraws the evacuation of a data centre.
+    Readmit {
+        data_centre: DataCentreName,
+    },
 }
 
 impl Command {
@@ -33,9 +41,12 @@
         match self {
             Self::Submit(_) | Self::Configure(_) => ProposalClass::Growth,
             // Runs that end, cancellations and removals free space, and so does work that goes on.
-            Self::Cancel { .. } | Self::Change { .. } | Self::RemoveEnded(_) => {
-                ProposalClass::Essential
-            }
+            // Evacuations take a few bytes, and a full disk must not keep work in a failing data centre.
+            Self::Cancel { .. }
+            | Self::Change { .. }
+            | Self::RemoveEnded(_)
+            | Self::Evacuate { .. }
+            | Self::Readmit { .. } => ProposalClass::Essential,
         }
     }
 }
--- a/crates/yuccatack_queue_control/src/observe.rs
+++ b/crates/yuccatack_queue_control/src/observe.rs
@@ -53,7 +53,11 @@
                 );
             });
         }
-        Command::Cancel { .. } | Command::Configure(_) | Command::RemoveEnded(_) => {}
+        Command::Cancel { .. }
+        | Command::Configure(_)
+        | Command::RemoveEnded(_)
+        | Command::Evacuate { .. }
+        | Command::Readmit { .. } => {}
     }
     unfinished
 }
@@ -114,6 +118,10 @@
         PendingProposal::Call(CallSubject::Configuration(version), _) => {
             ("configuration", version.to_string())
         }
+        PendingProposal::Call(CallSubject::Evacuation(order), _) => (
+            if order.evacuated { "evacuation" } else { "readmission" },
+            order.data_centre.to_string(),
+        ),
         PendingProposal::Submission(job, _) => ("submission", job.submission.name.to_string()),
         PendingProposal::Changes => ("table_changes", String::new()),
         PendingProposal::Housekeeping => ("removal", String::new()),
@@ -145,6 +153,15 @@
             outcome:? = acceptance, index = index.get();
             "a submitted configuration was put in force, or a version at least as high already was"
         ),
+        (Command::Evacuate { data_centre }, Applied::Evacuated { changed: true }) => log::warn!(
+            event = "evacuation_began", data_centre = data_centre.as_str(), index = index.get();
+            "an operator evacuates the data centre: nothing more starts there, and what runs there \
+             continues"
+        ),
+        (Command::Readmit { data_centre }, Applied::Evacuated { changed: true }) => log::info!(
+            event = "evacuation_ended", data_centre = data_centre.as_str(), index = index.get();
+            "an operator withdrew the evacuation of the data centre: work starts there again"
+        ),
         (Command::Change { .. }, _) => {
             for name in unfinished {
                 let Some(job) = state.jobs.job(name) else { continue };
--- a/crates/yuccatack_queue_control/src/state.rs
+++ b/crates/yuccatack_queue_control/src/state.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use yuccatack_core::{DurationMs, JobName};
 use yuccatack_dispatch::TableChange;
-use yuccatack_queues::{Acceptance, ConfigurationStore};
+use yuccatack_queues::{Acceptance, ConfigurationStore, EvacuationStore};
 use yuccatack_runs::{CancelOutcome, JobTable, SubmitOutcome};
 
 use crate::command::Command;
@@ -20,6 +20,9 @@
 pub(crate) struct QueueState {
     pub configuration: ConfigurationStore,
     pub jobs: JobTable,
+    /// Snapshots of earlier versions have no evacuations.
+    #[serde(default)]
+    pub evacuations: EvacuationStore,
 }
 
 /// Result of applying a command.
@@ -28,6 +31,10 @@
     Submitted(SubmitOutcome),
     Cancelled(CancelOutcome),
     Configured(Acceptance),
+    /// An evacuation began or ended, if `changed`; otherwise the order was in force already.
+    Evacuated {
+        changed: bool,
+    },
     Changed,
 }
 
@@ -54,6 +61,12 @@
                 self.jobs.remove_ended(&names);
                 Applied::Changed
             }
+            Command::Evacuate { data_centre } => {
+                Applied::Evacuated { changed: self.evacuations.evacuate(data_centre) }
+            }
+            Command::Readmit { data_centre } => {
+                Applied::Evacuated { changed: self.evacuations.readmit(&data_centre) }
+            }
         }
     }
 
