--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use yuccatack_core::{NodeName, TimestampMs};
-use yuccatack_queues::ConfigurationStore;
+use yuccatack_queues::{ConfigurationStore, EvacuationStore};
 use yuccatack_runs::{JobSubmission, JobTable};
 
 use crate::admission::{AdmissionInputs, Backlog, Refusal, has_settled};
@@ -32,6 +32,7 @@
     leading_since: TimestampMs,
     sessions: BTreeMap<NodeName, Session>,
     evictions: Evictions,
+    evacuations: EvacuationStore,
     headroom: Headroom,
     run_times: RunTimes,
     speeds: MachineSpeeds,
@@ -52,6 +53,7 @@
             leading_since: now,
             sessions: BTreeMap::new(),
             evictions: Evictions::default(),
+            evacuations: EvacuationStore::default(),
             headroom: Headroom::default(),
             run_times: RunTimes::default(),
             speeds: MachineSpeeds::default(),
@@ -104,6 +106,11 @@
         }
     }
 
+    /// Replaces the evacuations, which take effect from the next decision and order on.
+    pub fn set_evacuations(&mut self, evacuations: &EvacuationStore) {
+        self.evacuations = evacuations.clone();
+    }
+
     /// Replaces the speeds of the machines, which only order choices.
     pub fn set_speeds(&mut self, speeds: MachineSpeeds) {
         self.speeds = speeds;
@@ -154,6 +161,7 @@
         let inputs = PassInputs {
             table,
             configuration,
+            evacuations: &self.evacuations,
             speeds: &self.speeds,
             run_times: &self.run_times,
             stop_timeout_ms: self.settings.stop_timeout_ms,
@@ -172,7 +180,7 @@
         };
         starts.handle_groups(&mut pass);
         changes.append(&mut pass.changes);
-        let unused_services = UnusedServices::new(&self.sessions, table);
+        let unused_services = UnusedServices::new(&self.sessions, &self.evacuations, table);
         self.waiting_steps.update(&pass.waiting, &unused_services, now);
         self.summaries.update(&pass);
         let overloaded = !pass.waiting.is_empty() && has_settled(leading_since, now);
@@ -196,6 +204,7 @@
             table,
             configuration,
             sessions: &self.sessions,
+            evacuations: &self.evacuations,
             run_times: &self.run_times,
             unix_ms,
         };
@@ -208,6 +217,7 @@
             settings: &self.settings,
             table,
             evicted: self.evictions.runs(),
+            evacuations: &self.evacuations,
             token: self.token,
             now,
         };
