Predict run times apart from machine speeds and long tasks

The regression of the dispatcher mixes the run times of slow machines and of the few tasks that take several times as long with those of a queue.

The progress model gets the regression, with run times normalised to a machine of speed 1. The dispatcher does not use it yet.

--- a/crates/yuccatack_progress/src/lib.rs
+++ b/crates/yuccatack_progress/src/lib.rs
@@ -10,6 +10,7 @@
 mod machine;
 mod model;
 mod rate;
+mod run_time;
 mod sample;
 mod summary;
 
--- a/crates/yuccatack_progress/src/model.rs
+++ b/crates/yuccatack_progress/src/model.rs
@@ -1,10 +1,11 @@
-//! The progress model: speeds of all machines, learned from the progress of their runs.
+//! The progress model: speeds of all machines and run times of all queues.
 
-use yuccatack_core::{DurationMs, FastHashMap, NodeName, TimestampMs};
+use yuccatack_core::{DurationMs, FastHashMap, NodeName, QueueName, TimestampMs};
 
 use crate::estimate::{Estimate, MachineEstimate, Observation};
 use crate::group::Group;
 use crate::machine::Machine;
+use crate::run_time::{RunTimes, scale};
 use crate::sample::{GroupId, ProgressSample, RunKey};
 use crate::summary::{EstimateError, EstimateRecord};
 
@@ -26,7 +27,7 @@
 /// Part of the machines whose estimates change before the typical speed is computed again.
 const TYPICAL_UPDATE_DIVISOR: usize = 8;
 
-/// Learns the speeds of machines. No function reads a clock: the current time is an argument.
+/// Learns the speeds of machines and the run times of queues. No function reads a clock: the current time is an argument.
 #[derive(Debug, Default)]
 pub struct ProgressModel {
     groups: FastHashMap<GroupId, Group>,
@@ -37,6 +38,7 @@
     typical_log_speed: f64,
     changes_since_typical: usize,
     newly_distinct: Vec<NodeName>,
+    run_times: RunTimes,
 }
 
 impl ProgressModel {
@@ -163,6 +165,35 @@
         self.machines.get(node).map(|machine| machine.estimate(self.typical_log_speed))
     }
 
+    /// Records the run time of a completed run on a machine of this speed. For a gang, it is the
+    /// speed of the slowest member's machine.
+    pub fn on_run_time(
+        &mut self,
+        queue: &QueueName,
+        estimate_ms: DurationMs,
+        run_time_ms: DurationMs,
+        speed: f64,
+    ) {
+        self.run_times.record(queue, estimate_ms, scale(run_time_ms, speed));
+    }
+
+    /// Predicts the run time of a task on a machine of this speed, from the caller's estimate and
+    /// the completed runs of the queue without the longest ones.
+    pub fn predict(&self, queue: &QueueName, estimate_ms: DurationMs, speed: f64) -> DurationMs {
+        scale(self.run_times.predict(queue, estimate_ms), 1.0 / speed)
+    }
+
+    /// Returns the geometric mean of the queue's run times at speed 1 in milliseconds; `None` until
+    /// enough runs have completed.
+    pub fn typical_ms(&self, queue: &QueueName) -> Option<u64> {
+        self.run_times.typical_ms(queue)
+    }
+
+    /// Returns the part of a queue's runs that took several times as long as predicted.
+    pub fn tail_share(&self, queue: &QueueName) -> f64 {
+        self.run_times.tail_share(queue)
+    }
+
     /// Returns the number of machines that are known to be slower than the typical one.
     pub fn slow_machine_count(&self) -> usize {
         let is_slow = |machine: &&Machine| {
