Learn machine speeds at the leader and keep them in the log

Nothing fed the progress model, and a new leader would have to learn every speed again.

The dispatcher feeds the model from the observations of the agents: runs far from their data, split rack-local gangs, long-running tasks and tasks on idle CPU time are left out. A new leader begins with them. The log line machine_speed_known and the gauge yuccatack_slow_machines show what was found. The worker stand-in reports the progress of its runs, which was always 0 percent.

Placement is unchanged.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -17,6 +17,7 @@
 use crate::run_time::RunTimes;
 use crate::session::Session;
 use crate::settings::DispatchSettings;
+use crate::speed_observer::SpeedObserver;
 use crate::starts::Starts;
 use crate::summary::{PassSummary, Summaries};
 use crate::table_change::TableChange;
@@ -33,6 +34,7 @@
     headroom: Headroom,
     run_times: RunTimes,
     waiting_steps: WaitingSteps,
+    pub(crate) speed_observer: SpeedObserver,
     /// Work that the last pass left waiting; `None` if it placed everything.
     backlog: Option<Backlog>,
     summaries: Summaries,
@@ -51,6 +53,7 @@
             headroom: Headroom::default(),
             run_times: RunTimes::default(),
             waiting_steps: WaitingSteps::default(),
+            speed_observer: SpeedObserver::default(),
             backlog: None,
             summaries: Summaries::default(),
         }
@@ -107,8 +110,12 @@
         now: TimestampMs,
     ) -> Vec<TableChange> {
         match message {
-            AgentMessage::State(state) => record_state(&mut self.sessions, node, state, table, now),
+            AgentMessage::State(state) => {
+                self.speed_observer.on_announcement(&state.incarnation, now);
+                record_state(&mut self.sessions, node, state, table, now)
+            }
             AgentMessage::Observed(observation) => {
+                self.speed_observer.on_observation(&self.sessions, node, &observation, table, now);
                 let mut observer = Observer {
                     sessions: &mut self.sessions,
                     evictions: &mut self.evictions,
@@ -136,6 +143,7 @@
         now: TimestampMs,
         unix_ms: u64,
     ) -> Vec<TableChange> {
+        self.speed_observer.expire(now);
         self.evictions.retain_open(table);
         let (leading_since, lease_ms) = (self.leading_since, self.settings.lease_ms);
         let mut changes = expired_run_ends(&self.sessions, table, leading_since, lease_ms, now);
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -1,8 +1,8 @@
 //! Scheduling decisions of the control leader: placement of runs, their leases, and evictions.
 //!
-//! [`Dispatcher`] holds the leader's state of its workers. The state is not replicated: a new
-//! leader starts without it and rebuilds it from the reports of the agents. No function
-//! reads a clock: the current time is an argument.
+//! [`Dispatcher`] holds the leader's state of its workers. The state is not replicated, except for the
+//! speeds of machines: a new leader rebuilds it from the reports of the agents. No function reads a
+//! clock: the current time is an argument.
 
 mod admission;
 mod capacity;
@@ -26,6 +26,7 @@
 mod session;
 mod settings;
 mod share;
+mod speed_observer;
 mod starts;
 mod summary;
 mod table_change;
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -54,6 +54,8 @@
     /// A batch of table changes; no other batch is proposed until this one completes.
     Changes,
     Housekeeping,
+    /// A batch of estimates of machine speeds.
+    Speeds,
 }
 
 /// Continuation of a read once a quorum has confirmed the leadership.
@@ -113,6 +115,7 @@
     pub(crate) jobs_removed_at: TimestampMs,
     /// Time until the next search for ended jobs whose retention period is over.
     pub(crate) job_removal_interval: DurationMs,
+    pub(crate) speeds_stored_at: TimestampMs,
     pub(crate) agent_heartbeat_at: TimestampMs,
     pub(crate) drain_replies: Vec<oneshot::Sender<()>>,
 }
@@ -161,6 +164,7 @@
             lease_read_at: TimestampMs::default(),
             jobs_removed_at: TimestampMs::default(),
             job_removal_interval: JOB_REMOVAL_INTERVAL,
+            speeds_stored_at: TimestampMs::default(),
             agent_heartbeat_at: TimestampMs::default(),
             drain_replies: Vec::new(),
         })
@@ -324,6 +328,7 @@
                 self.leader_address = None;
                 self.add_up_stored_bytes(now);
                 self.dispatcher = Some(Dispatcher::new(self.settings.clone(), term.get(), now));
+                self.restore_speeds(now);
             }
             Leadership::Follower { leader_address } => {
                 self.leader_address = leader_address;
@@ -354,6 +359,7 @@
         });
         let applied = self.queue_state.apply(command);
         if let Some((command, unfinished)) = &logged {
+            self.on_speeds_applied(command);
             log_after_apply(command, applied, unfinished, &self.queue_state, index);
             self.metrics.queues.set_open_runs(self.queue_state.jobs.open_runs().len());
         }
@@ -371,7 +377,7 @@
                 respond(reply, response_for(applied));
             }
             Some(PendingProposal::Changes) => self.pending_changes.on_committed(&proposal),
-            Some(PendingProposal::Housekeeping) | None => {}
+            Some(PendingProposal::Housekeeping | PendingProposal::Speeds) | None => {}
         }
         Ok(())
     }
@@ -397,7 +403,7 @@
                     self.changes_paused_until = self.now() + CHANGES_RETRY_DELAY;
                 }
             }
-            PendingProposal::Housekeeping => {}
+            PendingProposal::Housekeeping | PendingProposal::Speeds => {}
         }
     }
 
@@ -478,7 +484,7 @@
             return Ok(());
         }
         if !is_being_stored && let Some(dispatcher) = &mut self.dispatcher {
-            let QueueState { configuration, jobs } = &self.queue_state;
+            let QueueState { configuration, jobs, .. } = &self.queue_state;
             let admission = dispatcher.admit(submission, jobs, configuration, unix_now_ms());
             if let Err(refusal) = admission {
                 log_refusal(submission, &refusal);
@@ -555,6 +561,7 @@
             self.metrics.queues.set_agents(dispatcher.connected_count());
             self.agents.send_heartbeats(dispatcher.token());
         }
+        self.store_speeds(now)?;
         if self.dispatcher.is_some()
             && now.since(self.jobs_removed_at) >= self.job_removal_interval
             && !self.is_removing_jobs()
--- a/crates/yuccatack_queue_control/src/command.rs
+++ b/crates/yuccatack_queue_control/src/command.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use yuccatack_core::JobName;
+use yuccatack_core::{JobName, NodeName};
 use yuccatack_dispatch::TableChange;
+use yuccatack_progress::EstimateRecord;
 use yuccatack_queues::Configuration;
 use yuccatack_replication::ProposalClass;
 use yuccatack_runs::JobSubmission;
@@ -25,13 +26,21 @@
     /// Removes ended jobs whose retention period is over.
     #[serde(rename = "Forget")]
     RemoveEnded(Vec<JobName>),
+    /// Stores changed estimates of machine speeds and removes those of machines that are gone.
+    StoreSpeeds {
+        changed: Vec<EstimateRecord>,
+        removed: Vec<NodeName>,
+    },
 }
 
 impl Command {
     /// Returns the class by which the replicated log refuses the command while disks are full.
     pub fn class(&self) -> ProposalClass {
         match self {
-            Self::Submit(_) | Self::Configure(_) => ProposalClass::Growth,
+            // Estimates of speeds only order choices, so that they can wait for space.
+            Self::Submit(_) | Self::Configure(_) | Self::StoreSpeeds { .. } => {
+                ProposalClass::Growth
+            }
             // Runs that end, cancellations and removals free space, and so does work that goes on.
             Self::Cancel { .. } | Self::Change { .. } | Self::RemoveEnded(_) => {
                 ProposalClass::Essential
--- a/crates/yuccatack_queue_control/src/lib.rs
+++ b/crates/yuccatack_queue_control/src/lib.rs
@@ -17,6 +17,7 @@
 mod run_lines;
 mod schedule;
 mod service;
+mod speeds;
 mod state;
 mod stored_bytes;
 
--- a/crates/yuccatack_queue_control/src/observe.rs
+++ b/crates/yuccatack_queue_control/src/observe.rs
@@ -53,7 +53,10 @@
                 );
             });
         }
-        Command::Cancel { .. } | Command::Configure(_) | Command::RemoveEnded(_) => {}
+        Command::Cancel { .. }
+        | Command::Configure(_)
+        | Command::RemoveEnded(_)
+        | Command::StoreSpeeds { .. } => {}
     }
     unfinished
 }
@@ -117,6 +120,7 @@
         PendingProposal::Submission(job, _) => ("submission", job.submission.name.to_string()),
         PendingProposal::Changes => ("table_changes", String::new()),
         PendingProposal::Housekeeping => ("removal", String::new()),
+        PendingProposal::Speeds => ("machine_speeds", String::new()),
     };
     log::warn!(
         event = "proposal_refused", proposal = proposal, subject = subject.as_str(),
--- a/crates/yuccatack_queue_control/src/state.rs
+++ b/crates/yuccatack_queue_control/src/state.rs
@@ -8,6 +8,7 @@
 
 use crate::command::Command;
 use crate::job_names::job_origin;
+use crate::speeds::StoredSpeeds;
 
 /// Time for which an ended job can still be read. The platform requires two minutes.
 pub(crate) const ENDED_JOB_RETENTION: DurationMs = DurationMs::new(10 * 60 * 1000);
@@ -20,6 +21,9 @@
 pub(crate) struct QueueState {
     pub configuration: ConfigurationStore,
     pub jobs: JobTable,
+    /// Speeds of machines; empty in snapshots of earlier versions.
+    #[serde(default, skip_serializing_if = "StoredSpeeds::is_empty")]
+    pub speeds: StoredSpeeds,
 }
 
 /// Result of applying a command.
@@ -50,6 +54,10 @@
                 }
                 Applied::Changed
             }
+            Command::StoreSpeeds { changed, removed } => {
+                self.speeds.apply(changed, &removed);
+                Applied::Changed
+            }
             Command::RemoveEnded(names) => {
                 self.jobs.remove_ended(&names);
                 Applied::Changed
--- a/crates/yuccatack_queue_control/tests/support/mod.rs
+++ b/crates/yuccatack_queue_control/tests/support/mod.rs
@@ -43,6 +43,7 @@
 pub struct Replica {
     folder: Option<TempDir>,
     pub address: SocketAddr,
+    pub metrics: Metrics,
     trigger: ShutdownTrigger,
     task: JoinHandle<()>,
     /// Runtime of the replica alone, whose end also ends the tasks that the replica has spawned.
@@ -95,10 +96,10 @@
     };
     let client = QueueClient::new(seeds);
     let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
-    let task = runtime.spawn(async move {
-        run(config, client, Metrics::new(), shutdown).await.unwrap();
-    });
-    Replica { folder: Some(folder), address, trigger, task, runtime: Some(runtime) }
+    let metrics = Metrics::new();
+    let process = run(config, client, metrics.clone(), shutdown);
+    let task = runtime.spawn(async move { process.await.unwrap() });
+    Replica { folder: Some(folder), address, metrics, trigger, task, runtime: Some(runtime) }
 }
 
 impl Replica {
--- a/crates/yuccatack_stand_ins/src/queue_worker.rs
+++ b/crates/yuccatack_stand_ins/src/queue_worker.rs
@@ -86,6 +86,13 @@
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Returns the progress of a run that goes on, in percent.
+    fn percent(&self, ends_at: Instant) -> u8 {
+        let left = ends_at.saturating_duration_since(Instant::now()).as_secs_f64();
+        let done = 1.0 - left / self.run_time.as_secs_f64();
+        (done * 100.0).clamp(0.0, 99.0) as u8
+    }
+
     fn end(&mut self, run: &RunId, outcome: RunOutcome) {
         if self.running.remove(run).is_some() {
             let number = self.next_end_number;
@@ -150,10 +157,10 @@
         self.lease_until_clock_ms =
             self.lease_until_clock_ms.max(call.until_clock_ms.unwrap_or_default());
         self.ended.retain(|end| end.number > call.acknowledged_end);
-        let running = self.running.keys().map(|run| RunningRun {
+        let running = self.running.iter().map(|(run, ends_at)| RunningRun {
             run: run.clone(),
             checkpoint: None,
-            percent: 0,
+            percent: self.percent(*ends_at),
             load: None,
         });
         PollResponse {
--- a/crates/yuccatack_telemetry/src/metrics/catalogue.rs
+++ b/crates/yuccatack_telemetry/src/metrics/catalogue.rs
@@ -312,6 +312,13 @@
         &[],
         "Agents whose stream to the control leader is open.",
     ),
+    MetricDescription::new(
+        "slow_machines",
+        Count,
+        Gauge,
+        &[],
+        "Machines that are known to be slower than the typical one, at the control leader.",
+    ),
     MetricDescription::new(
         "worker_orders",
         Count,
--- a/crates/yuccatack_telemetry/src/metrics/queues.rs
+++ b/crates/yuccatack_telemetry/src/metrics/queues.rs
@@ -26,6 +26,7 @@
     stored_bytes: Gauge,
     evictions: Counter,
     agents: Gauge,
+    slow_machines: Gauge,
     orders: Counter,
 }
 
@@ -50,6 +51,7 @@
             stored_bytes: register(registry, "stored_job_bytes", Gauge::default()),
             evictions: register(registry, "run_evictions", Counter::default()),
             agents: register(registry, "agents_attached", Gauge::default()),
+            slow_machines: register(registry, "slow_machines", Gauge::default()),
             orders: register(registry, "worker_orders", Counter::default()),
         }
     }
@@ -86,6 +88,11 @@
         self.agents.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of machines that are known to be slower than the typical one.
+    pub fn set_slow_machines(&self, count: usize) {
+        self.slow_machines.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a start or stop request that was sent to the worker.
     pub fn count_order(&self) {
         self.orders.inc();
