Place groups by the speeds that runs have shown

The placement by speed gets its speeds from a setter that nothing calls.

The dispatcher takes them from the progress model, at most every 250 ms and only if one has changed, so that the placement sees only machines that are known to differ. A test runs gangs on eight workers, two of which are slow; the next urgent gang of six goes to the other six.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -154,7 +154,9 @@
         now: TimestampMs,
         unix_ms: u64,
     ) -> Vec<TableChange> {
-        self.speed_observer.expire(now);
+        if let Some(speeds) = self.speed_observer.refresh(now) {
+            self.speeds = speeds;
+        }
         self.evictions.retain_open(table);
         let (leading_since, lease_ms) = (self.leading_since, self.settings.lease_ms);
         let mut changes = expired_run_ends(&self.sessions, table, leading_since, lease_ms, now);
--- a/crates/yuccatack_dispatch/src/speed.rs
+++ b/crates/yuccatack_dispatch/src/speed.rs
@@ -17,7 +17,7 @@
 const MAX_FACTOR: f64 = 10.0;
 
 /// Relative progress rate of each machine; 1 is a typical machine, above 1 is faster.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct MachineSpeeds {
     speeds: FastHashMap<NodeName, f64>,
 }
--- a/crates/yuccatack_dispatch/src/speed_observer.rs
+++ b/crates/yuccatack_dispatch/src/speed_observer.rs
@@ -11,9 +11,10 @@
 use crate::dispatcher::Dispatcher;
 use crate::protocol::{Observation, RunningRun};
 use crate::session::Session;
+use crate::speed::MachineSpeeds;
 
-/// Interval at which the model forgets what is over.
-const EXPIRY_INTERVAL: DurationMs = DurationMs::new(1_000);
+/// Interval at which the dispatcher gets the speeds that have changed.
+const REFRESH_INTERVAL: DurationMs = DurationMs::new(250);
 
 /// Progress up to which a run may wait for the other members of its gang. Later observations count
 /// only if the progress has changed.
@@ -25,7 +26,9 @@
     model: ProgressModel,
     /// Latest incarnation that was announced to this leader, by node.
     incarnations: FastHashMap<NodeName, WorkerIncarnation>,
-    expired_at: TimestampMs,
+    refreshed_at: TimestampMs,
+    /// Speeds that the dispatcher got last.
+    latest: MachineSpeeds,
 }
 
 impl SpeedObserver {
@@ -73,12 +76,13 @@
         }
     }
 
-    /// Forgets what is over, and reports machines that were told apart.
-    pub fn expire(&mut self, now: TimestampMs) {
-        if now.since(self.expired_at) < EXPIRY_INTERVAL {
-            return;
+    /// Forgets what is over and reports machines that were told apart. Returns the speeds of all
+    /// machines if some have changed since the last call.
+    pub fn refresh(&mut self, now: TimestampMs) -> Option<MachineSpeeds> {
+        if now.since(self.refreshed_at) < REFRESH_INTERVAL {
+            return None;
         }
-        self.expired_at = now;
+        self.refreshed_at = now;
         self.model.expire(now);
         for (node, estimate) in self.model.take_newly_distinct() {
             let (speed, log_deviation) = (estimate.speed, estimate.log_deviation);
@@ -89,6 +93,14 @@
                 "the machine of the agent is faster or slower than the typical one"
             );
         }
+        let distinct = self.model.distinct_speeds();
+        let speeds = distinct.fold(MachineSpeeds::new(), |speeds, (node, speed)| {
+            speeds.with_speed(node.clone(), speed)
+        });
+        (speeds != self.latest).then(|| {
+            self.latest = speeds.clone();
+            speeds
+        })
     }
 }
 
--- a/crates/yuccatack_dispatch/tests/observed_speeds.rs
+++ b/crates/yuccatack_dispatch/tests/observed_speeds.rs
@@ -68,6 +68,21 @@
     assert_eq!(slow_workers(&later.dispatcher), [0, 5]);
 }
 
+#[test]
+fn urgent_gang_on_fast_workers() {
+    let mut cluster = TestCluster::new(WORKER_COUNT);
+    for number in 0..4 {
+        complete(&mut cluster, &format!("gang{number}"), gang(8));
+    }
+    cluster.advance(300);
+    cluster.observe_all(WORKER_COUNT);
+    cluster.submit_tight("urgent", None, gang(6));
+    let runs = starts(&cluster.decide());
+    assert_eq!(runs.len(), 6);
+    let workers: Vec<usize> = runs.iter().map(|run| cluster.worker_of(run)).collect();
+    assert!(!workers.contains(&0) && !workers.contains(&5), "placed on {workers:?}");
+}
+
 #[test]
 fn spread_gangs_ignored() {
     let mut cluster = TestCluster::new(WORKER_COUNT);
--- a/crates/yuccatack_progress/src/model.rs
+++ b/crates/yuccatack_progress/src/model.rs
@@ -128,8 +128,8 @@
         }
     }
 
-    /// Forgets steps and machines that are gone, and deviations that are over. To be called about
-    /// once a second.
+    /// Forgets steps and machines that are gone, and deviations that are over. To be called
+    /// several times a second.
     pub fn expire(&mut self, now: TimestampMs) {
         let is_over = |group: &Group| now.since(group.last_sample_at) >= GROUP_RETENTION;
         let over = self.groups.iter().filter(|(_, group)| is_over(group));
@@ -160,6 +160,12 @@
         }
     }
 
+    /// Returns the machines that are known to differ from the typical one, with their speeds.
+    pub fn distinct_speeds(&self) -> impl Iterator<Item = (&NodeName, f64)> {
+        let distinct = self.machines.iter().filter(|(_, machine)| machine.is_distinct);
+        distinct.map(|(node, machine)| (node, machine.estimate(self.typical_log_speed).speed))
+    }
+
     /// Returns the estimate of a machine with its uncertainty; `None` if nothing is known.
     pub fn estimate(&self, node: &NodeName) -> Option<MachineEstimate> {
         self.machines.get(node).map(|machine| machine.estimate(self.typical_log_speed))
