--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::session::Session;
 use crate::settings::DispatchSettings;
 use crate::speed::MachineSpeeds;
+use crate::speed_observer::SpeedObserver;
 use crate::speed_wait::SpeedWaits;
 use crate::starts::Starts;
 use crate::summary::{PassSummary, Summaries};
@@ -37,6 +38,7 @@
     run_times: RunTimes,
     speeds: MachineSpeeds,
     waiting_steps: WaitingSteps,
+    pub(crate) speed_observer: SpeedObserver,
     speed_waits: SpeedWaits,
     /// Work that the last pass left waiting; `None` if it placed everything.
     backlog: Option<Backlog>,
@@ -58,6 +60,7 @@
             run_times: RunTimes::default(),
             speeds: MachineSpeeds::default(),
             waiting_steps: WaitingSteps::default(),
+            speed_observer: SpeedObserver::default(),
             speed_waits: SpeedWaits::default(),
             backlog: None,
             summaries: Summaries::default(),
@@ -125,8 +128,12 @@
         now: TimestampMs,
     ) -> Vec<TableChange> {
         match message {
-            AgentMessage::State(state) => record_state(&mut self.sessions, node, state, table, now),
+            AgentMessage::State(state) => {
+                self.speed_observer.on_announcement(&state.incarnation, now);
+                record_state(&mut self.sessions, node, state, table, now)
+            }
             AgentMessage::Observed(observation) => {
+                self.speed_observer.on_observation(&self.sessions, node, &observation, table, now);
                 let mut observer = Observer {
                     sessions: &mut self.sessions,
                     evictions: &mut self.evictions,
@@ -154,6 +161,9 @@
         now: TimestampMs,
         unix_ms: u64,
     ) -> Vec<TableChange> {
+        if let Some(speeds) = self.speed_observer.refresh(now) {
+            self.speeds = speeds;
+        }
         self.evictions.retain_open(table);
         let (leading_since, lease_ms) = (self.leading_since, self.settings.lease_ms);
         let mut changes = expired_run_ends(&self.sessions, table, leading_since, lease_ms, now);
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -55,6 +55,8 @@
     /// A batch of table changes; no other batch is proposed until this one completes.
     Changes,
     Housekeeping,
+    /// A batch of estimates of machine speeds.
+    Speeds,
 }
 
 /// Continuation of a read once a quorum has confirmed the leadership.
@@ -114,6 +116,7 @@
     pub(crate) jobs_removed_at: TimestampMs,
     /// Time until the next search for ended jobs whose retention period is over.
     pub(crate) job_removal_interval: DurationMs,
+    pub(crate) speeds_stored_at: TimestampMs,
     pub(crate) agent_heartbeat_at: TimestampMs,
     pub(crate) drain_replies: Vec<oneshot::Sender<()>>,
 }
@@ -162,6 +165,7 @@
             lease_read_at: TimestampMs::default(),
             jobs_removed_at: TimestampMs::default(),
             job_removal_interval: JOB_REMOVAL_INTERVAL,
+            speeds_stored_at: TimestampMs::default(),
             agent_heartbeat_at: TimestampMs::default(),
             drain_replies: Vec::new(),
         })
@@ -327,6 +331,7 @@
                 let mut dispatcher = Dispatcher::new(self.settings.clone(), term.get(), now);
                 dispatcher.set_evacuations(&self.queue_state.evacuations);
                 self.dispatcher = Some(dispatcher);
+                self.restore_speeds(now);
             }
             Leadership::Follower { leader_address } => {
                 self.leader_address = leader_address;
@@ -362,6 +367,7 @@
             dispatcher.set_evacuations(&self.queue_state.evacuations);
         }
         if let Some((command, unfinished)) = &logged {
+            self.on_speeds_applied(command);
             log_after_apply(command, applied, unfinished, &self.queue_state, index);
             self.metrics.queues.set_open_runs(self.queue_state.jobs.open_runs().len());
         }
@@ -379,7 +385,7 @@
                 respond(reply, response_for(applied, &self.queue_state));
             }
             Some(PendingProposal::Changes) => self.pending_changes.on_committed(&proposal),
-            Some(PendingProposal::Housekeeping) | None => {}
+            Some(PendingProposal::Housekeeping | PendingProposal::Speeds) | None => {}
         }
         Ok(())
     }
@@ -405,7 +411,7 @@
                     self.changes_paused_until = self.now() + CHANGES_RETRY_DELAY;
                 }
             }
-            PendingProposal::Housekeeping => {}
+            PendingProposal::Housekeeping | PendingProposal::Speeds => {}
         }
     }
 
@@ -586,6 +592,7 @@
             self.metrics.queues.set_agents(dispatcher.connected_count());
             self.agents.send_heartbeats(dispatcher.token());
         }
+        self.store_speeds(now)?;
         if self.dispatcher.is_some()
             && now.since(self.jobs_removed_at) >= self.job_removal_interval
             && !self.is_removing_jobs()
--- a/crates/yuccatack_queue_control/src/observe.rs
+++ b/crates/yuccatack_queue_control/src/observe.rs
@@ -71,7 +71,8 @@
         | Command::Configure(_)
         | Command::RemoveEnded(_)
         | Command::Evacuate { .. }
-        | Command::Readmit { .. } => {}
+        | Command::Readmit { .. }
+        | Command::StoreSpeeds { .. } => {}
     }
     unfinished
 }
@@ -139,6 +140,7 @@
         PendingProposal::Submission(job, _) => ("submission", job.submission.name.to_string()),
         PendingProposal::Changes => ("table_changes", String::new()),
         PendingProposal::Housekeeping => ("removal", String::new()),
+        PendingProposal::Speeds => ("machine_speeds", String::new()),
     };
     log::warn!(
         event = "proposal_refused", proposal = proposal, subject = subject.as_str(),
--- a/crates/yuccatack_queue_control/src/state.rs
+++ b/crates/yuccatack_queue_control/src/state.rs
@@ -8,6 +8,7 @@
 
 use crate::command::Command;
 use crate::job_names::job_origin;
+use crate::speeds::StoredSpeeds;
 
 /// Time for which an ended job can still be read. The platform requires two minutes.
 pub(crate) const ENDED_JOB_RETENTION: DurationMs = DurationMs::new(10 * 60 * 1000);
@@ -23,6 +24,9 @@
     /// Snapshots of earlier versions have no evacuations.
     #[serde(default)]
     pub evacuations: EvacuationStore,
+    /// Speeds of machines; empty in snapshots of earlier versions.
+    #[serde(default, skip_serializing_if = "StoredSpeeds::is_empty")]
+    pub speeds: StoredSpeeds,
 }
 
 /// Result of applying a command.
@@ -57,6 +61,10 @@
                 }
                 Applied::Changed
             }
+            Command::StoreSpeeds { changed, removed } => {
+                self.speeds.apply(changed, &removed);
+                Applied::Changed
+            }
             Command::RemoveEnded(names) => {
                 self.jobs.remove_ended(&names);
                 Applied::Changed
