Keep the limits of callers' requests in the configuration

Entries hold no configuration, so they could not know `MaxBodyBytes` and the other limits of callers' requests. The configuration now has them, with the documented values where the document has none, and `ReadLimits` returns those of the configuration in force. A leader of an earlier version refuses the request before it handles it. Stored configurations of earlier versions stay readable, which `limits_missing` shows.

--- a/crates/yuccatack_dispatch/tests/support/mod.rs
+++ b/crates/yuccatack_dispatch/tests/support/mod.rs
@@ -12,7 +12,9 @@
     AgentMessage, DispatchSettings, Dispatcher, EndedRun, Observation, Orders, RunningRun,
     StartResult, TableChange, WorkerState,
 };
-use yuccatack_queues::{Configuration, ConfigurationStore, ConfigurationVersion, Organisation};
+use yuccatack_queues::{
+    CallerLimits, Configuration, ConfigurationStore, ConfigurationVersion, Organisation,
+};
 use yuccatack_runs::{
     JobSpec, JobSubmission, JobTable, RunEnd, RunId, RunOutcome, StepSpec, TaskId,
     WorkerIncarnation,
@@ -103,6 +105,7 @@
             version: ConfigurationVersion::new(self.configuration.version().get() + 1),
             queues: Vec::new(),
             services: Vec::new(),
+            limits: CallerLimits::default(),
             organisations: vec![organisation],
             document: Arc::from(""),
         }));
--- a/crates/yuccatack_queue_client/src/protocol.rs
+++ b/crates/yuccatack_queue_client/src/protocol.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use yuccatack_core::{DurationMs, NodeName};
 use yuccatack_dispatch::{AgentMessage, Orders};
-use yuccatack_queues::{Acceptance, AccessError, AccessKey, Configuration};
+use yuccatack_queues::{Acceptance, AccessError, AccessKey, CallerLimits, Configuration};
 use yuccatack_runs::{JobPhase, JobSpec};
 
 /// Queue, and optionally a job in it, that a caller addresses.
@@ -49,6 +49,9 @@
         /// ID of the member that stops.
         replica_id: u64,
     },
+    /// Reads the limits of callers' requests in the configuration in force. Replicas of earlier
+    /// versions do not know this request and refuse it.
+    ReadLimits,
 }
 
 impl Request {
@@ -58,7 +61,11 @@
         match self {
             Self::Submit(..) | Self::Cancel(_) | Self::Configure(_) | Self::Join { .. } => true,
             // A repeated announcement has the effect of a single one.
-            Self::Read(_) | Self::ReadConfiguration | Self::Ping | Self::Leave { .. } => false,
+            Self::Read(_)
+            | Self::ReadConfiguration
+            | Self::ReadLimits
+            | Self::Ping
+            | Self::Leave { .. } => false,
         }
     }
 }
@@ -99,6 +106,8 @@
     NotLeader(LeaderHint),
     /// The replica lost the leadership meanwhile; the request may or may not take effect.
     Unknown,
+    /// Limits of callers' requests; `None` before the first configuration.
+    Limits(Option<CallerLimits>),
 }
 
 /// Progress of the replacement of a member that stops.
--- a/crates/yuccatack_queue_client/tests/earlier_replicas.rs
+++ b/crates/yuccatack_queue_client/tests/earlier_replicas.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use yuccatack_queue_client::generated::queue_control::Envelope;
 use yuccatack_queue_client::protocol::{LeaveProgress, Request, Response};
+use yuccatack_queues::{CallerLimits, Configuration};
 
 /// Requests of replicas before a stopping replica could announce that.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -65,3 +66,35 @@
         assert_eq!(Response::try_from(envelope).unwrap(), response);
     }
 }
+
+/// Configuration before it had limits, as it is stored and sent.
+#[derive(Serialize)]
+struct EarlierConfiguration {
+    version: u64,
+    queues: Vec<u64>,
+    services: Vec<u64>,
+    organisations: Vec<u64>,
+    document: String,
+}
+
+/// Guards against a stored configuration without limits that cannot be read any more, and against
+/// an entry that takes a leader of an earlier version for one that answered.
+#[test]
+fn limits_missing() {
+    let earlier = EarlierConfiguration {
+        version: 7,
+        queues: Vec::new(),
+        services: Vec::new(),
+        organisations: Vec::new(),
+        document: "{}".to_owned(),
+    };
+    let bytes = rmp_serde::to_vec_named(&earlier).unwrap();
+    let configuration: Configuration = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(configuration.limits, CallerLimits::default());
+    assert_eq!(configuration.version.get(), 7);
+    let envelope = Envelope::try_from(&Request::ReadLimits).unwrap();
+    assert!(rmp_serde::from_slice::<EarlierRequest>(&envelope.body).is_err());
+    let response = Response::Limits(Some(configuration.limits));
+    let envelope = Envelope::try_from(&response).unwrap();
+    assert_eq!(Response::try_from(envelope).unwrap(), response);
+}
--- a/crates/yuccatack_queue_control/src/calls.rs
+++ b/crates/yuccatack_queue_control/src/calls.rs
@@ -70,6 +70,10 @@
                 state.configuration.current().map(|current| Arc::clone(&current.document));
             Plan::Respond(Response::Configuration(document))
         }
+        Request::ReadLimits => {
+            let limits = state.configuration.current().map(|current| current.limits);
+            Plan::Respond(Response::Limits(limits))
+        }
         Request::Join { .. } => Plan::Respond(Response::Joined),
         Request::Leave { replica_id } => Plan::LeaveGroup(ReplicaId::new(replica_id)),
         Request::Ping => Plan::Respond(Response::Pong),
--- a/crates/yuccatack_queue_control/tests/support/mod.rs
+++ b/crates/yuccatack_queue_control/tests/support/mod.rs
@@ -24,7 +24,7 @@
 use yuccatack_queue_client::protocol::{CallTarget, Request, Response};
 use yuccatack_queue_control::{ControlConfig, run};
 use yuccatack_queues::{
-    AccessKey, Configuration, ConfigurationVersion, Organisation, Queue, Service,
+    AccessKey, CallerLimits, Configuration, ConfigurationVersion, Organisation, Queue, Service,
 };
 use yuccatack_runs::{JobPhase, JobSpec, StepSpec, WorkerIncarnation};
 use yuccatack_stand_ins::{DiskStandIn, QueueWorkerHandle, QueueWorkerStandIn};
@@ -285,6 +285,7 @@
             public: false,
         }],
         services: vec![Service { name: service, admission_control: true }],
+        limits: CallerLimits::default(),
         organisations: vec![Organisation {
             name: OrganisationName::new("tenant").unwrap(),
             keys: vec![AccessKey::new(key)],
--- a/crates/yuccatack_queues/src/configuration.rs
+++ b/crates/yuccatack_queues/src/configuration.rs
@@ -59,10 +59,38 @@
     pub services: Vec<Service>,
     /// Organisations whose callers have keys.
     pub organisations: Vec<Organisation>,
+    /// Limits of callers' requests. Stored configurations of earlier versions have none.
+    #[serde(default)]
+    pub limits: CallerLimits,
     /// Document as the operator sent it, returned unchanged when the configuration is read.
     pub document: Arc<str>,
 }
 
+/// Limits of callers' requests; the default is what the platform documents.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CallerLimits {
+    /// Maximum size of a body.
+    pub max_body_bytes: u64,
+    /// Maximum size of the head of a request.
+    pub max_header_bytes: u64,
+    /// Time limit for the head of a request.
+    pub header_timeout_ms: DurationMs,
+    /// Time for which a connection stays open without a request.
+    pub idle_timeout_ms: DurationMs,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 262_144,
+            max_header_bytes: 16_384,
+            header_timeout_ms: DurationMs::new(3_000),
+            idle_timeout_ms: DurationMs::new(15_000),
+        }
+    }
+}
+
 /// Queue to which callers submit jobs, with the terms that apply to them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
--- a/crates/yuccatack_queues/src/lib.rs
+++ b/crates/yuccatack_queues/src/lib.rs
@@ -8,7 +8,7 @@
 mod validation;
 
 pub use configuration::{
-    AccessKey, Configuration, ConfigurationVersion, Organisation, Queue, Service,
+    AccessKey, CallerLimits, Configuration, ConfigurationVersion, Organisation, Queue, Service,
 };
 pub use store::{Acceptance, Access, AccessError, ConfigurationStore};
 pub use validation::ConfigurationError;
--- a/crates/yuccatack_queues/tests/version_order.rs
+++ b/crates/yuccatack_queues/tests/version_order.rs
@@ -7,8 +7,8 @@
 
 use yuccatack_core::{DurationMs, OrganisationName, QueueName, ServiceName};
 use yuccatack_queues::{
-    Acceptance, AccessError, AccessKey, Configuration, ConfigurationError, ConfigurationStore,
-    ConfigurationVersion, Organisation, Queue, Service,
+    Acceptance, AccessError, AccessKey, CallerLimits, Configuration, ConfigurationError,
+    ConfigurationStore, ConfigurationVersion, Organisation, Queue, Service,
 };
 
 fn queue(name: &str, prefix: &str) -> Queue {
@@ -42,6 +42,7 @@
             name: ServiceName::new("pool").unwrap(),
             admission_control: true,
         }],
+        limits: CallerLimits::default(),
         organisations: vec![organisation("one", "k1"), organisation("two", "k2")],
         document: Arc::from(format!("document {version}")),
     }
