--- a/crates/yuccatack_telemetry/src/metrics/catalogue.rs
+++ b/crates/yuccatack_telemetry/src/metrics/catalogue.rs
@@ -319,4 +319,25 @@
         &[],
         "Starts and stops that an agent sent to its worker.",
     ),
+    MetricDescription::new(
+        "http_refusals",
+        Count,
+        Counter,
+        &["reason"],
+        "Requests that were refused and connections that were closed because of a limit.",
+    ),
+    MetricDescription::new(
+        "http_connections",
+        Count,
+        Gauge,
+        &[],
+        "Open connections of clients to the HTTP servers of the process.",
+    ),
+    MetricDescription::new(
+        "http_reserved_bytes",
+        Count,
+        Gauge,
+        &[],
+        "Memory that is reserved for bodies and responses in progress.",
+    ),
 ];
--- a/crates/yuccatack_telemetry/src/metrics/mod.rs
+++ b/crates/yuccatack_telemetry/src/metrics/mod.rs
@@ -19,6 +19,7 @@
 
 use prometheus_client::encoding::text;
 use prometheus_client::registry::Registry;
+use yuccatack_http::HttpMetrics;
 
 pub use agent::AgentMetrics;
 pub use capacity::CapacityMetrics;
@@ -32,6 +33,8 @@
 pub use requests::{InFlightRequest, RequestLabels, RequestMetrics};
 pub use view::ViewMetrics;
 
+use catalogue::register;
+
 /// Prefix of every metric name.
 const PREFIX: &str = "yuccatack";
 
@@ -54,6 +57,8 @@
     pub queues: QueueMetrics,
     /// Good events and all events of each objective, for the burn report.
     pub objectives: ObjectiveMetrics,
+    /// Refusals, connections and memory of the HTTP servers.
+    pub http: HttpMetrics,
     registry: Arc<Registry>,
 }
 
@@ -73,8 +78,20 @@
         let replication = ReplicationMetrics::register(&mut registry);
         let view = ViewMetrics::register(&mut registry);
         let queues = QueueMetrics::register(&mut registry);
+        let http = register_http(&mut registry);
         let registry = Arc::new(registry);
-        Self { requests, agent, jobs, capacity, replication, view, queues, objectives, registry }
+        Self {
+            requests,
+            agent,
+            jobs,
+            capacity,
+            replication,
+            view,
+            queues,
+            objectives,
+            http,
+            registry,
+        }
     }
 
     /// Encodes all values in the OpenMetrics text format.
@@ -85,6 +102,14 @@
     }
 }
 
+fn register_http(registry: &mut Registry) -> HttpMetrics {
+    let metrics = HttpMetrics::default();
+    register(registry, "http_refusals", metrics.refusals.clone());
+    register(registry, "http_connections", metrics.connections.clone());
+    register(registry, "http_reserved_bytes", metrics.reserved_bytes.clone());
+    metrics
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
