Prefer fast workers where capacity becomes free

An urgent group that found nothing free reserved slow workers whose runs were being stopped, and evicted runs on fast ones only after these had become free. And each urgent task of a wide step copied all workers to look for runs that end soon.

Fast enough workers now come first in both steps: reservation, then eviction, before any worker is considered. A guaranteed group evicts at any cost only if no fast enough worker can be freed within the limits of other urgent groups. The bound on searched tasks of a pass counts the search for runs that end soon, too.

--- a/crates/yuccatack_dispatch/src/eviction.rs
+++ b/crates/yuccatack_dispatch/src/eviction.rs
@@ -80,58 +80,54 @@
 }
 
 impl EvictionSearch {
-    /// Evicts less urgent runs for a group that does not fit, and reserves their capacity for it.
-    /// Returns `false` if no eviction makes the group fit, if it would lose too much work, or if the
-    /// pass has searched enough.
-    pub fn evict_for(
-        &mut self,
-        group: &TaskGroup<'_>,
-        pass: &mut Pass<'_>,
-        evictions: &mut Evictions,
-    ) -> bool {
-        if !may_evict(group) || self.remaining_task_count == 0 {
-            return false;
-        }
+    /// Counts the tasks of a group. Returns `false` if the pass has searched enough.
+    pub fn begin(&mut self, group: &TaskGroup<'_>) -> bool {
+        let may_search = self.remaining_task_count > 0;
         self.remaining_task_count = self.remaining_task_count.saturating_sub(group.tasks.len());
-        let stopping = evictions.stopping_runs(pass.sessions);
-        let progress = run_progress(pass.sessions);
-        let reclaim =
-            Reclaim { pass, stopping: &stopping, progress: &progress, tier: group.urgency.tier };
-        let stop_ms = pass.stop_timeout_ms.get();
-        let fast_enough = fast_enough_range(group, pass.classes(group), stop_ms)
-            .filter(|_| pass.speed_classes.differ(&group.job.submission.service));
-        let fast_eviction = fast_enough.and_then(|range| reclaim.find(group, range));
-        let eviction = fast_eviction.or_else(|| reclaim.find(group, SpeedRange::ALL));
-        let Some(eviction) = eviction else { return false };
-        carry_out(eviction, group, pass, evictions);
-        true
+        may_search
     }
+}
 
-    /// Evicts runs on workers on which the group meets its objective if it begins after `delay_ms`.
-    /// The group could begin on slower workers, so that also guaranteed ones evict less urgent runs
-    /// only, and only if that loses little.
-    pub fn evict_for_speed(
-        &mut self,
-        group: &TaskGroup<'_>,
-        pass: &mut Pass<'_>,
-        evictions: &mut Evictions,
-        delay_ms: u64,
-    ) -> bool {
-        if !may_evict(group) || self.remaining_task_count == 0 {
-            return false;
-        }
-        let Some(range) = fast_enough_range(group, pass.classes(group), delay_ms) else {
-            return false;
-        };
-        self.remaining_task_count = self.remaining_task_count.saturating_sub(group.tasks.len());
-        let stopping = evictions.stopping_runs(pass.sessions);
-        let progress = run_progress(pass.sessions);
-        let reclaim =
-            Reclaim { pass, stopping: &stopping, progress: &progress, tier: Tier::Urgent };
-        let Some(eviction) = reclaim.find(group, range) else { return false };
-        carry_out(eviction, group, pass, evictions);
-        true
+/// Evicts less urgent runs for a group that does not fit, and reserves their capacity for it. Returns
+/// `false` if no eviction makes the group fit, or if it would lose too much work.
+pub(crate) fn evict_for_room(
+    group: &TaskGroup<'_>,
+    pass: &mut Pass<'_>,
+    evictions: &mut Evictions,
+) -> bool {
+    evict_for(group, pass, evictions, SpeedRange::ALL, group.urgency.tier)
+}
+
+/// Evicts runs on workers on which the group meets its objective if it begins after `delay_ms`.
+///
+/// The group could begin on slower workers, so that also guaranteed ones evict less urgent runs only,
+/// and only if that loses little. Evicts nothing while the speeds of the machines do not differ.
+pub(crate) fn evict_for_speed(
+    group: &TaskGroup<'_>,
+    pass: &mut Pass<'_>,
+    evictions: &mut Evictions,
+    delay_ms: u64,
+) -> bool {
+    if !pass.speed_classes.differ(&group.job.submission.service) {
+        return false;
     }
+    let range = fast_enough_range(group, pass.classes(group), delay_ms);
+    range.is_some_and(|range| evict_for(group, pass, evictions, range, Tier::Urgent))
+}
+
+fn evict_for(
+    group: &TaskGroup<'_>,
+    pass: &mut Pass<'_>,
+    evictions: &mut Evictions,
+    range: SpeedRange,
+    tier: Tier,
+) -> bool {
+    let stopping = evictions.stopping_runs(pass.sessions);
+    let progress = run_progress(pass.sessions);
+    let reclaim = Reclaim { pass, stopping: &stopping, progress: &progress, tier };
+    let Some(eviction) = reclaim.find(group, range) else { return false };
+    carry_out(eviction, group, pass, evictions);
+    true
 }
 
 /// Evicts the runs and reserves the workers of the placement for the group.
@@ -165,12 +161,19 @@
 }
 
 /// Reserves capacity for the group on workers where it fits once the runs being stopped have ended.
-/// Returns `false` if it does not fit there either.
-pub(crate) fn reserve_after_stops(group: &TaskGroup<'_>, pass: &mut Pass<'_>) -> bool {
+/// Returns `false` if it does not fit there either, or only on workers that are too slow although
+/// `must_be_fast` is set.
+pub(crate) fn reserve_after_stops(
+    group: &TaskGroup<'_>,
+    pass: &mut Pass<'_>,
+    must_be_fast: bool,
+) -> bool {
     let waivers = Waivers::NONE.with(Restraint::Reservation);
     let kind = CapacityKind::FreeAfterStops;
     let found = place_by_speed(group, &pass.workers, pass.classes(group), kind, waivers);
-    let Some(found) = found else { return false };
+    let Some(found) = found.filter(|found| found.is_fast_enough || !must_be_fast) else {
+        return false;
+    };
     reserve(group, &found.placement, &mut pass.workers);
     true
 }
@@ -189,6 +192,6 @@
     }
 }
 
-fn may_evict(group: &TaskGroup<'_>) -> bool {
+pub(crate) fn may_evict(group: &TaskGroup<'_>) -> bool {
     matches!(group.urgency.tier, Tier::Guaranteed | Tier::Urgent)
 }
--- a/crates/yuccatack_dispatch/src/speed_wait.rs
+++ b/crates/yuccatack_dispatch/src/speed_wait.rs
@@ -8,7 +8,7 @@
 
 use crate::capacity::{WorkerSnapshot, add, footprint};
 use crate::demand::TaskGroup;
-use crate::eviction::{EvictionSearch, Evictions, reserve};
+use crate::eviction::{EvictionSearch, Evictions, evict_for_speed, may_evict, reserve};
 use crate::pass::Pass;
 use crate::placement::{CapacityKind, Placement, candidate_sets, place_in_sets};
 use crate::restraint::{Restraint, Waivers};
@@ -58,8 +58,9 @@
         }
         let stop_ms = pass.stop_timeout_ms.get().min(remaining_ms);
         let waits = reserve_stopping(group, pass, stop_ms)
-            || reserve_ending(group, pass, remaining_ms)
-            || search.evict_for_speed(group, pass, evictions, stop_ms);
+            || (search.begin(group)
+                && (reserve_ending(group, pass, remaining_ms)
+                    || (may_evict(group) && evict_for_speed(group, pass, evictions, stop_ms))));
         if waits {
             let wait = SpeedWait { began_at, waited_at: now };
             self.waits.insert(step_key(group), wait);
--- a/crates/yuccatack_dispatch/src/starts.rs
+++ b/crates/yuccatack_dispatch/src/starts.rs
@@ -6,7 +6,9 @@
 use yuccatack_core::FastHashSet;
 
 use crate::demand::TaskGroup;
-use crate::eviction::{EvictionSearch, Evictions, reserve_after_stops};
+use crate::eviction::{
+    EvictionSearch, Evictions, evict_for_room, evict_for_speed, may_evict, reserve_after_stops,
+};
 use crate::headroom::Headroom;
 use crate::pass::Pass;
 use crate::placement::{CapacityKind, Placement, occupy};
@@ -66,9 +68,7 @@
                     FreePlacement::None => {}
                 }
             }
-            let will_fit = !is_blocked
-                && (reserve_after_stops(&group, pass)
-                    || search.evict_for(&group, pass, self.evictions));
+            let will_fit = !is_blocked && self.make_room(&group, pass, &mut search);
             if !will_fit {
                 blocked_tasks.insert(equal_tasks);
             }
@@ -76,6 +76,26 @@
         }
     }
 
+    /// Reserves capacity that becomes free for the group. Returns `false` if there is none.
+    ///
+    /// Fast enough workers come first: reserved slow ones would have to be left for them later.
+    fn make_room(
+        &mut self,
+        group: &TaskGroup<'_>,
+        pass: &mut Pass<'_>,
+        search: &mut EvictionSearch,
+    ) -> bool {
+        let speeds_differ = pass.speed_classes.differ(&group.job.submission.service);
+        if reserve_after_stops(group, pass, speeds_differ) {
+            return true;
+        }
+        let stop_ms = pass.stop_timeout_ms.get();
+        let may_search = may_evict(group) && search.begin(group);
+        (may_search && evict_for_speed(group, pass, self.evictions, stop_ms))
+            || (speeds_differ && reserve_after_stops(group, pass, false))
+            || (may_search && evict_for_room(group, pass, self.evictions))
+    }
+
     /// Places the group on free capacity, without the restraints that have kept it waiting for too
     /// long.
     fn free_placement(
