Admit jobs by the mean speed of the workers

The predicted completion of the accepted work counted each worker as a machine of speed 1. With slow machines the work takes longer, so that jobs were accepted that lose their value before they complete.

The prediction divides by the mean speed of the service's workers, which is 1 while they are not known to differ.

--- a/crates/yuccatack_dispatch/src/admission.rs
+++ b/crates/yuccatack_dispatch/src/admission.rs
@@ -21,6 +21,7 @@
 use crate::run_time::RunTimes;
 use crate::session::Session;
 use crate::share::MinimumShares;
+use crate::speed::SpeedClasses;
 
 /// Time for which it counts that a job has waited until it lost its value. Afterwards the load may
 /// have changed.
@@ -83,6 +84,7 @@
 pub(crate) struct Backlog {
     workers: Vec<WorkerSnapshot>,
     shares: MinimumShares,
+    speed_classes: SpeedClasses,
     /// Unfinished work by service and priority, as time of the whole service in milliseconds.
     work_ms: FastHashMap<(ServiceName, u32), f64>,
     /// Groups of jobs that have just lost their value without a start.
@@ -125,10 +127,11 @@
 impl Backlog {
     /// Adds up the unfinished work of all jobs that still have value.
     pub fn new(pass: Pass<'_>, run_times: &RunTimes) -> Self {
-        let Pass { table, unix_ms, waiting, workers, shares, .. } = pass;
+        let Pass { table, unix_ms, waiting, workers, shares, speed_classes, .. } = pass;
         let starved = waiting.iter().filter_map(|group| StarvedGroup::new(group, run_times));
         let starved = starved.collect();
-        let mut backlog = Self { workers, shares, work_ms: FastHashMap::default(), starved };
+        let mut backlog =
+            Self { workers, shares, speed_classes, work_ms: FastHashMap::default(), starved };
         for job in table.jobs().filter(|job| !job.phase.is_final()) {
             let age_ms = unix_ms.saturating_sub(job.submission.accepted_at_unix_ms);
             if age_ms <= latest_value_end_ms(job, run_times) {
@@ -175,11 +178,13 @@
         let submission = &job.submission;
         let key = (submission.service.clone(), submission.priority);
         let ahead_ms = self.work_ms.get(&key).copied().unwrap_or(0.0);
+        let mean_speed = self.speed_classes.mean(&submission.service);
         let rate = self.shares.rate(&submission.service, submission.priority).max(MIN_RATE)
-            * PACKED_FRACTION;
+            * PACKED_FRACTION
+            * mean_speed;
         let own_ms = self.remaining_ms(job, run_times) / rate;
         let chain_ms = run_times.chains_ms(job).into_iter().max().unwrap_or(0);
-        ahead_ms / rate + own_ms.max(chain_ms as f64)
+        ahead_ms / rate + own_ms.max(chain_ms as f64 / mean_speed)
     }
 }
 
--- a/crates/yuccatack_dispatch/src/speed.rs
+++ b/crates/yuccatack_dispatch/src/speed.rs
@@ -43,9 +43,18 @@
     }
 }
 
-/// Speeds of the classes of each service, the fastest class first.
+/// Speeds of one service's workers.
 #[derive(Debug, Default)]
-pub(crate) struct SpeedClasses(BTreeMap<ServiceName, Vec<f64>>);
+struct ServiceSpeeds {
+    /// Speed of each class, the fastest first.
+    classes: Vec<f64>,
+    /// Mean speed of the workers.
+    mean: f64,
+}
+
+/// Speeds of the classes of each service.
+#[derive(Debug, Default)]
+pub(crate) struct SpeedClasses(BTreeMap<ServiceName, ServiceSpeeds>);
 
 impl SpeedClasses {
     /// Assigns each worker to a class of its service, with the mean speed of that class. Workers of a
@@ -57,15 +66,21 @@
             members.entry(worker.service.clone()).or_default().push(index);
         }
         let classes = members.into_iter().map(|(service, indexes)| {
-            let class_speeds = assign_service(workers, indexes);
-            (service, class_speeds)
+            let classes = assign_service(workers, &indexes);
+            let sum: f64 = indexes.iter().map(|index| workers[*index].speed).sum();
+            (service, ServiceSpeeds { classes, mean: sum / indexes.len() as f64 })
         });
         Self(classes.collect())
     }
 
     /// Returns the speeds of a service's classes, the fastest first.
     pub fn of(&self, service: &ServiceName) -> &[f64] {
-        self.0.get(service).map_or(&[], Vec::as_slice)
+        self.0.get(service).map_or(&[], |speeds| speeds.classes.as_slice())
+    }
+
+    /// Returns the mean speed of a service's workers, 1 while they are not known to differ.
+    pub fn mean(&self, service: &ServiceName) -> f64 {
+        self.0.get(service).map_or(1.0, |speeds| speeds.mean)
     }
 
     /// Returns `true` if the machines of the service are known to differ.
@@ -74,7 +89,8 @@
     }
 }
 
-fn assign_service(workers: &mut [WorkerSnapshot], mut indexes: Vec<usize>) -> Vec<f64> {
+fn assign_service(workers: &mut [WorkerSnapshot], indexes: &[usize]) -> Vec<f64> {
+    let mut indexes = indexes.to_vec();
     // Positive floats are ordered as their bits.
     indexes.sort_by_key(|index| Reverse(workers[*index].speed.to_bits()));
     let mut classes: Vec<Vec<usize>> = Vec::new();
--- a/crates/yuccatack_dispatch/tests/job_admission.rs
+++ b/crates/yuccatack_dispatch/tests/job_admission.rs
@@ -5,9 +5,9 @@
 
 mod support;
 
-use support::{TestCluster, run, starts, step};
+use support::{TestCluster, node, run, starts, step};
 use yuccatack_core::{DurationMs, JobName, OrganisationName, QueueName, ServiceName};
-use yuccatack_dispatch::{Refusal, RefusalCause};
+use yuccatack_dispatch::{MachineSpeeds, Refusal, RefusalCause};
 use yuccatack_runs::{JobSpec, JobSubmission, RunOutcome, StepSpec};
 
 /// Time after which a leader refuses jobs.
@@ -98,6 +98,19 @@
     assert_eq!(admit(&mut cluster, &submission("next", 1, step(1, 8))), Ok(()));
 }
 
+#[test]
+fn slow_machines() {
+    // 16 jobs for each worker take 32 s, and 45 s if one of the two is 2.4 times slower.
+    let mut cluster = loaded_cluster(1, 16);
+    let next = submission("next", 1, step(1, 8));
+    assert_eq!(admit(&mut cluster, &next), Ok(()));
+    let speeds = MachineSpeeds::new().with_speed(node(0), 1.0).with_speed(node(1), 1.0 / 2.4);
+    cluster.dispatcher.set_speeds(speeds);
+    cluster.decide();
+    let refusal = admit(&mut cluster, &next).unwrap_err();
+    assert!(matches!(refusal.cause, RefusalCause::Backlog { .. }), "{refusal:?}");
+}
+
 #[test]
 fn unknown_run_times() {
     let mut cluster = TestCluster::new(2);
