--- a/crates/yuccatack_dispatch/tests/simulated_days/day.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/day.rs
@@ -7,8 +7,8 @@
 use rand_chacha::ChaCha8Rng;
 use yuccatack_core::{DurationMs, FastHashMap, JobName, NodeName, Resources, TimestampMs};
 use yuccatack_dispatch::{
-    AgentMessage, DispatchSettings, Dispatcher, Orders, PendingChanges, StartOrder, StartResult,
-    TableChange, WorkerState,
+    AgentMessage, DispatchSettings, Dispatcher, MachineSpeeds, Orders, PendingChanges, StartOrder,
+    StartResult, TableChange, WorkerState,
 };
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{JobTable, RunId, RunOutcome};
@@ -54,6 +54,15 @@
 /// 8 times as long, and away from its data 3 times as long.
 const DRAIN_LIMIT: DurationMs = DurationMs::new(1_200_000);
 
+/// What the leader knows of the speeds of the machines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum KnownSpeeds {
+    Unknown,
+    Exact,
+    /// Slow machines count as fast and the other way round.
+    Inverted,
+}
+
 /// What happens on a day; the seed decides about the rest.
 #[derive(Clone, Debug)]
 pub struct DayPlan {
@@ -75,6 +84,9 @@
     pub spread_polls: bool,
     /// Number of ends that a worker lists at a time.
     pub listed_end_count: usize,
+    /// Speeds of the machines in percent; one of them is drawn for each worker.
+    pub speeds_percent: [u64; 3],
+    pub known_speeds: KnownSpeeds,
 }
 
 impl Default for DayPlan {
@@ -92,6 +104,8 @@
             commit_ms: TICK.get(),
             spread_polls: false,
             listed_end_count: 500,
+            speeds_percent: [100, 100, 130],
+            known_speeds: KnownSpeeds::Unknown,
         }
     }
 }
@@ -142,7 +156,7 @@
         let begins_at = TimestampMs::new(100_000);
         let traffic_begins_at = begins_at + DurationMs::new(2_000);
         let traffic_ends_at = traffic_begins_at + DurationMs::new(plan.traffic_ms);
-        let speeds = [100, 100, 130];
+        let speeds = plan.speeds_percent;
         let mut workers: Vec<SimulatedWorker> = (0..plan.worker_count)
             .map(|index| {
                 let speed_percent = speeds[random.random_range(0..speeds.len())];
@@ -514,7 +528,8 @@
         if self.leader.is_none() && now >= self.leader_back_at {
             self.token += 1;
             let settings = DispatchSettings::new(MAX_LEASE, DurationMs::new(400));
-            let dispatcher = Dispatcher::new(settings, self.token, now);
+            let mut dispatcher = Dispatcher::new(settings, self.token, now);
+            dispatcher.set_speeds(machine_speeds(&self.workers, self.plan.known_speeds));
             self.leader = Some(Leader {
                 dispatcher,
                 pending: PendingChanges::new(now),
@@ -564,6 +579,19 @@
     }
 }
 
+/// Returns the speeds that the leader knows. A machine keeps its speed when its worker restarts.
+fn machine_speeds(workers: &[SimulatedWorker], known: KnownSpeeds) -> MachineSpeeds {
+    let speed = |worker: &SimulatedWorker| worker.speed_percent as f64 / 100.0;
+    workers.iter().fold(MachineSpeeds::new(), |speeds, worker| {
+        let node = worker.state.incarnation.node.clone();
+        match known {
+            KnownSpeeds::Unknown => speeds,
+            KnownSpeeds::Exact => speeds.with_speed(node, speed(worker)),
+            KnownSpeeds::Inverted => speeds.with_speed(node, 1.0 / speed(worker)),
+        }
+    })
+}
+
 fn apply(table: &mut JobTable, changes: Vec<TableChange>, now: TimestampMs) {
     for change in changes {
         match change {
--- a/crates/yuccatack_dispatch/tests/simulated_days/main.rs
+++ b/crates/yuccatack_dispatch/tests/simulated_days/main.rs
@@ -14,7 +14,7 @@
 mod jobs;
 mod worker;
 
-use day::{Day, DayPlan};
+use day::{Day, DayPlan, KnownSpeeds};
 
 /// Number of seeds of each test that run unless the environment chooses others.
 const SEED_COUNT: u64 = 10;
@@ -98,6 +98,13 @@
     play(|seed| DayPlan { commit_ms: 50 * (1 + seed % 4), ..plan.clone() }, &seeds(&[]));
 }
 
+#[test]
+fn uneven_machines() {
+    let plan = DayPlan { speeds_percent: [42, 100, 110], fault_count: 3, ..DayPlan::default() };
+    let known = [KnownSpeeds::Exact, KnownSpeeds::Inverted];
+    play(|seed| DayPlan { known_speeds: known[seed as usize % 2], ..plan.clone() }, &seeds(&[]));
+}
+
 #[test]
 fn cut_lists() {
     // Two ends at a time: more wait after each loss of the leader.
