Test that fast workers are freed before slow ones are reserved

An urgent group must not wait for slow workers whose runs are being stopped while it may free fast ones. The test fails without the eviction on fast workers in starts.rs.

--- a/crates/yuccatack_dispatch/tests/machine_speeds.rs
+++ b/crates/yuccatack_dispatch/tests/machine_speeds.rs
@@ -171,6 +171,25 @@
     assert!(starts(&orders).is_empty());
 }
 
+/// Slow workers become free at the same time as fast ones could be freed.
+#[test]
+fn stopping_slow_workers() {
+    let mut cluster = uneven_cluster();
+    cluster.submit("slow", 1, step(3, 8));
+    cluster.decide();
+    cluster.submit("fast", 1, StepSpec { checkpointing: true, ..step(6, 8) });
+    cluster.decide();
+    let begun: Vec<_> = cluster.table.open_runs().keys().cloned().collect();
+    begun.iter().for_each(|run| cluster.report_begun(run));
+    assert!(cluster.workers_of("slow", 3).iter().all(is_slow));
+    cluster.advance(POLL_INTERVAL_MS);
+    cluster.observe_open(30);
+    cluster.table.cancel(&run("slow", 0, 1).task.job, cluster.now.get());
+    assert_eq!(stops(&cluster.decide()).len(), 3);
+    cluster.submit_tight("urgent", None, gang(2));
+    assert_eq!(stops(&cluster.decide()).len(), 2, "the gang waits for slow workers");
+}
+
 /// Evicting a run that is about to end loses its work and frees its worker no sooner.
 #[test]
 fn ending_runs_kept() {
