--- a/crates/yuccatack_queue_control/tests/stored_speeds.rs
+++ b/crates/yuccatack_queue_control/tests/stored_speeds.rs
@@ -65,6 +65,13 @@
             _ => {}
         }
     }
+    // A stop drops a snapshot that is still being written.
+    let written = async {
+        while state.is_some() && !folder.join("snapshot").exists() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(STEP_TIMEOUT, written).await.unwrap();
     handle.stop().await;
 }
 
