Give the counter of refusals a value in the test of metric names

The fixture now counts one refusal, like one event of each other metric. The three tests of the file pass.

--- a/crates/yuccatack_telemetry/tests/metric_names.rs
+++ b/crates/yuccatack_telemetry/tests/metric_names.rs
@@ -11,6 +11,7 @@
 
 use support::{fast_rankings, observe, organisation};
 use yuccatack_core::prelude::*;
+use yuccatack_http::Refusal;
 use yuccatack_telemetry::Metrics;
 use yuccatack_telemetry::metrics::{
     CATALOGUE, CallOutcome, JobOutcome, JobPhase, MetricDescription, MetricType, RequestOutcome,
@@ -53,6 +54,7 @@
     metrics.queues.count_evictions(1);
     metrics.queues.set_agents(1);
     metrics.queues.count_order();
+    metrics.http.count(Refusal::NoMemory);
     metrics
 }
 
