Keep images apart that are known to slow each other

Placement ignores which images run on a worker, so that tasks share it with an image that makes them take much longer while others have room.

The dispatcher feeds the interference model from the observations that it takes, and tells each group of a pass which images slow its tasks or are slowed by them. Among workers with room, the sum of these slowdowns is one more key: after quarantine, last attempts, back-off and the packing that leaves whole workers to urgent gangs, before the free capacity. Between racks it comes after the workers that back off. The tasks of a group are equal, so the order cannot make a group wait. Without known pairs the key is 0 everywhere. The speed of machines is not passed on yet.

The effect on callers is not measured.

--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -45,6 +45,8 @@
     pub has_less_urgent: bool,
     /// Open runs on the worker, including those that are being stopped.
     pub runs: Vec<RunId>,
+    /// Images of these runs, each once.
+    pub images: Vec<Arc<str>>,
 }
 
 impl WorkerSnapshot {
@@ -52,6 +54,20 @@
     pub fn keeps_failing(&self) -> bool {
         self.backing_off && self.failure_count >= REPEATED_FAILURE_COUNT
     }
+
+    /// Returns `true` if a run on the worker has the image of a step.
+    pub fn has_image(&self, step: &StepSpec) -> bool {
+        step.image.as_ref().is_some_and(|image| self.images.contains(image))
+    }
+
+    /// Adds the image of a step that has a run on the worker.
+    pub fn add_image(&mut self, step: &StepSpec) {
+        if let Some(image) = &step.image
+            && !self.images.contains(image)
+        {
+            self.images.push(Arc::clone(image));
+        }
+    }
 }
 
 /// Returns the resources that one task of a step occupies on a worker. Tasks that only use idle CPU
@@ -90,6 +106,7 @@
                 held_for_urgent: false,
                 has_less_urgent: false,
                 runs: Vec::new(),
+                images: Vec::new(),
             })
         })
         .collect();
@@ -108,6 +125,7 @@
         }
         worker.has_less_urgent |= job.is_some_and(|job| job.submission.priority > 0);
         worker.runs.push(run.clone());
+        step.into_iter().for_each(|step| worker.add_image(step));
     }
     limit_quarantine(&mut workers, sessions);
     workers
--- a/crates/yuccatack_dispatch/src/demand.rs
+++ b/crates/yuccatack_dispatch/src/demand.rs
@@ -1,5 +1,7 @@
 //! Task groups that are ready to begin, in order of urgency.
 
+use std::sync::Arc;
+
 use yuccatack_core::{DurationMs, FastHashMap, OrganisationName};
 use yuccatack_queues::ConfigurationStore;
 use yuccatack_runs::{Job, JobSubmission, JobTable, Occurrence, StepSpec};
@@ -24,6 +26,8 @@
     pub may_use_headroom: bool,
     /// `true` if one more failure fails the job.
     pub last_attempt: bool,
+    /// Images that are known to slow the tasks or to be slowed by them, with the slowdowns in percent.
+    pub slow_partners: Vec<(Arc<str>, u32)>,
 }
 
 impl TaskGroup<'_> {
@@ -230,6 +234,7 @@
             may_use_headroom: job.submission.priority == 0,
             waited_ms: DurationMs::new(unix_ms.saturating_sub(timing.since_unix_ms)),
             last_attempt: !spec.long_running && failed_count + 1 >= max_attempts,
+            slow_partners: Vec::new(),
         };
         if spec.gang {
             if !step_progress.has_open_run() {
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -9,6 +9,7 @@
 use crate::admission::{AdmissionInputs, Backlog, Refusal, has_settled};
 use crate::eviction::Evictions;
 use crate::headroom::Headroom;
+use crate::interference::{Interference, UNKNOWN_SPEED};
 use crate::lost_runs::{expired_run_ends, record_departure, record_state};
 use crate::observation::Observer;
 use crate::pass::{Pass, PassInputs};
@@ -32,6 +33,7 @@
     evictions: Evictions,
     headroom: Headroom,
     run_times: RunTimes,
+    interference: Interference,
     waiting_steps: WaitingSteps,
     /// Work that the last pass left waiting; `None` if it placed everything.
     backlog: Option<Backlog>,
@@ -50,6 +52,7 @@
             evictions: Evictions::default(),
             headroom: Headroom::default(),
             run_times: RunTimes::default(),
+            interference: Interference::default(),
             waiting_steps: WaitingSteps::default(),
             backlog: None,
             summaries: Summaries::default(),
@@ -83,6 +86,11 @@
         self.evictions.take_count()
     }
 
+    /// Returns the number of pairs of images of which one is known to slow the other.
+    pub fn slow_pair_count(&self) -> usize {
+        self.interference.known_pair_count()
+    }
+
     /// Takes the summary of the last pass. Passes are summarized once a second while ready tasks
     /// wait.
     pub fn take_summary(&mut self) -> Option<PassSummary> {
@@ -113,6 +121,8 @@
                     sessions: &mut self.sessions,
                     evictions: &mut self.evictions,
                     run_times: &mut self.run_times,
+                    interference: &mut self.interference,
+                    machine_speed: UNKNOWN_SPEED,
                 };
                 observer.on_observation(node, observation, table, now)
             }
@@ -140,12 +150,14 @@
         let (leading_since, lease_ms) = (self.leading_since, self.settings.lease_ms);
         let mut changes = expired_run_ends(&self.sessions, table, leading_since, lease_ms, now);
         self.headroom.update(table, now);
+        self.interference.update(now);
         let inputs = PassInputs { table, configuration, now, unix_ms };
         let Some(mut pass) = Pass::new(inputs, &self.sessions, &self.evictions, &self.run_times)
         else {
             self.backlog = None;
             return changes;
         };
+        self.interference.set_partners(&mut pass.groups);
         let mut starts = Starts {
             headroom: &self.headroom,
             waiting_steps: &self.waiting_steps,
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod eviction;
 mod headroom;
 mod health;
+mod interference;
 mod lease;
 mod loss;
 mod lost_runs;
--- a/crates/yuccatack_dispatch/src/observation.rs
+++ b/crates/yuccatack_dispatch/src/observation.rs
@@ -7,6 +7,7 @@
 
 use crate::eviction::Evictions;
 use crate::health::stall_timeout;
+use crate::interference::Interference;
 use crate::lease::ClockReading;
 use crate::protocol::Observation;
 use crate::run_time::RunTimes;
@@ -22,6 +23,9 @@
     pub sessions: &'a mut BTreeMap<NodeName, Session>,
     pub evictions: &'a mut Evictions,
     pub run_times: &'a mut RunTimes,
+    pub interference: &'a mut Interference,
+    /// Speed of the worker's machine relative to the typical one.
+    pub machine_speed: f64,
 }
 
 impl Observer<'_> {
@@ -43,6 +47,7 @@
         session.record_reading(ClockReading { clock_ms: observation.clock_ms, received_at: now });
         let mut changes = record_ends(session, &observation, table, now, self.run_times);
         changes.extend(update_order_states(session, &observation, table));
+        self.interference.on_observation(&observation, self.machine_speed, table, now);
         let is_held = |run: &RunId| {
             let open = table.open_runs().get(run);
             open.is_some_and(|open| open.incarnation == observation.incarnation)
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -8,11 +8,22 @@
 
 use crate::capacity::{WorkerSnapshot, footprint, subtract};
 use crate::demand::TaskGroup;
+use crate::interference::{own_slowdown_percent, slowdown_percent};
 use crate::restraint::{Restraint, WaitCause, Waivers};
 
 /// Worker of each task of a group, as an index into the list of workers.
 pub(crate) type Placement = Vec<usize>;
 
+/// Room for tasks of one group on a worker while the group is placed.
+#[derive(Clone, Copy, Debug)]
+struct Room {
+    remaining: Resources,
+    /// Number of further tasks that the limit of the step allows.
+    allowed_count: u32,
+    /// Slowdowns that a further task suffers and causes.
+    slowdown_percent: u32,
+}
+
 /// Capacity of a worker that a placement counts on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum CapacityKind {
@@ -109,21 +120,24 @@
 ) -> Option<Placement> {
     let sets = candidate_sets(group, workers, waivers);
     let placements = sets.iter().filter_map(|set| place_in(group, workers, set, kind, waivers));
-    placements.min_by_key(|placement| placement_cost(placement, workers, kind))
+    placements.min_by_key(|placement| placement_cost(group, placement, workers, kind))
 }
 
-/// Returns the number of chosen workers that back off, and the accelerators that are free on the
-/// chosen workers before the placement. Placements with small leftovers keep other workers empty for
-/// large groups.
+/// Returns the number of chosen workers that back off, the slowdowns by the runs on the chosen
+/// workers, and the accelerators that are free there before the placement. Placements with small
+/// leftovers keep other workers empty for large groups.
 fn placement_cost(
+    group: &TaskGroup<'_>,
     placement: &Placement,
     workers: &[WorkerSnapshot],
     kind: CapacityKind,
-) -> (usize, u32) {
+) -> (usize, u32, u32) {
     let chosen: BTreeSet<usize> = placement.iter().copied().collect();
     let backing_off = chosen.iter().filter(|index| workers[**index].backing_off).count();
+    let slowdown_percent =
+        chosen.iter().map(|index| slowdown_percent(&group.slow_partners, &workers[*index].images));
     let leftover = chosen.iter().map(|index| kind.of(&workers[*index]).accelerator_count).sum();
-    (backing_off, leftover)
+    (backing_off, slowdown_percent.sum(), leftover)
 }
 
 /// Returns the reason why a group has no placement on free capacity.
@@ -147,7 +161,7 @@
     waivers: Waivers,
 ) -> Option<Placement> {
     let need = footprint(group.spec);
-    let mut free: FastHashMap<usize, (Resources, u32)> = FastHashMap::default();
+    let mut free: FastHashMap<usize, Room> = FastHashMap::default();
     for index in set {
         let held_back = kind != CapacityKind::Total
             && workers[*index].held_for_urgent
@@ -155,10 +169,13 @@
             && !waivers.contains(Restraint::Headroom);
         let reserved = workers[*index].reserved && !waivers.contains(Restraint::Reservation);
         if !held_back && !reserved {
-            free.insert(
-                *index,
-                (kind.of(&workers[*index]), step_allowance(group, &workers[*index])),
-            );
+            let worker = &workers[*index];
+            let room = Room {
+                remaining: kind.of(worker),
+                allowed_count: step_allowance(group, worker),
+                slowdown_percent: slowdown_percent(&group.slow_partners, &worker.images),
+            };
+            free.insert(*index, room);
         }
     }
     let mut placement = Vec::with_capacity(group.tasks.len());
@@ -167,10 +184,10 @@
             .iter()
             .filter(|index| {
                 free.get(index)
-                    .is_some_and(|(remaining, allowed)| *allowed > 0 && remaining.contains(&need))
+                    .is_some_and(|room| room.allowed_count > 0 && room.remaining.contains(&need))
             })
             .min_by_key(|index| {
-                let remaining = free[index].0;
+                let Room { remaining, slowdown_percent, .. } = free[index];
                 let worker = &workers[**index];
                 (
                     worker.quarantined,
@@ -179,15 +196,20 @@
                     // Less urgent runs last longer. Spread over all workers, they would leave no
                     // whole worker to the tasks of urgent gangs.
                     !group.is_urgent() && !worker.has_less_urgent,
+                    slowdown_percent,
                     remaining.accelerator_count,
                     remaining.cores_milli,
                     worker.failure_count,
                     **index,
                 )
             })?;
-        if let Some((remaining, allowed)) = free.get_mut(best) {
-            *remaining = subtract(*remaining, need);
-            *allowed -= 1;
+        if let Some(room) = free.get_mut(best) {
+            room.remaining = subtract(room.remaining, need);
+            room.allowed_count -= 1;
+            let has_image = workers[*best].has_image(group.spec) || placement.contains(best);
+            if !has_image {
+                room.slowdown_percent += own_slowdown_percent(group);
+            }
         }
         placement.push(*best);
     }
@@ -215,6 +237,7 @@
         };
         let run = RunId { task, number: group.run_number };
         worker.runs.push(run.clone());
+        worker.add_image(group.spec);
         starts.push(RunStart { run, incarnation: worker.incarnation.clone() });
     }
     starts
--- a/crates/yuccatack_interference/tests/support/mod.rs
+++ b/crates/yuccatack_interference/tests/support/mod.rs
@@ -61,6 +61,10 @@
     RunId { task: TaskId { job, occurrence: 0, step: 0, index }, number: 1 }
 }
 
+pub fn row(run: RunId, image: &Arc<str>, measure: Measure) -> RunSample {
+    RunSample { run, image: Arc::clone(image), gang: false, measure }
+}
+
 impl Simulation {
     pub fn new(seed: u64, worker_count: usize, images: &[&str], slowdown: Slowdown) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -145,11 +149,9 @@
                 others.iter().map(|other| (self.slowdown)(&run.image, other)).product();
             run.percent += 100.0 * TICK_MS as f64 * worker.speed / (run.run_time_ms * slowdown);
         }
-        let row = |run: &SimulatedRun| RunSample {
-            run: run.run.clone(),
-            image: Arc::clone(&run.image),
-            gang: false,
-            measure: Measure::Progress { percent: run.percent.min(100.0) as u8 },
+        let row = |run: &SimulatedRun| {
+            let percent = run.percent.min(100.0) as u8;
+            row(run.run.clone(), &run.image, Measure::Progress { percent })
         };
         let sample = WorkerSample {
             clock_ms: self.now.get(),
--- a/crates/yuccatack_interference/tests/tail_latency.rs
+++ b/crates/yuccatack_interference/tests/tail_latency.rs
@@ -7,9 +7,9 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use support::{image, run};
+use support::{image, row, run};
 use yuccatack_core::{DurationMs, TimestampMs};
-use yuccatack_interference::{InterferenceModel, Measure, RunSample, WorkerSample};
+use yuccatack_interference::{InterferenceModel, Measure, WorkerSample};
 
 const WORKER_COUNT: u32 = 6;
 
@@ -32,19 +32,10 @@
             let factor = if beside { slowdown } else { 1.0 };
             let tail_ms =
                 (40.0 * demand(second, worker) * factor * rng.random_range(0.7..1.4)) as u64;
-            let mut runs = vec![RunSample {
-                run: run(1, worker),
-                image: image("serving"),
-                gang: false,
-                measure: Measure::Latency { tail_ms },
-            }];
+            let measure = Measure::Latency { tail_ms };
+            let mut runs = vec![row(run(1, worker), &image("serving"), measure)];
             if beside {
-                runs.push(RunSample {
-                    run: run(2, worker),
-                    image: image("filling"),
-                    gang: false,
-                    measure: Measure::Unmeasured,
-                });
+                runs.push(row(run(2, worker), &image("filling"), Measure::Unmeasured));
             }
             model.on_progress(&WorkerSample { clock_ms, speed: 1.0, runs }, now);
         }
--- a/crates/yuccatack_interference/tests/whole_runs.rs
+++ b/crates/yuccatack_interference/tests/whole_runs.rs
@@ -9,9 +9,9 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use support::{image, run};
+use support::{image, row, run};
 use yuccatack_core::{DurationMs, TimestampMs};
-use yuccatack_interference::{InterferenceModel, Measure, RunSample, WorkerSample};
+use yuccatack_interference::{InterferenceModel, Measure, WorkerSample};
 
 const NOW: TimestampMs = TimestampMs::new(1_000_000);
 
@@ -22,20 +22,10 @@
     other: Option<&Arc<str>>,
     run_time_ms: f64,
 ) {
-    let neighbour = other.map(|other| RunSample {
-        run: run(1_000 + job, index),
-        image: Arc::clone(other),
-        gang: false,
-        measure: Measure::Unmeasured,
-    });
+    let neighbour = other.map(|other| row(run(1_000 + job, index), other, Measure::Unmeasured));
     for clock_ms in (0..run_time_ms as u64).step_by(150) {
         let percent = (clock_ms as f64 * 100.0 / run_time_ms) as u8;
-        let mut runs = vec![RunSample {
-            run: run(job, index),
-            image: image("light"),
-            gang: false,
-            measure: Measure::Progress { percent },
-        }];
+        let mut runs = vec![row(run(job, index), &image("light"), Measure::Progress { percent })];
         runs.extend(neighbour.clone());
         model.on_progress(&WorkerSample { clock_ms, speed: 1.0, runs }, NOW);
     }
@@ -101,8 +91,8 @@
 fn unfinished_runs_expire() {
     let mut model = InterferenceModel::new();
     let measure = Measure::Progress { percent: 10 };
-    let row = RunSample { run: run(1, 0), image: image("light"), gang: false, measure };
-    let sample = WorkerSample { clock_ms: 0, speed: 1.0, runs: vec![row] };
+    let runs = vec![row(run(1, 0), &image("light"), measure)];
+    let sample = WorkerSample { clock_ms: 0, speed: 1.0, runs };
     model.on_progress(&sample, NOW);
     assert_eq!(model.run_count(), 1);
     model.expire(NOW + DurationMs::new(61_000));
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -553,6 +553,7 @@
         {
             self.agent_heartbeat_at = now;
             self.metrics.queues.set_agents(dispatcher.connected_count());
+            self.metrics.queues.set_slow_image_pairs(dispatcher.slow_pair_count());
             self.agents.send_heartbeats(dispatcher.token());
         }
         if self.dispatcher.is_some()
--- a/crates/yuccatack_telemetry/src/metrics/catalogue.rs
+++ b/crates/yuccatack_telemetry/src/metrics/catalogue.rs
@@ -312,6 +312,13 @@
         &[],
         "Agents whose stream to the control leader is open.",
     ),
+    MetricDescription::new(
+        "slow_image_pairs",
+        Count,
+        Gauge,
+        &[],
+        "Images that the control leader knows to be slower beside another one, by pair.",
+    ),
     MetricDescription::new(
         "worker_orders",
         Count,
--- a/crates/yuccatack_telemetry/src/metrics/queues.rs
+++ b/crates/yuccatack_telemetry/src/metrics/queues.rs
@@ -26,6 +26,7 @@
     stored_bytes: Gauge,
     evictions: Counter,
     agents: Gauge,
+    slow_image_pairs: Gauge,
     orders: Counter,
 }
 
@@ -50,6 +51,7 @@
             stored_bytes: register(registry, "stored_job_bytes", Gauge::default()),
             evictions: register(registry, "run_evictions", Counter::default()),
             agents: register(registry, "agents_attached", Gauge::default()),
+            slow_image_pairs: register(registry, "slow_image_pairs", Gauge::default()),
             orders: register(registry, "worker_orders", Counter::default()),
         }
     }
@@ -86,6 +88,11 @@
         self.agents.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of pairs of images of which one is known to slow the other.
+    pub fn set_slow_image_pairs(&self, count: usize) {
+        self.slow_image_pairs.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a start or stop request that was sent to the worker.
     pub fn count_order(&self) {
         self.orders.inc();
--- a/crates/yuccatack_telemetry/tests/metric_names.rs
+++ b/crates/yuccatack_telemetry/tests/metric_names.rs
@@ -52,6 +52,7 @@
     metrics.queues.set_stored_bytes(1);
     metrics.queues.count_evictions(1);
     metrics.queues.set_agents(1);
+    metrics.queues.set_slow_image_pairs(1);
     metrics.queues.count_order();
     metrics
 }
