--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -9,7 +9,7 @@
 use crate::admission::{AdmissionInputs, Backlog, Refusal, has_settled};
 use crate::eviction::Evictions;
 use crate::headroom::Headroom;
-use crate::interference::{Interference, UNKNOWN_SPEED};
+use crate::interference::Interference;
 use crate::lost_runs::{expired_run_ends, record_departure, record_state};
 use crate::observation::Observer;
 use crate::pass::{Pass, PassInputs};
@@ -18,6 +18,8 @@
 use crate::run_time::RunTimes;
 use crate::session::Session;
 use crate::settings::DispatchSettings;
+use crate::speed::MachineSpeeds;
+use crate::speed_wait::SpeedWaits;
 use crate::starts::Starts;
 use crate::summary::{PassSummary, Summaries};
 use crate::table_change::TableChange;
@@ -34,7 +36,9 @@
     headroom: Headroom,
     run_times: RunTimes,
     interference: Interference,
+    speeds: MachineSpeeds,
     waiting_steps: WaitingSteps,
+    speed_waits: SpeedWaits,
     /// Work that the last pass left waiting; `None` if it placed everything.
     backlog: Option<Backlog>,
     summaries: Summaries,
@@ -53,7 +57,9 @@
             headroom: Headroom::default(),
             run_times: RunTimes::default(),
             interference: Interference::default(),
+            speeds: MachineSpeeds::default(),
             waiting_steps: WaitingSteps::default(),
+            speed_waits: SpeedWaits::default(),
             backlog: None,
             summaries: Summaries::default(),
         }
@@ -106,6 +112,11 @@
         }
     }
 
+    /// Replaces the speeds of the machines, which only order choices.
+    pub fn set_speeds(&mut self, speeds: MachineSpeeds) {
+        self.speeds = speeds;
+    }
+
     /// Handles a message from an agent and returns the resulting changes of the table.
     pub fn on_message(
         &mut self,
@@ -122,7 +133,7 @@
                     evictions: &mut self.evictions,
                     run_times: &mut self.run_times,
                     interference: &mut self.interference,
-                    machine_speed: UNKNOWN_SPEED,
+                    machine_speed: self.speeds.speed(node),
                 };
                 observer.on_observation(node, observation, table, now)
             }
@@ -151,9 +162,16 @@
         let mut changes = expired_run_ends(&self.sessions, table, leading_since, lease_ms, now);
         self.headroom.update(table, now);
         self.interference.update(now);
-        let inputs = PassInputs { table, configuration, now, unix_ms };
-        let Some(mut pass) = Pass::new(inputs, &self.sessions, &self.evictions, &self.run_times)
-        else {
+        let inputs = PassInputs {
+            table,
+            configuration,
+            speeds: &self.speeds,
+            run_times: &self.run_times,
+            stop_timeout_ms: self.settings.stop_timeout_ms,
+            now,
+            unix_ms,
+        };
+        let Some(mut pass) = Pass::new(inputs, &self.sessions, &self.evictions) else {
             self.backlog = None;
             return changes;
         };
@@ -161,6 +179,7 @@
         let mut starts = Starts {
             headroom: &self.headroom,
             waiting_steps: &self.waiting_steps,
+            speed_waits: &mut self.speed_waits,
             evictions: &mut self.evictions,
         };
         starts.handle_groups(&mut pass);
--- a/crates/yuccatack_dispatch/src/interference.rs
+++ b/crates/yuccatack_dispatch/src/interference.rs
@@ -15,9 +15,6 @@
 /// Interval at which steps and runs that are gone are forgotten.
 const EXPIRY_INTERVAL: DurationMs = DurationMs::new(1_000);
 
-/// Speed of a machine of which nothing is known, relative to the typical one.
-pub(crate) const UNKNOWN_SPEED: f64 = 1.0;
-
 /// Pairs of images that are known to slow each other, with the sum of both slowdowns in percent.
 #[derive(Debug, Default)]
 struct SlowPairs {
