--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -9,6 +9,7 @@
 use crate::admission::{AdmissionInputs, Backlog, Refusal, has_settled};
 use crate::eviction::Evictions;
 use crate::headroom::Headroom;
+use crate::interference::Interference;
 use crate::lost_runs::{expired_run_ends, record_departure, record_state};
 use crate::observation::Observer;
 use crate::pass::{Pass, PassInputs};
@@ -36,6 +37,7 @@
     evacuations: EvacuationStore,
     headroom: Headroom,
     run_times: RunTimes,
+    interference: Interference,
     speeds: MachineSpeeds,
     waiting_steps: WaitingSteps,
     pub(crate) speed_observer: SpeedObserver,
@@ -58,6 +60,7 @@
             evacuations: EvacuationStore::default(),
             headroom: Headroom::default(),
             run_times: RunTimes::default(),
+            interference: Interference::default(),
             speeds: MachineSpeeds::default(),
             waiting_steps: WaitingSteps::default(),
             speed_observer: SpeedObserver::default(),
@@ -94,6 +97,11 @@
         self.evictions.take_count()
     }
 
+    /// Returns the number of pairs of images of which one is known to slow the other.
+    pub fn slow_pair_count(&self) -> usize {
+        self.interference.known_pair_count()
+    }
+
     /// Takes the summary of the last pass. Passes are summarized once a second while ready tasks
     /// wait.
     pub fn take_summary(&mut self) -> Option<PassSummary> {
@@ -138,6 +146,8 @@
                     sessions: &mut self.sessions,
                     evictions: &mut self.evictions,
                     run_times: &mut self.run_times,
+                    interference: &mut self.interference,
+                    machine_speed: self.speeds.speed(node),
                 };
                 observer.on_observation(node, observation, table, now)
             }
@@ -168,6 +178,7 @@
         let (leading_since, lease_ms) = (self.leading_since, self.settings.lease_ms);
         let mut changes = expired_run_ends(&self.sessions, table, leading_since, lease_ms, now);
         self.headroom.update(table, now);
+        self.interference.update(now);
         let inputs = PassInputs {
             table,
             configuration,
@@ -182,6 +193,7 @@
             self.backlog = None;
             return changes;
         };
+        self.interference.set_partners(&mut pass.groups);
         let mut starts = Starts {
             headroom: &self.headroom,
             waiting_steps: &self.waiting_steps,
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -590,6 +590,7 @@
         {
             self.agent_heartbeat_at = now;
             self.metrics.queues.set_agents(dispatcher.connected_count());
+            self.metrics.queues.set_slow_image_pairs(dispatcher.slow_pair_count());
             self.agents.send_heartbeats(dispatcher.token());
         }
         self.store_speeds(now)?;
