Expire delayed starts, and prefer warm workers after an evacuation

A start order was valid for as long as its lease, 8 s, and a leader sent it however old its last confirmation was. A delayed order could so be carried out after the 5 s from which nothing may start in an evacuated data centre. And after a withdrawal all waiting work rushed to the workers that returned.

In a deployment with `EvacuateMs`, a start expires 40% of that time after the reading of the worker's clock that it builds on; the agent makes no call to the worker from then on. A leader whose last confirmation is older than 1.2 s sends no start. Workers of a data centre that returned within the last 3 s, and those that announce `ColdLeftMs`, come after others with room. Both only order choices.

Without `EvacuateMs` starts and choices are as before. The new fields of messages have defaults, so that earlier agents and leaders are still understood.

--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -36,6 +36,8 @@
     pub quarantined: bool,
     /// Did not carry out a start recently, or restarted, so that other workers are preferred.
     pub backing_off: bool,
+    /// Is cold, or its data centre has just returned, so that other workers are preferred.
+    pub warming: bool,
     /// Number of failures of any kind since the last completed task.
     pub failure_count: u32,
     /// Reserved for a group that is more urgent than those placed later in the pass.
@@ -87,6 +89,7 @@
                 reliable: session.health.is_reliable(now),
                 quarantined: !session.health.is_usable(now),
                 backing_off: session.health.is_backing_off(now),
+                warming: session.is_warming(now),
                 failure_count: session.health.failure_count(),
                 reserved: false,
                 held_for_urgent: false,
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -19,7 +19,7 @@
 use crate::restraint::Waivers;
 use crate::run_time::RunTimes;
 use crate::session::{OrderState, Session};
-use crate::settings::DispatchSettings;
+use crate::settings::{DispatchSettings, RETURN_PERIOD_MS};
 use crate::share::MinimumShares;
 use crate::summary::PassSummary;
 use crate::waiting::{UnusedServices, WaitingSteps};
@@ -91,8 +91,14 @@
     }
 
     /// Replaces the evacuations, which take effect from the next decision and order on.
-    pub fn set_evacuations(&mut self, evacuations: &EvacuationStore) {
-        self.evacuations = evacuations.clone();
+    /// For a time, workers of data centres that return from an evacuation come after others.
+    pub fn set_evacuations(&mut self, evacuations: &EvacuationStore, now: TimestampMs) {
+        let earlier = std::mem::replace(&mut self.evacuations, evacuations.clone());
+        for session in self.sessions.values_mut() {
+            if session.is_evacuated(&earlier) && !session.is_evacuated(evacuations) {
+                session.returned_until = now + RETURN_PERIOD_MS;
+            }
+        }
     }
 
     /// Marks the agent of `node` as connected.
@@ -168,14 +174,18 @@
     fn on_state(
         &mut self,
         node: &NodeName,
-        state: WorkerState,
+        mut state: WorkerState,
         table: &JobTable,
         now: TimestampMs,
     ) -> Vec<TableChange> {
+        // Only deployments with evacuations prefer warm workers.
+        if self.settings.start_limit_ms.is_none() {
+            state.cold_left_ms = None;
+        }
         let session = self.sessions.entry(node.clone()).or_default();
         let incarnation = state.incarnation.clone();
         if session.incarnation() == Some(&incarnation) {
-            session.state = Some(state);
+            session.set_state(state, now);
             return Vec::new();
         }
         log::info!(
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -112,18 +112,19 @@
     placements.min_by_key(|placement| placement_cost(placement, workers, kind))
 }
 
-/// Returns the number of chosen workers that back off, and the accelerators that are free on the
+/// Returns the numbers of chosen workers that back off and that are warming, and the accelerators that are free on the
 /// chosen workers before the placement. Placements with small leftovers keep other workers empty for
 /// large groups.
 fn placement_cost(
     placement: &Placement,
     workers: &[WorkerSnapshot],
     kind: CapacityKind,
-) -> (usize, u32) {
+) -> (usize, usize, u32) {
     let chosen: BTreeSet<usize> = placement.iter().copied().collect();
     let backing_off = chosen.iter().filter(|index| workers[**index].backing_off).count();
+    let warming = chosen.iter().filter(|index| workers[**index].warming).count();
     let leftover = chosen.iter().map(|index| kind.of(&workers[*index]).accelerator_count).sum();
-    (backing_off, leftover)
+    (backing_off, warming, leftover)
 }
 
 /// Returns the reason why a group has no placement on free capacity.
@@ -176,6 +177,7 @@
                     worker.quarantined,
                     group.last_attempt && !worker.reliable,
                     worker.backing_off,
+                    worker.warming,
                     // Less urgent runs last longer. Spread over all workers, they would leave no
                     // whole worker to the tasks of urgent gangs.
                     !group.is_urgent() && !worker.has_less_urgent,
--- a/crates/yuccatack_dispatch/src/protocol.rs
+++ b/crates/yuccatack_dispatch/src/protocol.rs
@@ -39,6 +39,10 @@
     pub draining: bool,
     /// Minimum time until a draining worker leaves; `None` if it is not known.
     pub remaining_ms: Option<DurationMs>,
+    /// Time for which the worker remains slow after its start; `None` if it is warm. Agents of earlier
+    /// versions do not tell.
+    #[serde(default)]
+    pub cold_left_ms: Option<DurationMs>,
 }
 
 /// Runs of a worker at the time of a poll.
@@ -142,4 +146,8 @@
     pub until_clock_ms: u64,
     /// Checkpoint to resume from; `None` starts from the beginning.
     pub checkpoint: Option<Arc<str>>,
+    /// Reading of the worker's clock from which the run must not begin any more; `None` if it may begin
+    /// late. Leaders of earlier versions do not tell.
+    #[serde(default)]
+    pub begin_until_clock_ms: Option<u64>,
 }
--- a/crates/yuccatack_dispatch/src/reconcile.rs
+++ b/crates/yuccatack_dispatch/src/reconcile.rs
@@ -9,7 +9,9 @@
 
 use crate::protocol::{Orders, StartOrder};
 use crate::session::{OrderState, Session};
-use crate::settings::{DispatchSettings, START_RESULT_TIMEOUT_MS, STOP_RESEND_MARGIN_MS};
+use crate::settings::{
+    DispatchSettings, MAX_READING_AGE_MS, START_RESULT_TIMEOUT_MS, STOP_RESEND_MARGIN_MS,
+};
 
 /// Run of a whole gang: job, occurrence, step and run number.
 type GangRun = (JobName, u32, u32, u32);
@@ -149,6 +151,13 @@
 
     fn start_order(&self, session: &mut Session, run: &RunId) -> Option<StartOrder> {
         let confirmed_reading = session.confirmed_reading?;
+        let start_limit_ms = self.settings.start_limit_ms;
+        // A later leader may have stored an evacuation since an old confirmation of the leadership.
+        if start_limit_ms.is_some()
+            && self.now.since(confirmed_reading.received_at) > MAX_READING_AGE_MS
+        {
+            return None;
+        }
         let job = self.table.job(&run.task.job)?;
         let spec = job.step_spec(run.task.step)?;
         let until_clock_ms =
@@ -161,6 +170,8 @@
             payload: Arc::clone(&job.submission.spec.payload),
             until_clock_ms,
             checkpoint: checkpoint.map(|checkpoint| Arc::clone(&checkpoint.value)),
+            begin_until_clock_ms: start_limit_ms
+                .map(|limit_ms| confirmed_reading.clock_ms.saturating_add(limit_ms.get())),
         })
     }
 
--- a/crates/yuccatack_dispatch/src/session.rs
+++ b/crates/yuccatack_dispatch/src/session.rs
@@ -9,7 +9,7 @@
 use crate::health::Health;
 use crate::lease::ClockReading;
 use crate::protocol::WorkerState;
-use crate::settings::MAX_READING_AGE_MS;
+use crate::settings::{MAX_COLD_MS, MAX_READING_AGE_MS};
 
 /// Number of clock readings that may wait for a confirmation of leadership. Agents poll up to seven
 /// times a second, and a slow leader may take a second or two for a confirmation.
@@ -35,6 +35,10 @@
     pub connected: bool,
     /// Latest announcement of the worker; `None` if it has not announced itself or has left.
     pub state: Option<WorkerState>,
+    /// Time until which the worker is slow after its start.
+    pub cold_until: TimestampMs,
+    /// Time until which the worker's data centre has just returned from an evacuation.
+    pub returned_until: TimestampMs,
     /// Latest reading of the worker's clock.
     pub latest_reading: Option<ClockReading>,
     /// Readings that were received since leadership was last confirmed, in order of arrival.
@@ -79,6 +83,18 @@
         self.state.as_ref().is_some_and(|state| evacuations.contains(&state.data_centre))
     }
 
+    /// Replaces the announcement of the current incarnation.
+    pub fn set_state(&mut self, state: WorkerState, now: TimestampMs) {
+        self.cold_until = now + state.cold_left_ms.unwrap_or_default().min(MAX_COLD_MS);
+        self.state = Some(state);
+    }
+
+    /// Returns `true` if other workers with room are preferred, since the worker is cold or its data
+    /// centre has just returned.
+    pub fn is_warming(&self, now: TimestampMs) -> bool {
+        now < self.cold_until.max(self.returned_until)
+    }
+
     /// Adds a reading, from which leases may be renewed once leadership is confirmed.
     pub fn record_reading(&mut self, reading: ClockReading) {
         self.latest_reading = Some(reading);
@@ -115,7 +131,9 @@
             health = std::mem::take(&mut self.health);
             health.on_restart(now);
         }
-        *self = Self { connected: self.connected, state: Some(state), health, ..Self::default() };
+        let returned_until = self.returned_until;
+        *self = Self { connected: self.connected, health, returned_until, ..Self::default() };
+        self.set_state(state, now);
     }
 
     /// Marks the agent as connected. Orders sent on an earlier stream may have been lost, so starts
--- a/crates/yuccatack_dispatch/tests/evacuated_centres.rs
+++ b/crates/yuccatack_dispatch/tests/evacuated_centres.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use support::{TOKEN, TestCluster, node, run, settings, starts, state, step, stops};
-use yuccatack_core::{DataCentreName, NodeName};
+use yuccatack_core::{DataCentreName, DurationMs, NodeName};
 use yuccatack_dispatch::{AgentMessage, Dispatcher, Orders, WorkerState};
 use yuccatack_queues::EvacuationStore;
 use yuccatack_runs::{RunId, StepSpec};
@@ -23,6 +23,19 @@
     WorkerState { data_centre: data_centre(index), rack, ..state(index, 1) }
 }
 
+/// Lets the cluster's leader follow the rules of a deployment with evacuations.
+fn restart_leader(cluster: &mut TestCluster, count: usize, cold_index: Option<usize>) {
+    let settings = settings().with_evacuation(DurationMs::new(5_000));
+    cluster.dispatcher = Dispatcher::new(settings, TOKEN + 1, cluster.now);
+    for index in 0..count {
+        cluster.dispatcher.connect(&node(index));
+        let cold_left_ms = (cold_index == Some(index)).then(|| DurationMs::new(1_000));
+        let state = WorkerState { cold_left_ms, ..announced(index) };
+        cluster.deliver(index, AgentMessage::State(state));
+    }
+    cluster.observe_all(count);
+}
+
 /// Creates a cluster of `count` workers, each in a data centre of its own.
 fn spread_cluster(count: usize) -> TestCluster {
     let mut cluster = TestCluster::new(count);
@@ -37,7 +50,7 @@
     for index in indexes {
         store.evacuate(data_centre(*index));
     }
-    cluster.dispatcher.set_evacuations(&store);
+    cluster.dispatcher.set_evacuations(&store, cluster.now);
 }
 
 fn started_nodes(orders: &[(NodeName, Orders)]) -> Vec<NodeName> {
@@ -143,3 +156,55 @@
     assert!(cluster.table.open_runs().contains_key(&near), "the group waits beside free workers");
     assert_eq!(cluster.worker_of(&near), 1);
 }
+
+/// A start that is delayed on its way must not be carried out long after an evacuation.
+#[test]
+fn starts_expire() {
+    let mut cluster = spread_cluster(1);
+    restart_leader(&mut cluster, 1, None);
+    cluster.submit("job", 1, step(1, 1));
+    let expiry = cluster.decide()[0].1.starts[0].begin_until_clock_ms;
+    assert_eq!(expiry, Some(cluster.clock_ms() + 2_000));
+}
+
+/// A replica that was cut off and whose leadership was last confirmed long ago must start nothing,
+/// since a later leader may have stored an evacuation.
+#[test]
+fn unconfirmed_leader_starts_nothing() {
+    let mut cluster = spread_cluster(1);
+    restart_leader(&mut cluster, 1, None);
+    cluster.submit("job", 1, step(1, 1));
+    let (now, unix_ms) = (cluster.now, cluster.now.get());
+    let changes = cluster.dispatcher.decide(&cluster.table, &cluster.configuration, now, unix_ms);
+    cluster.apply(changes);
+    cluster.advance(1_300);
+    cluster.observe_unconfirmed(0, &[], &[], &[]);
+    let orders = cluster.dispatcher.orders(&cluster.table, cluster.now);
+    assert!(starts(&orders).is_empty(), "a start builds on an old confirmation");
+    cluster.dispatcher.confirm_leadership(cluster.now);
+    assert_eq!(starts(&cluster.decide()).len(), 1);
+}
+
+#[test]
+fn returned_centre_comes_last() {
+    let mut cluster = spread_cluster(2);
+    evacuate(&mut cluster, &[0]);
+    evacuate(&mut cluster, &[]);
+    cluster.submit("first", 1, step(8, 1));
+    assert_eq!(started_nodes(&cluster.decide()), [node(1)]);
+    // The preference orders choices only: what does not fit elsewhere begins there.
+    cluster.submit("second", 1, step(1, 1));
+    assert_eq!(started_nodes(&cluster.decide()), [node(0)]);
+}
+
+#[test]
+fn cold_worker_comes_last() {
+    let mut cluster = spread_cluster(2);
+    restart_leader(&mut cluster, 2, Some(0));
+    cluster.submit("first", 1, step(1, 1));
+    assert_eq!(started_nodes(&cluster.decide()), [node(1)]);
+    cluster.advance(1_000);
+    cluster.observe_all(2);
+    cluster.submit("second", 1, step(8, 1));
+    assert!(started_nodes(&cluster.decide()).contains(&node(0)), "the worker stays cold");
+}
--- a/crates/yuccatack_dispatch/tests/support/mod.rs
+++ b/crates/yuccatack_dispatch/tests/support/mod.rs
@@ -56,6 +56,7 @@
         rack: Some(rack),
         draining: false,
         remaining_ms: None,
+        cold_left_ms: None,
     }
 }
 
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -325,7 +325,7 @@
                 self.leader_address = None;
                 self.add_up_stored_bytes(now);
                 let mut dispatcher = Dispatcher::new(self.settings.clone(), term.get(), now);
-                dispatcher.set_evacuations(&self.queue_state.evacuations);
+                dispatcher.set_evacuations(&self.queue_state.evacuations, now);
                 self.dispatcher = Some(dispatcher);
             }
             Leadership::Follower { leader_address } => {
@@ -356,10 +356,11 @@
             (command.clone(), unfinished)
         });
         let applied = self.queue_state.apply(command);
-        if matches!(applied, Applied::Evacuated { .. })
-            && let Some(dispatcher) = &mut self.dispatcher
-        {
-            dispatcher.set_evacuations(&self.queue_state.evacuations);
+        if matches!(applied, Applied::Evacuated { .. }) {
+            let now = self.now();
+            if let Some(dispatcher) = &mut self.dispatcher {
+                dispatcher.set_evacuations(&self.queue_state.evacuations, now);
+            }
         }
         if let Some((command, unfinished)) = &logged {
             log_after_apply(command, applied, unfinished, &self.queue_state, index);
--- a/crates/yuccatack_queue_control/tests/support/mod.rs
+++ b/crates/yuccatack_queue_control/tests/support/mod.rs
@@ -164,6 +164,7 @@
             rack: None,
             draining: false,
             remaining_ms: None,
+            cold_left_ms: None,
         };
         announcements.send(Announcement::Present { state, sequence: 1 }).await.unwrap();
         self.agents.push((announcements, trigger));
--- a/crates/yuccatack_worker_agent/src/agent.rs
+++ b/crates/yuccatack_worker_agent/src/agent.rs
@@ -299,7 +299,10 @@
     }
 
     fn start(&mut self, incarnation: &WorkerIncarnation, token: u64, order: StartOrder) {
-        let StartOrder { run, payload, until_clock_ms, checkpoint } = order;
+        let StartOrder { run, payload, until_clock_ms, checkpoint, begin_until_clock_ms } = order;
+        // Without a reading of the clock, the agent cannot tell whether the order is late.
+        let begin_until = begin_until_clock_ms
+            .map(|clock_ms| self.clock.time_of(clock_ms).unwrap_or_else(Instant::now));
         match self.orders.on_start_order(&run) {
             StartAction::AwaitResult => {}
             StartAction::Report(result) => {
@@ -321,7 +324,8 @@
                     checkpoint,
                 };
                 tokio::spawn(async move {
-                    let (result, call_count) = start_until_answered(&*port, call).await;
+                    let (result, call_count) =
+                        start_until_answered(&*port, call, begin_until).await;
                     log::info!(
                         event = "start_carried_out", run:% = run, result:? = result,
                         calls = call_count;
@@ -641,15 +645,28 @@
 /// Sends a start until the worker answers it, up to [`MAX_START_CALL_COUNT`] times. Returns the
 /// result and the number of calls.
 ///
+/// No call begins from `begin_until` on: the leader may have promised since that nothing starts here.
 /// The worker confirms a start whose run is there already, and refuses one whose run has ended or
 /// was stopped, so that a call that is carried out late begins no second run.
-async fn start_until_answered<Port>(port: &Port, call: StartCall) -> (StartResult, u32)
+async fn start_until_answered<Port>(
+    port: &Port,
+    call: StartCall,
+    begin_until: Option<Instant>,
+) -> (StartResult, u32)
 where
     Port: WorkerPort,
 {
+    let is_late = || begin_until.is_some_and(|until| Instant::now() >= until);
+    if is_late() {
+        log::warn!(
+            event = "start_expired", run:% = call.run;
+            "the order to start a run arrived late and is not carried out"
+        );
+        return (StartResult::Refused, 0);
+    }
     let mut call_count = 1;
     let mut result = port.start(call.clone()).await;
-    while result == StartResult::Unknown && call_count < MAX_START_CALL_COUNT {
+    while result == StartResult::Unknown && call_count < MAX_START_CALL_COUNT && !is_late() {
         call_count += 1;
         result = port.start(call.clone()).await;
     }
--- a/crates/yuccatack_worker_agent/src/clock.rs
+++ b/crates/yuccatack_worker_agent/src/clock.rs
@@ -56,6 +56,14 @@
         self.accepted.is_some()
     }
 
+    /// Returns the time at which the worker's clock shows `clock_ms`, or an earlier one if it has shown
+    /// that. Returns `None` before a reading has counted.
+    pub fn time_of(&self, clock_ms: u64) -> Option<Instant> {
+        let Reading { clock_ms: read_ms, received_at } = self.accepted?;
+        let left_ms = clock_ms.saturating_sub(read_ms).min(MAX_CLOCK_MS);
+        Some(received_at + Duration::from_millis(left_ms))
+    }
+
     /// Returns `true` if the reading counts.
     pub fn accept(&mut self, clock_ms: u64, received_at: Instant) -> bool {
         let reading = Reading { clock_ms, received_at };
--- a/crates/yuccatack_worker_agent/tests/hold_pace.rs
+++ b/crates/yuccatack_worker_agent/tests/hold_pace.rs
@@ -105,6 +105,7 @@
         rack: None,
         draining: false,
         remaining_ms: None,
+        cold_left_ms: None,
     }
 }
 
--- a/crates/yuccatack_worker_agent/tests/odd_entries.rs
+++ b/crates/yuccatack_worker_agent/tests/odd_entries.rs
@@ -171,6 +171,7 @@
         rack: None,
         draining: false,
         remaining_ms: None,
+        cold_left_ms: None,
     }
 }
 
--- a/crates/yuccatack_worker_agent/tests/start_repeats.rs
+++ b/crates/yuccatack_worker_agent/tests/start_repeats.rs
@@ -108,6 +108,7 @@
         rack: None,
         draining: false,
         remaining_ms: None,
+        cold_left_ms: None,
     }
 }
 
@@ -134,6 +135,7 @@
         payload: Arc::from("payload"),
         until_clock_ms: 10_000,
         checkpoint: None,
+        begin_until_clock_ms: None,
     };
     let orders = Orders {
         token: TOKEN,
--- a/crates/yuccatack_worker_agent/tests/support/mod.rs
+++ b/crates/yuccatack_worker_agent/tests/support/mod.rs
@@ -143,6 +143,7 @@
         rack: None,
         draining: false,
         remaining_ms: None,
+        cold_left_ms: None,
     }
 }
 
@@ -157,6 +158,7 @@
         payload: Arc::from("payload"),
         until_clock_ms: 10_000,
         checkpoint: None,
+        begin_until_clock_ms: None,
     }
 }
 
