Count evacuated data centres in a gauge

Nothing outside the log lines of one leader showed whether an evacuation is in force. Every control replica now sets `yuccatack_evacuated_data_centres` from its replicated state.

--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -577,6 +577,8 @@
         let now = self.now();
         let disk_full = self.replication.status().borrow().disk_full;
         self.metrics.replication.set_disk_full(disk_full);
+        let evacuated_count = self.queue_state.evacuations.count();
+        self.metrics.queues.set_evacuated_data_centres(evacuated_count);
         if self.dispatcher.is_some() && now.since(self.stored_bytes_at) >= STORED_BYTES_INTERVAL {
             self.add_up_stored_bytes(now);
         }
--- a/crates/yuccatack_telemetry/src/metrics/catalogue.rs
+++ b/crates/yuccatack_telemetry/src/metrics/catalogue.rs
@@ -298,6 +298,13 @@
         &[],
         "Estimated bytes of the stored jobs, at the control leader.",
     ),
+    MetricDescription::new(
+        "evacuated_data_centres",
+        Count,
+        Gauge,
+        &[],
+        "Data centres in which nothing starts by order of an operator, as this control replica knows.",
+    ),
     MetricDescription::new(
         "run_evictions",
         Count,
--- a/crates/yuccatack_telemetry/src/metrics/queues.rs
+++ b/crates/yuccatack_telemetry/src/metrics/queues.rs
@@ -24,6 +24,7 @@
     run_ends: Family<EndLabels, Counter>,
     open_runs: Gauge,
     stored_bytes: Gauge,
+    evacuated_data_centres: Gauge,
     evictions: Counter,
     agents: Gauge,
     orders: Counter,
@@ -48,6 +49,7 @@
             run_ends: register(registry, "run_ends", Family::default()),
             open_runs: register(registry, "open_runs", Gauge::default()),
             stored_bytes: register(registry, "stored_job_bytes", Gauge::default()),
+            evacuated_data_centres: register(registry, "evacuated_data_centres", Gauge::default()),
             evictions: register(registry, "run_evictions", Counter::default()),
             agents: register(registry, "agents_attached", Gauge::default()),
             orders: register(registry, "worker_orders", Counter::default()),
@@ -75,6 +77,11 @@
         self.stored_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of evacuated data centres.
+    pub fn set_evacuated_data_centres(&self, count: usize) {
+        self.evacuated_data_centres.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts runs that were requested to stop for more urgent jobs, or to leave a worker that
     /// hangs.
     pub fn count_evictions(&self, count: u64) {
