Add the commands evacuate, readmit and evacuations

Operators had no command for evacuations, and no way to read which ones are in force. The commands talk to the operators' address of any control replica. An order without a clear answer is resent unchanged, and after one lost answer the outcome is reported as unknown.

--- a/crates/yuccatack_cli/src/arguments.rs
+++ b/crates/yuccatack_cli/src/arguments.rs
@@ -33,6 +33,9 @@
             apply(),
             get(),
             withdraw(),
+            evacuate(),
+            readmit(),
+            evacuations(),
             status(),
             explain(),
             report(),
@@ -133,6 +136,37 @@
         .args(waiting())
 }
 
+fn evacuate() -> Command {
+    Command::new("evacuate")
+        .about("Orders that nothing more starts in a data centre; what runs there continues")
+        .args([data_centre(), control_address()])
+}
+
+fn readmit() -> Command {
+    Command::new("readmit")
+        .about("Withdraws the evacuation of a data centre, so that work starts there again")
+        .args([data_centre(), control_address()])
+}
+
+fn evacuations() -> Command {
+    Command::new("evacuations").about("Lists the evacuated data centres").arg(control_address())
+}
+
+fn data_centre() -> Arg {
+    Arg::new("data-centre")
+        .value_name("DATA_CENTRE")
+        .required(true)
+        .help("The name of the data centre, as its workers announce it")
+}
+
+fn control_address() -> Arg {
+    Arg::new("control-address")
+        .long("control-address")
+        .value_name("IP:PORT")
+        .required(true)
+        .help("The operators' address of any control replica")
+}
+
 fn status() -> Command {
     Command::new("status").about("Shows replicas, nodes, workers and what is not yet in force")
 }
--- a/crates/yuccatack_cli/src/client.rs
+++ b/crates/yuccatack_cli/src/client.rs
@@ -47,6 +47,13 @@
     message: String,
 }
 
+/// Body of a control replica's refusal of an order.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct OrderErrorBody {
+    error: String,
+}
+
 /// Error kind of an entry that forwarded nothing, for example because no leader is known.
 const NOT_SENT_KIND: &str = "not_sent";
 
@@ -155,6 +162,39 @@
         })
     }
 
+    /// Sends an order without a body, and resends it until it is acknowledged or refused or the resends
+    /// are used up. Resending is safe, because a repeated order has the effect of a single one.
+    pub(crate) async fn order(&self, method: Method, path: &str) -> Result<(), CliError> {
+        let address = self.address;
+        let mut delay = INITIAL_RESEND_DELAY;
+        let mut attempt = 0;
+        let mut may_have_taken_effect = false;
+        loop {
+            let failure = match self.exchange(method.clone(), path, Bytes::new()).await {
+                Ok(response) => match order_outcome(address, &response) {
+                    Ok(()) => return Ok(()),
+                    Err(error @ CliError::OrderRefused { .. }) => return Err(error),
+                    Err(error) => error,
+                },
+                Err(ExchangeError::NotSent(reason)) => self.not_reachable_error(reason),
+                Err(ExchangeError::Lost(reason)) => CliError::OrderLost { address, reason },
+            };
+            may_have_taken_effect |= matches!(failure, CliError::OrderLost { .. });
+            if attempt == CHANGE_RESEND_COUNT {
+                return Err(match failure {
+                    CliError::OrderLost { .. } => failure,
+                    _ if may_have_taken_effect => {
+                        CliError::OrderLost { address, reason: failure.to_string() }
+                    }
+                    _ => failure,
+                });
+            }
+            attempt += 1;
+            time::sleep(delay).await;
+            delay *= 2;
+        }
+    }
+
     async fn exchange(
         &self,
         method: Method,
@@ -223,6 +263,29 @@
     }
 }
 
+/// Returns the outcome of an order by the status of its response. Nothing was stored if the replica
+/// cannot answer now, while a gateway timeout leaves the outcome open.
+fn order_outcome(address: SocketAddr, response: &EntryResponse) -> Result<(), CliError> {
+    let status = response.status.as_u16();
+    match response.status {
+        success if success.is_success() => Ok(()),
+        StatusCode::SERVICE_UNAVAILABLE => {
+            let reason = "no leader answers, and nothing was stored".to_owned();
+            Err(CliError::Unavailable { address, status, reason })
+        }
+        StatusCode::NOT_FOUND => {
+            let reason = "the deployment has no evacuations; set `EvacuateMs`".to_owned();
+            Err(CliError::OrderRefused { status, reason })
+        }
+        error if error.is_client_error() => {
+            let body = serde_json::from_slice::<OrderErrorBody>(&response.body);
+            let reason = body.map_or_else(|_| response.text(), |body| body.error);
+            Err(CliError::OrderRefused { status, reason })
+        }
+        _ => Err(CliError::OrderLost { address, reason: format!("HTTP status {status}") }),
+    }
+}
+
 /// Parses the response to a change. A status 4xx with any other body also counts as a refusal.
 fn parse_change_response(response: &EntryResponse) -> Result<ChangeResponse, ExchangeError> {
     if let Ok(response) = serde_json::from_slice(&response.body) {
--- a/crates/yuccatack_cli/src/commands/mod.rs
+++ b/crates/yuccatack_cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod change;
 mod check;
 mod completions;
+mod evacuation;
 mod explain;
 mod get;
 mod host;
@@ -35,6 +36,9 @@
         Some(("apply", matches)) => block_on(apply::run(matches, context))?,
         Some(("get", matches)) => block_on(get::run(matches, context))?,
         Some(("withdraw", matches)) => block_on(withdraw::run(matches, context))?,
+        Some(("evacuate", matches)) => block_on(evacuation::evacuate(matches, context))?,
+        Some(("readmit", matches)) => block_on(evacuation::readmit(matches, context))?,
+        Some(("evacuations", matches)) => block_on(evacuation::list(matches, context))?,
         Some(("status", matches)) => block_on(status::run(matches, context))?,
         Some(("explain", matches)) => block_on(explain::run(matches, context))?,
         Some(("report", matches)) => block_on(report::run(matches, context))?,
--- a/crates/yuccatack_cli/src/error.rs
+++ b/crates/yuccatack_cli/src/error.rs
@@ -123,6 +123,25 @@
         /// Failure of the connection, or HTTP status and message of the response.
         reason: String,
     },
+    /// The response to an order was lost, so the order may or may not have taken effect.
+    #[snafu(display(
+        "the answer of {address} to the order was lost ({reason}); whether it took effect is not \
+         known; repeat the command"
+    ))]
+    OrderLost {
+        /// Address of the control replica.
+        address: SocketAddr,
+        /// Failure of the connection, or HTTP status of the response.
+        reason: String,
+    },
+    /// A control replica refused an order, which had no effect.
+    #[snafu(display("the order was refused with HTTP status {status}: {reason}"))]
+    OrderRefused {
+        /// HTTP status of the response.
+        status: u16,
+        /// Message in the response, or a remedy.
+        reason: String,
+    },
     /// The entry refused a read, or has no document at the path.
     #[snafu(display("the entry refused the request with HTTP status {status}: {reason}"))]
     ReadRefused {
@@ -169,8 +188,11 @@
             | Self::InvalidFile { .. }
             | Self::InvalidOptions { .. } => ExitStatus::Usage,
             Self::NotReachable { .. } | Self::Unavailable { .. } => ExitStatus::NotReachable,
-            Self::UnusableResponse { .. } | Self::ResponseLost { .. } => ExitStatus::Unknown,
+            Self::UnusableResponse { .. } | Self::ResponseLost { .. } | Self::OrderLost { .. } => {
+                ExitStatus::Unknown
+            }
             Self::ReadRefused { .. }
+            | Self::OrderRefused { .. }
             | Self::Run { .. }
             | Self::Host { .. }
             | Self::WriteFile { .. }
--- a/crates/yuccatack_cli/src/message.rs
+++ b/crates/yuccatack_cli/src/message.rs
@@ -66,3 +66,10 @@
 pub(crate) struct RecordList {
     pub(crate) records: Vec<StoredRecord>,
 }
+
+/// Evacuated data centres, as a control replica lists them.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(crate) struct EvacuationList {
+    pub(crate) data_centres: Vec<String>,
+}
--- a/crates/yuccatack_cli/tests/help_text.rs
+++ b/crates/yuccatack_cli/tests/help_text.rs
@@ -9,7 +9,7 @@
 use support::run;
 use yuccatack_cli::ExitStatus;
 
-const COMMANDS: [&[&str]; 12] = [
+const COMMANDS: [&[&str]; 15] = [
     &[],
     &["run"],
     &["host"],
@@ -17,6 +17,9 @@
     &["apply"],
     &["get"],
     &["withdraw"],
+    &["evacuate"],
+    &["readmit"],
+    &["evacuations"],
     &["status"],
     &["explain", "job"],
     &["report"],
