--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -36,6 +36,8 @@
     pub quarantined: bool,
     /// Did not carry out a start recently, or restarted, so that other workers are preferred.
     pub backing_off: bool,
+    /// Is cold, or its data centre has just returned, so that other workers are preferred.
+    pub warming: bool,
     /// Number of failures of any kind since the last completed task.
     pub failure_count: u32,
     /// Relative progress rate of the machine: the mean of its speed class, 1 while unknown.
@@ -107,6 +109,7 @@
                 reliable: session.health.is_reliable(now),
                 quarantined: !session.health.is_usable(now),
                 backing_off: session.health.is_backing_off(now),
+                warming: session.is_warming(now),
                 failure_count: session.health.failure_count(),
                 speed: 1.0,
                 speed_class: 0,
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -17,7 +17,7 @@
 use crate::reconcile::Reconciliation;
 use crate::run_time::RunTimes;
 use crate::session::Session;
-use crate::settings::DispatchSettings;
+use crate::settings::{DispatchSettings, RETURN_PERIOD_MS};
 use crate::speed::MachineSpeeds;
 use crate::speed_observer::SpeedObserver;
 use crate::speed_wait::SpeedWaits;
@@ -75,6 +75,17 @@
         self.token
     }
 
+    /// Replaces the evacuations, which take effect from the next decision and order on.
+    /// For a time, workers of data centres that return from an evacuation come after others.
+    pub fn set_evacuations(&mut self, evacuations: &EvacuationStore, now: TimestampMs) {
+        let earlier = std::mem::replace(&mut self.evacuations, evacuations.clone());
+        for session in self.sessions.values_mut() {
+            if session.is_evacuated(&earlier) && !session.is_evacuated(evacuations) {
+                session.returned_until = now + RETURN_PERIOD_MS;
+            }
+        }
+    }
+
     /// Marks the agent of `node` as connected.
     pub fn connect(&mut self, node: &NodeName) {
         self.sessions.entry(node.clone()).or_default().reconnect();
@@ -117,11 +128,6 @@
         }
     }
 
-    /// Replaces the evacuations, which take effect from the next decision and order on.
-    pub fn set_evacuations(&mut self, evacuations: &EvacuationStore) {
-        self.evacuations = evacuations.clone();
-    }
-
     /// Replaces the speeds of the machines, which only order choices.
     pub fn set_speeds(&mut self, speeds: MachineSpeeds) {
         self.speeds = speeds;
--- a/crates/yuccatack_dispatch/src/lost_runs.rs
+++ b/crates/yuccatack_dispatch/src/lost_runs.rs
@@ -24,7 +24,7 @@
     let session = sessions.entry(node.clone()).or_default();
     let incarnation = state.incarnation.clone();
     if session.incarnation() == Some(&incarnation) {
-        session.state = Some(state);
+        session.set_state(state, now);
         return Vec::new();
     }
     log::info!(
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -140,21 +140,22 @@
     placements.min_by_key(|placement| placement_cost(group, placement, workers, kind))
 }
 
-/// Returns the number of chosen workers that back off, the slowdowns by the runs on the chosen
-/// workers, and the accelerators that are free there before the placement. Placements with small
+/// Returns the numbers of chosen workers that back off and that are warming, the slowdowns by the
+/// runs on the chosen workers, and the accelerators that are free there before the placement. Placements with small
 /// leftovers keep other workers empty for large groups.
 fn placement_cost(
     group: &TaskGroup<'_>,
     placement: &Placement,
     workers: &[WorkerSnapshot],
     kind: CapacityKind,
-) -> (usize, u32, u32) {
+) -> (usize, usize, u32, u32) {
     let chosen: BTreeSet<usize> = placement.iter().copied().collect();
     let backing_off = chosen.iter().filter(|index| workers[**index].backing_off).count();
+    let warming = chosen.iter().filter(|index| workers[**index].warming).count();
     let slowdown_percent =
         chosen.iter().map(|index| slowdown_percent(&group.slow_partners, &workers[*index].images));
     let leftover = chosen.iter().map(|index| kind.of(&workers[*index]).accelerator_count).sum();
-    (backing_off, slowdown_percent.sum(), leftover)
+    (backing_off, warming, slowdown_percent.sum(), leftover)
 }
 
 /// Returns the reason why a group has no placement on free capacity.
@@ -213,6 +214,7 @@
                     worker.quarantined,
                     group.last_attempt && !worker.reliable,
                     worker.backing_off,
+                    worker.warming,
                     // Less urgent runs last longer. Spread over all workers, they would leave no
                     // whole worker to the tasks of urgent gangs.
                     !group.is_urgent() && !worker.has_less_urgent,
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -329,7 +329,7 @@
                 self.leader_address = None;
                 self.add_up_stored_bytes(now);
                 let mut dispatcher = Dispatcher::new(self.settings.clone(), term.get(), now);
-                dispatcher.set_evacuations(&self.queue_state.evacuations);
+                dispatcher.set_evacuations(&self.queue_state.evacuations, now);
                 self.dispatcher = Some(dispatcher);
                 self.restore_speeds(now);
             }
@@ -361,10 +361,11 @@
             (command.clone(), unfinished)
         });
         let applied = self.queue_state.apply(command);
-        if matches!(applied, Applied::Evacuated { .. })
-            && let Some(dispatcher) = &mut self.dispatcher
-        {
-            dispatcher.set_evacuations(&self.queue_state.evacuations);
+        if matches!(applied, Applied::Evacuated { .. }) {
+            let now = self.now();
+            if let Some(dispatcher) = &mut self.dispatcher {
+                dispatcher.set_evacuations(&self.queue_state.evacuations, now);
+            }
         }
         if let Some((command, unfinished)) = &logged {
             self.on_speeds_applied(command);
@@ -582,6 +583,8 @@
         let now = self.now();
         let disk_full = self.replication.status().borrow().disk_full;
         self.metrics.replication.set_disk_full(disk_full);
+        let evacuated_count = self.queue_state.evacuations.count();
+        self.metrics.queues.set_evacuated_data_centres(evacuated_count);
         if self.dispatcher.is_some() && now.since(self.stored_bytes_at) >= STORED_BYTES_INTERVAL {
             self.add_up_stored_bytes(now);
         }
