Predict run times for the speed of the machine

The dispatcher learned run times as measured, so that those of slow machines counted as the queue's own, while the placement by speed takes predictions as those of a machine of speed 1.

The predictions come from the progress model. The time limit of a run without progress follows the speed of its worker.

--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -34,10 +34,10 @@
     sessions: BTreeMap<NodeName, Session>,
     evictions: Evictions,
     headroom: Headroom,
-    run_times: RunTimes,
+    pub(crate) run_times: RunTimes,
     speeds: MachineSpeeds,
     waiting_steps: WaitingSteps,
-    pub(crate) speed_observer: SpeedObserver,
+    speed_observer: SpeedObserver,
     speed_waits: SpeedWaits,
     /// Work that the last pass left waiting; `None` if it placed everything.
     backlog: Option<Backlog>,
@@ -122,11 +122,20 @@
     ) -> Vec<TableChange> {
         match message {
             AgentMessage::State(state) => {
-                self.speed_observer.on_announcement(&state.incarnation, now);
+                let model = &mut self.run_times.model;
+                self.speed_observer.on_announcement(&state.incarnation, model, now);
                 record_state(&mut self.sessions, node, state, table, now)
             }
             AgentMessage::Observed(observation) => {
-                self.speed_observer.on_observation(&self.sessions, node, &observation, table, now);
+                let model = &mut self.run_times.model;
+                SpeedObserver::on_observation(
+                    model,
+                    &self.sessions,
+                    node,
+                    &observation,
+                    table,
+                    now,
+                );
                 let mut observer = Observer {
                     sessions: &mut self.sessions,
                     evictions: &mut self.evictions,
@@ -154,7 +163,7 @@
         now: TimestampMs,
         unix_ms: u64,
     ) -> Vec<TableChange> {
-        if let Some(speeds) = self.speed_observer.refresh(now) {
+        if let Some(speeds) = self.speed_observer.refresh(&mut self.run_times.model, now) {
             self.speeds = speeds;
         }
         self.evictions.retain_open(table);
--- a/crates/yuccatack_dispatch/src/observation.rs
+++ b/crates/yuccatack_dispatch/src/observation.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use yuccatack_core::{DurationMs, NodeName, TimestampMs};
-use yuccatack_runs::{JobTable, RunEnd, RunId, RunOutcome};
+use yuccatack_runs::{JobTable, RunEnd, RunId, RunOutcome, StepSpec};
 
 use crate::eviction::Evictions;
 use crate::health::stall_timeout;
@@ -68,7 +68,7 @@
         let Some(job) = table.job(&run.task.job) else { return };
         let spec = job.step_spec(run.task.step);
         let Some(spec) = spec.filter(|spec| !spec.long_running) else { return };
-        let run_time_ms = self.run_times.predict(&job.submission.queue, spec);
+        let run_time_ms = self.run_times.predict_on(node, &job.submission.queue, spec);
         if unchanged_ms < stall_timeout(run_time_ms) {
             return;
         }
@@ -172,10 +172,20 @@
     let Some(spec) = job.step_spec(run.task.step) else { return };
     // The members of a gang end together and count once.
     if !spec.long_running && (!spec.gang || run.task.index == 0) {
-        run_times.record(&job.submission.queue, spec, run_time_ms);
+        let speed = slowest_speed(run, spec, table, run_times);
+        run_times.record(&job.submission.queue, spec, run_time_ms, speed);
     }
 }
 
+/// Returns the speed of the run's machine; for a gang, that of the slowest member whose end is not
+/// stored yet, since the members end together.
+fn slowest_speed(run: &RunId, spec: &StepSpec, table: &JobTable, run_times: &RunTimes) -> f64 {
+    let members = table.gang_members(run).filter(|member| spec.gang || *member == run);
+    let nodes = members.filter_map(|member| table.open_runs().get(member));
+    let speeds = nodes.map(|open| run_times.speed(&open.incarnation.node));
+    speeds.min_by(f64::total_cmp).unwrap_or(1.0)
+}
+
 /// Updates the order state of each open run of the worker. An incomplete observation does not show
 /// that a run is missing, since its end may be one of those that are not listed.
 ///
--- a/crates/yuccatack_dispatch/src/run_time.rs
+++ b/crates/yuccatack_dispatch/src/run_time.rs
@@ -1,67 +1,50 @@
-//! Run times of tasks, predicted from the callers' estimates and the completed runs of the queue.
+//! Predicted run times of the steps of jobs.
 
-use yuccatack_core::{DurationMs, FastHashMap, QueueName};
+use yuccatack_core::{DurationMs, NodeName, QueueName};
+use yuccatack_progress::ProgressModel;
 use yuccatack_runs::{Job, StepSpec};
 
-/// Variation that the estimates of a queue must show before its run times outweigh them, as a sum of
-/// squared differences of logarithms. Until then a prediction is close to the estimate.
-const PRIOR_VARIATION: f64 = 2.0;
+/// Speed of the typical machine.
+const TYPICAL_SPEED: f64 = 1.0;
 
-/// Number of completed runs from which a queue has a typical run time.
-const TYPICAL_RUN_COUNT: u32 = 10;
-
-/// Linear regression of the run times of a queue on their estimates, both as logarithms.
-#[derive(Clone, Copy, Debug, Default)]
-struct Regression {
-    count: u32,
-    mean_estimate: f64,
-    mean_run_time: f64,
-    variation: f64,
-    covariation: f64,
-}
-
-impl Regression {
-    fn add(&mut self, estimate: f64, run_time: f64) {
-        self.count += 1;
-        let estimate_difference = estimate - self.mean_estimate;
-        self.mean_estimate += estimate_difference / f64::from(self.count);
-        self.mean_run_time += (run_time - self.mean_run_time) / f64::from(self.count);
-        self.variation += estimate_difference * (estimate - self.mean_estimate);
-        self.covariation += estimate_difference * (run_time - self.mean_run_time);
-    }
-
-    fn predict(&self, estimate: f64) -> f64 {
-        // A prior slope of 1 stands for estimates that are right.
-        let slope = (self.covariation + PRIOR_VARIATION) / (self.variation + PRIOR_VARIATION);
-        self.mean_run_time + slope * (estimate - self.mean_estimate)
-    }
-}
-
-/// Predicts run times by queue.
+/// Predicts run times with the progress model.
 #[derive(Debug, Default)]
 pub(crate) struct RunTimes {
-    queues: FastHashMap<QueueName, Regression>,
+    pub model: ProgressModel,
 }
 
 impl RunTimes {
-    /// Records the run time of a completed run.
-    pub fn record(&mut self, queue: &QueueName, spec: &StepSpec, run_time_ms: DurationMs) {
-        let regression = self.queues.entry(queue.clone()).or_default();
-        regression.add(logarithm(spec.estimated_run_ms), logarithm(run_time_ms));
+    /// Records the run time of a completed run. `speed` is that of the slowest machine on which a
+    /// member of the run's gang executed.
+    pub fn record(
+        &mut self,
+        queue: &QueueName,
+        spec: &StepSpec,
+        run_time_ms: DurationMs,
+        speed: f64,
+    ) {
+        self.model.on_run_time(queue, spec.estimated_run_ms, run_time_ms, speed);
     }
 
-    /// Returns the geometric mean of the queue's run times in milliseconds; `None` until enough runs
-    /// have completed.
+    /// Returns the geometric mean of the queue's run times on the typical machine in milliseconds;
+    /// `None` until enough runs have completed.
     pub fn typical_ms(&self, queue: &QueueName) -> Option<u64> {
-        let regression = self.queues.get(queue)?;
-        (regression.count >= TYPICAL_RUN_COUNT).then(|| regression.mean_run_time.exp() as u64)
+        self.model.typical_ms(queue)
+    }
+
+    /// Returns the speed of a machine relative to the typical one; 1 while unknown.
+    pub fn speed(&self, node: &NodeName) -> f64 {
+        self.model.speed(node)
     }
 
-    /// Predicts the run time of a step's tasks.
+    /// Predicts the run time of a step's tasks on the typical machine.
     pub fn predict(&self, queue: &QueueName, spec: &StepSpec) -> DurationMs {
-        let Some(regression) = self.queues.get(queue) else { return spec.estimated_run_ms };
-        let predicted_ms = regression.predict(logarithm(spec.estimated_run_ms)).exp();
-        DurationMs::new(predicted_ms as u64)
+        self.model.predict(queue, spec.estimated_run_ms, TYPICAL_SPEED)
+    }
+
+    /// Predicts the run time of a step's tasks on a machine.
+    pub fn predict_on(&self, node: &NodeName, queue: &QueueName, spec: &StepSpec) -> DurationMs {
+        self.model.predict(queue, spec.estimated_run_ms, self.speed(node))
     }
 
     /// Predicts, for each step of a job, the length of the longest chain of steps that begins with
@@ -80,7 +63,3 @@
         chains_ms
     }
 }
-
-fn logarithm(duration_ms: DurationMs) -> f64 {
-    (duration_ms.get().max(1) as f64).ln()
-}
--- a/crates/yuccatack_dispatch/src/speed_observer.rs
+++ b/crates/yuccatack_dispatch/src/speed_observer.rs
@@ -20,10 +20,9 @@
 /// only if the progress has changed.
 const INITIAL_PERCENT: u8 = 1;
 
-/// Learns the speeds of machines from observations of their workers.
+/// Feeds the progress model from observations of workers, and tells the speeds that have changed.
 #[derive(Debug, Default)]
 pub(crate) struct SpeedObserver {
-    model: ProgressModel,
     /// Latest incarnation that was announced to this leader, by node.
     incarnations: FastHashMap<NodeName, WorkerIncarnation>,
     refreshed_at: TimestampMs,
@@ -32,24 +31,24 @@
 }
 
 impl SpeedObserver {
-    /// Returns the speed of a machine relative to the typical one; 1 while unknown.
-    pub fn speed(&self, node: &NodeName) -> f64 {
-        self.model.speed(node)
-    }
-
     /// Makes the estimate of a machine less certain if its worker has begun a new incarnation. The
     /// first announcement to a new leader says nothing about that.
-    pub fn on_announcement(&mut self, incarnation: &WorkerIncarnation, now: TimestampMs) {
+    pub fn on_announcement(
+        &mut self,
+        incarnation: &WorkerIncarnation,
+        model: &mut ProgressModel,
+        now: TimestampMs,
+    ) {
         let node = &incarnation.node;
         let earlier = self.incarnations.insert(node.clone(), incarnation.clone());
         if earlier.is_some_and(|earlier| earlier != *incarnation) {
-            self.model.on_incarnation(node, now);
+            model.on_incarnation(node, now);
         }
     }
 
     /// Learns from an observation. `sessions` must be the state before the observation.
     pub fn on_observation(
-        &mut self,
+        model: &mut ProgressModel,
         sessions: &BTreeMap<NodeName, Session>,
         node: &NodeName,
         observation: &Observation,
@@ -64,27 +63,31 @@
         }
         let is_running = |run: &RunId| observation.running.iter().any(|row| row.run == *run);
         for (run, _) in session.health.progress().filter(|(run, _)| !is_running(run)) {
-            self.model.on_end(&run_key(run), now);
+            model.on_end(&run_key(run), now);
         }
         let rows = observation.running.iter().filter(|row| {
             row.percent <= INITIAL_PERCENT || session.health.percent(&row.run) != Some(row.percent)
         });
         for row in rows {
             if let Some(sample) = sample(sessions, node, row, observation.clock_ms, table) {
-                self.model.on_progress(&sample, now);
+                model.on_progress(&sample, now);
             }
         }
     }
 
     /// Forgets what is over and reports machines that were told apart. Returns the speeds of all
     /// machines if some have changed since the last call.
-    pub fn refresh(&mut self, now: TimestampMs) -> Option<MachineSpeeds> {
+    pub fn refresh(
+        &mut self,
+        model: &mut ProgressModel,
+        now: TimestampMs,
+    ) -> Option<MachineSpeeds> {
         if now.since(self.refreshed_at) < REFRESH_INTERVAL {
             return None;
         }
         self.refreshed_at = now;
-        self.model.expire(now);
-        for (node, estimate) in self.model.take_newly_distinct() {
+        model.expire(now);
+        for (node, estimate) in model.take_newly_distinct() {
             let (speed, log_deviation) = (estimate.speed, estimate.log_deviation);
             log::info!(
                 event = "machine_speed_known", agent = node.as_str(),
@@ -93,7 +96,7 @@
                 "the machine of the agent is faster or slower than the typical one"
             );
         }
-        let distinct = self.model.distinct_speeds();
+        let distinct = model.distinct_speeds();
         let speeds = distinct.fold(MachineSpeeds::new(), |speeds, (node, speed)| {
             speeds.with_speed(node.clone(), speed)
         });
@@ -107,27 +110,27 @@
 impl Dispatcher {
     /// Returns the speed of a worker's machine relative to the typical one; 1 while unknown.
     pub fn machine_speed(&self, node: &NodeName) -> f64 {
-        self.speed_observer.speed(node)
+        self.run_times.speed(node)
     }
 
     /// Returns the number of machines that are known to be slower than the typical one.
     pub fn slow_machine_count(&self) -> usize {
-        self.speed_observer.model.slow_machine_count()
+        self.run_times.model.slow_machine_count()
     }
 
     /// Returns up to `limit` estimates that differ from the stored ones.
     pub fn changed_estimates(&self, limit: usize) -> Vec<EstimateRecord> {
-        self.speed_observer.model.changed_estimates(limit)
+        self.run_times.model.changed_estimates(limit)
     }
 
     /// Returns `true` if something is known of the machine; otherwise its stored estimate is obsolete.
     pub fn is_known_machine(&self, node: &NodeName) -> bool {
-        self.speed_observer.model.estimate(node).is_some()
+        self.run_times.model.estimate(node).is_some()
     }
 
     /// Notes that these estimates are stored.
     pub fn on_estimates_stored(&mut self, records: &[EstimateRecord]) {
-        self.speed_observer.model.on_published(records);
+        self.run_times.model.on_published(records);
     }
 
     /// Begins with the stored estimates of earlier leaders. Returns the errors of those that cannot
@@ -140,7 +143,7 @@
     where
         Records: IntoIterator<Item = &'record EstimateRecord>,
     {
-        self.speed_observer.model.restore(records, now)
+        self.run_times.model.restore(records, now)
     }
 }
 
