--- a/crates/yuccatack_dispatch/src/pass.rs
+++ b/crates/yuccatack_dispatch/src/pass.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use yuccatack_core::{DurationMs, FastHashMap, NodeName, OrganisationName, TimestampMs};
-use yuccatack_queues::ConfigurationStore;
+use yuccatack_queues::{ConfigurationStore, EvacuationStore};
 use yuccatack_runs::{JobTable, RunId};
 
 use crate::capacity::{WorkerSnapshot, available_workers};
@@ -21,6 +21,7 @@
 pub(crate) struct PassInputs<'a> {
     pub table: &'a JobTable,
     pub configuration: &'a ConfigurationStore,
+    pub evacuations: &'a EvacuationStore,
     pub speeds: &'a MachineSpeeds,
     pub run_times: &'a RunTimes,
     pub stop_timeout_ms: DurationMs,
@@ -57,8 +58,16 @@
         sessions: &'a BTreeMap<NodeName, Session>,
         evictions: &Evictions,
     ) -> Option<Self> {
-        let PassInputs { table, configuration, speeds, run_times, stop_timeout_ms, now, unix_ms } =
-            inputs;
+        let PassInputs {
+            table,
+            configuration,
+            evacuations,
+            speeds,
+            run_times,
+            stop_timeout_ms,
+            now,
+            unix_ms,
+        } = inputs;
         let urgent_demand = urgent_accelerator_demand(table);
         let mut groups =
             ready_task_groups(table, configuration, &urgent_demand, run_times, unix_ms);
@@ -66,7 +75,7 @@
             return None;
         }
         share_headroom(&mut groups);
-        let mut workers = available_workers(sessions, table, now);
+        let mut workers = available_workers(sessions, evacuations, table, now);
         let speed_classes = SpeedClasses::assign(&mut workers, speeds);
         let stopping = evictions.stopping_runs(sessions);
         let shares = MinimumShares::new(&groups, &workers, table, &stopping);
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -17,7 +17,8 @@
 
 use crate::agents::Agents;
 use crate::calls::{
-    CallSubject, NewJob, Plan, no_free_name, no_space, plan, response_for, too_many_stored_bytes,
+    CallSubject, EvacuationOrder, NewJob, Plan, evacuations, no_free_name, no_space, plan,
+    response_for, too_many_stored_bytes,
 };
 use crate::command::Command;
 use crate::job_names::{free_name, is_same_job, is_stored};
@@ -27,7 +28,7 @@
     log_after_apply, log_before_apply, log_derived_name, log_refusal, log_refused_proposal,
     log_too_many_stored_bytes,
 };
-use crate::state::{QueueState, REMOVAL_LIMIT_COUNT};
+use crate::state::{Applied, QueueState, REMOVAL_LIMIT_COUNT};
 use crate::stored_bytes::{job_bytes, stored_limit_bytes, submission_bytes};
 
 /// Interval of heartbeats to agents. An agent closes its stream after about three missed ones.
@@ -327,7 +328,9 @@
                 let now = self.now();
                 self.leader_address = None;
                 self.add_up_stored_bytes(now);
-                self.dispatcher = Some(Dispatcher::new(self.settings.clone(), term.get(), now));
+                let mut dispatcher = Dispatcher::new(self.settings.clone(), term.get(), now);
+                dispatcher.set_evacuations(&self.queue_state.evacuations);
+                self.dispatcher = Some(dispatcher);
                 self.restore_speeds(now);
             }
             Leadership::Follower { leader_address } => {
@@ -358,6 +361,11 @@
             (command.clone(), unfinished)
         });
         let applied = self.queue_state.apply(command);
+        if matches!(applied, Applied::Evacuated { .. })
+            && let Some(dispatcher) = &mut self.dispatcher
+        {
+            dispatcher.set_evacuations(&self.queue_state.evacuations);
+        }
         if let Some((command, unfinished)) = &logged {
             self.on_speeds_applied(command);
             log_after_apply(command, applied, unfinished, &self.queue_state, index);
@@ -374,7 +382,7 @@
                 self.store_under_next_name(job, reply)?;
             }
             Some(PendingProposal::Call(_, reply) | PendingProposal::Submission(_, reply)) => {
-                respond(reply, response_for(applied));
+                respond(reply, response_for(applied, &self.queue_state));
             }
             Some(PendingProposal::Changes) => self.pending_changes.on_committed(&proposal),
             Some(PendingProposal::Housekeeping | PendingProposal::Speeds) | None => {}
@@ -448,6 +456,7 @@
                         self.propose(&command, PendingProposal::Call(subject, reply))?
                     }
                     Plan::Submit(job) => self.submit(job, reply)?,
+                    Plan::Evacuate(order) => self.evacuate(order, reply)?,
                     Plan::LeaveGroup(replica) => {
                         let progress = leave_progress(&self.replication.status().borrow(), replica);
                         respond(reply, Response::Leaving(progress));
@@ -466,6 +475,28 @@
         Ok(())
     }
 
+    /// Proposes an order for a data centre, unless it is in force and stays so. An order in flight may
+    /// be one that the operator gave up and now reverses, so the later one needs an entry after it.
+    fn evacuate(
+        &mut self,
+        order: EvacuationOrder,
+        reply: oneshot::Sender<Response>,
+    ) -> Result<(), ActorProcessingErr> {
+        let is_in_flight = self.proposals.values().any(|pending| {
+            matches!(
+                pending,
+                PendingProposal::Call(CallSubject::Evacuation(other), _)
+                    if other.data_centre == order.data_centre
+            )
+        });
+        if !is_in_flight && order.is_in_force(&self.queue_state.evacuations) {
+            respond(reply, evacuations(&self.queue_state));
+            return Ok(());
+        }
+        let command = Command::from(order.clone());
+        self.propose(&command, PendingProposal::Call(CallSubject::Evacuation(order), reply))
+    }
+
     /// Stores a job if the dispatcher admits it. A job that is being stored already must not be
     /// refused: it may run.
     fn submit(
--- a/crates/yuccatack_queue_control/src/command.rs
+++ b/crates/yuccatack_queue_control/src/command.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use yuccatack_core::{JobName, NodeName};
+use yuccatack_core::{DataCentreName, JobName, NodeName};
 use yuccatack_dispatch::TableChange;
 use yuccatack_progress::EstimateRecord;
 use yuccatack_queues::Configuration;
@@ -26,6 +26,14 @@
     /// Removes ended jobs whose retention period is over.
     #[serde(rename = "Forget")]
     RemoveEnded(Vec<JobName>),
+    /// Orders that nothing more starts in a data centre.
+    Evacuate {
+        data_centre: DataCentreName,
+    },
+    /// Withdraws the evacuation of a data centre.
+    Readmit {
+        data_centre: DataCentreName,
+    },
     /// Stores changed estimates of machine speeds and removes those of machines that are gone.
     StoreSpeeds {
         changed: Vec<EstimateRecord>,
@@ -42,9 +50,12 @@
                 ProposalClass::Growth
             }
             // Runs that end, cancellations and removals free space, and so does work that goes on.
-            Self::Cancel { .. } | Self::Change { .. } | Self::RemoveEnded(_) => {
-                ProposalClass::Essential
-            }
+            // Evacuations take a few bytes, and a full disk must not keep work in a failing data centre.
+            Self::Cancel { .. }
+            | Self::Change { .. }
+            | Self::RemoveEnded(_)
+            | Self::Evacuate { .. }
+            | Self::Readmit { .. } => ProposalClass::Essential,
         }
     }
 }
