--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -36,11 +36,11 @@
     evictions: Evictions,
     evacuations: EvacuationStore,
     headroom: Headroom,
-    run_times: RunTimes,
+    pub(crate) run_times: RunTimes,
     interference: Interference,
     speeds: MachineSpeeds,
     waiting_steps: WaitingSteps,
-    pub(crate) speed_observer: SpeedObserver,
+    speed_observer: SpeedObserver,
     speed_waits: SpeedWaits,
     /// Work that the last pass left waiting; `None` if it placed everything.
     backlog: Option<Backlog>,
@@ -143,11 +143,20 @@
     ) -> Vec<TableChange> {
         match message {
             AgentMessage::State(state) => {
-                self.speed_observer.on_announcement(&state.incarnation, now);
+                let model = &mut self.run_times.model;
+                self.speed_observer.on_announcement(&state.incarnation, model, now);
                 record_state(&mut self.sessions, node, state, table, now)
             }
             AgentMessage::Observed(observation) => {
-                self.speed_observer.on_observation(&self.sessions, node, &observation, table, now);
+                let model = &mut self.run_times.model;
+                SpeedObserver::on_observation(
+                    model,
+                    &self.sessions,
+                    node,
+                    &observation,
+                    table,
+                    now,
+                );
                 let mut observer = Observer {
                     sessions: &mut self.sessions,
                     evictions: &mut self.evictions,
@@ -177,7 +186,7 @@
         now: TimestampMs,
         unix_ms: u64,
     ) -> Vec<TableChange> {
-        if let Some(speeds) = self.speed_observer.refresh(now) {
+        if let Some(speeds) = self.speed_observer.refresh(&mut self.run_times.model, now) {
             self.speeds = speeds;
         }
         self.evictions.retain_open(table);
