Serve metrics and workers' heartbeats within the limits for clients

The metrics servers and the control role's server for workers had no bounds on connections, bodies in progress or unread responses. Both now use `yuccatack_http`: the metrics with limits of their own (4 MiB, 32 connections), so that a flood elsewhere does not hide them; the server for workers with those of a machine of 2 GiB, which leave room for a connection of each of 9,300 workers. The latter have no setting yet. A body of a heartbeat stays reserved until it has been handled.

The events `metrics_accept_failed`, `metrics_connection_failed`, `worker_accept_failed` and `worker_connection_ended` are now `accept_failed` and `connection_failed`.

--- a/crates/yuccatack_control/src/process.rs
+++ b/crates/yuccatack_control/src/process.rs
@@ -60,6 +60,7 @@
             .context(ReplicationSnafu)?;
     let publisher = ViewPublisher::spawn();
     let (desired_replicas, desired) = watch::channel(None);
+    let http_metrics = telemetry.metrics.http.clone();
     let arguments = ControlArguments {
         replication: replication.clone(),
         publisher: publisher.clone(),
@@ -77,6 +78,7 @@
         worker_listener,
         actor.clone(),
         Forwarder::spawn(),
+        http_metrics,
         shutdown.clone(),
     ));
     let mut server = tokio::spawn(serve(listener, actor.clone(), publisher, replication_service));
--- a/crates/yuccatack_control/src/workers.rs
+++ b/crates/yuccatack_control/src/workers.rs
@@ -1,21 +1,17 @@
 //! The HTTP server for the heartbeats of workers.
 
-use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use ractor::ActorRef;
 use ractor::rpc::CallResult;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use yuccatack_core::prelude::*;
-use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
+use yuccatack_http::{DrainTimes, Guard, HttpMetrics, ProcessLimits, RequestBody, ServerLimits};
+use yuccatack_lifecycle::Shutdown;
 
 use crate::error::CallError;
 use crate::forward::Forwarder;
@@ -24,66 +20,37 @@
 /// Maximum size of a heartbeat; 64 tasks with their usage take a few kilobytes.
 const MAX_BODY_BYTES: usize = 256 * 1024;
 
-/// Maximum time for a worker to send the headers of a heartbeat.
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Maximum time to wait for the actor's response; shorter than the lease.
 const ACTOR_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time limit for requests in flight once the drain begins.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Memory and descriptors of a control replica that serves 9,300 workers, each with a connection of
+/// its own.
+const MEMORY_BYTES: u64 = 2 * 1024 * 1024 * 1024;
+const DESCRIPTOR_COUNT: usize = 16_384;
+
 /// Serves workers until the shutdown reaches its draining phase.
 pub async fn serve_workers(
     listener: TcpListener,
     actor: ActorRef<ControlMessage>,
     forwarder: Forwarder,
-    mut shutdown: Shutdown,
-) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shutdown.wait_for(ShutdownPhase::Draining) => return,
-        };
-        match accepted {
-            Ok((stream, peer)) => {
-                tokio::spawn(serve_connection(stream, peer, actor.clone(), forwarder.clone()));
-            }
-            Err(error) => {
-                log::warn!(
-                    event = "worker_accept_failed";
-                    "cannot accept a worker connection: {error}; trying again after a pause"
-                );
-                // Without a pause this loop would spin while no file descriptors are available.
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-        }
-    }
-}
-
-async fn serve_connection(
-    stream: tokio::net::TcpStream,
-    peer: SocketAddr,
-    actor: ActorRef<ControlMessage>,
-    forwarder: Forwarder,
+    metrics: HttpMetrics,
+    shutdown: Shutdown,
 ) {
-    let service = service_fn(move |request| {
-        let actor = actor.clone();
-        let forwarder = forwarder.clone();
-        async move { Ok::<_, Infallible>(handle_request(request, &actor, &forwarder).await) }
-    });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = served {
-        log::debug!(
-            event = "worker_connection_ended", peer = peer.to_string();
-            "the connection of the worker at {peer} failed and was closed: {error}"
-        );
-    }
+    let guard = Guard::spawn(ProcessLimits::new(MEMORY_BYTES, DESCRIPTOR_COUNT), metrics);
+    let (_, limits) = watch::channel(ServerLimits::new(MAX_BODY_BYTES));
+    let handler = move |request| {
+        let (actor, forwarder) = (actor.clone(), forwarder.clone());
+        async move { handle_request(request, &actor, &forwarder).await }
+    };
+    let drain = DrainTimes { accept_duration: Duration::ZERO, finish_timeout: FINISH_TIMEOUT };
+    yuccatack_http::serve(listener, guard, limits, handler, shutdown, drain).await;
 }
 
 async fn handle_request(
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     actor: &ActorRef<ControlMessage>,
     forwarder: &Forwarder,
 ) -> Response<Full<Bytes>> {
@@ -91,11 +58,17 @@
         Ok(worker) => worker,
         Err((status, message)) => return error_response(status, &message),
     };
-    let Ok(body) = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await else {
-        let message = format!("send a whole body of at most {MAX_BODY_BYTES} bytes");
-        return error_response(StatusCode::BAD_REQUEST, &message);
+    let body_json = match request.into_body().read().await {
+        Ok(body) => Bytes::from(body),
+        Err(refusal) if refusal.status() == StatusCode::SERVICE_UNAVAILABLE => {
+            let message = "too much is received at once; send the next heartbeat later";
+            return error_response(refusal.status(), message);
+        }
+        Err(_) => {
+            let message = format!("send a whole body of at most {MAX_BODY_BYTES} bytes");
+            return error_response(StatusCode::BAD_REQUEST, &message);
+        }
     };
-    let body_json = body.to_bytes();
     match heartbeat(worker, body_json, actor, forwarder).await {
         Ok(response) => into_http_response(response),
         Err(failure) => error_response(StatusCode::SERVICE_UNAVAILABLE, &failure),
@@ -128,7 +101,7 @@
     }
 }
 
-fn parse_worker(request: &Request<Incoming>) -> Result<WorkerName, (StatusCode, String)> {
+fn parse_worker(request: &Request<RequestBody>) -> Result<WorkerName, (StatusCode, String)> {
     let path = request.uri().path();
     let name = path
         .strip_prefix("/v1/workers/")
--- a/crates/yuccatack_http/src/body.rs
+++ b/crates/yuccatack_http/src/body.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, timeout_at};
@@ -55,6 +56,19 @@
     }
 }
 
+impl From<ReceivedBody> for Bytes {
+    /// Converts without a copy. The memory stays reserved until the last clone is dropped.
+    fn from(body: ReceivedBody) -> Self {
+        Self::from_owner(body)
+    }
+}
+
+impl AsRef<[u8]> for ReceivedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl RequestBody {
     pub(crate) fn new(
         incoming: Incoming,
--- a/crates/yuccatack_telemetry/src/server.rs
+++ b/crates/yuccatack_telemetry/src/server.rs
@@ -1,6 +1,5 @@
 //! HTTP endpoint for metrics, health and the burn report.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,26 +7,29 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
-use yuccatack_lifecycle::{Shutdown, ShutdownPhase};
+use yuccatack_http::{DrainTimes, Guard, HttpMetrics, ProcessLimits, RequestBody, ServerLimits};
+use yuccatack_lifecycle::{Shutdown, ShutdownPhase, shutdown_channel};
 
 use crate::{BurnReport, Metrics};
 
-/// Time limit for a client to send the header of a request.
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Limits of the endpoint, which serves a few observers. A report takes some hundred kilobytes.
+const LIMITS: ProcessLimits = ProcessLimits {
+    budget_bytes: 4 * 1024 * 1024,
+    connection_count: 32,
+    connections_per_address: 28,
+};
 
-/// Delay after a failed accept, for example when the process has no free file descriptor.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Maximum size of a body; no path takes one.
+const MAX_BODY_BYTES: usize = 1_024;
+
+/// Time limit for responses in progress when the process aborts.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Readiness of the process, as `/ready` reports it.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
@@ -92,50 +94,27 @@
     /// Serves until the process aborts. A draining process still responds, so that its progress can
     /// be observed.
     pub async fn run(self, mut shutdown: Shutdown) {
-        let connections = GracefulShutdown::new();
-        loop {
-            let accepted = tokio::select! {
-                accepted = self.listener.accept() => accepted,
-                () = shutdown.wait_for(ShutdownPhase::Aborting) => break,
-            };
-            match accepted {
-                Ok((stream, _)) => serve(stream, self.content.clone(), &connections),
-                Err(error) => {
-                    log::warn!(
-                        event = "metrics_accept_failed", error:% = error;
-                        "cannot accept a connection to the metrics address; retrying after \
-                         {ACCEPT_RETRY_DELAY:?}"
-                    );
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
-        connections.shutdown().await;
+        // Apart from the limits of the process, so that a flood elsewhere does not hide the metrics.
+        let guard = Guard::spawn(LIMITS, HttpMetrics::default());
+        let (_, limits) = watch::channel(ServerLimits::new(MAX_BODY_BYTES));
+        let content = self.content;
+        let handler = move |request| {
+            let response = content.respond(&request);
+            async move { response }
+        };
+        let (trigger, aborting) = shutdown_channel();
+        let drain = DrainTimes { accept_duration: Duration::ZERO, finish_timeout: FINISH_TIMEOUT };
+        let server = yuccatack_http::serve(self.listener, guard, limits, handler, aborting, drain);
+        let abort = async {
+            shutdown.wait_for(ShutdownPhase::Aborting).await;
+            trigger.advance(ShutdownPhase::Draining);
+        };
+        tokio::join!(server, abort);
     }
 }
 
-fn serve(stream: TcpStream, content: Content, connections: &GracefulShutdown) {
-    let service = service_fn(move |request| {
-        let response = content.respond(&request);
-        async move { Ok::<_, Infallible>(response) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
-    let connection = connections.watch(connection);
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!(
-                event = "metrics_connection_failed", error:% = error;
-                "connection to the metrics address closed with an error"
-            );
-        }
-    });
-}
-
 impl Content {
-    fn respond(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    fn respond(&self, request: &Request<RequestBody>) -> Response<Full<Bytes>> {
         if request.method() != Method::GET {
             return plain(StatusCode::METHOD_NOT_ALLOWED, "use GET\n");
         }
