--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use yuccatack_core::{NodeName, TimestampMs};
-use yuccatack_queues::ConfigurationStore;
+use yuccatack_queues::{ConfigurationStore, EvacuationStore};
 use yuccatack_runs::{JobSubmission, JobTable};
 
 use crate::admission::{AdmissionInputs, Backlog, Refusal, has_settled};
@@ -19,6 +19,7 @@
 use crate::session::Session;
 use crate::settings::DispatchSettings;
 use crate::speed::MachineSpeeds;
+use crate::speed_observer::SpeedObserver;
 use crate::speed_wait::SpeedWaits;
 use crate::starts::Starts;
 use crate::summary::{PassSummary, Summaries};
@@ -33,11 +34,13 @@
     leading_since: TimestampMs,
     sessions: BTreeMap<NodeName, Session>,
     evictions: Evictions,
+    evacuations: EvacuationStore,
     headroom: Headroom,
     run_times: RunTimes,
     interference: Interference,
     speeds: MachineSpeeds,
     waiting_steps: WaitingSteps,
+    pub(crate) speed_observer: SpeedObserver,
     speed_waits: SpeedWaits,
     /// Work that the last pass left waiting; `None` if it placed everything.
     backlog: Option<Backlog>,
@@ -54,11 +57,13 @@
             leading_since: now,
             sessions: BTreeMap::new(),
             evictions: Evictions::default(),
+            evacuations: EvacuationStore::default(),
             headroom: Headroom::default(),
             run_times: RunTimes::default(),
             interference: Interference::default(),
             speeds: MachineSpeeds::default(),
             waiting_steps: WaitingSteps::default(),
+            speed_observer: SpeedObserver::default(),
             speed_waits: SpeedWaits::default(),
             backlog: None,
             summaries: Summaries::default(),
@@ -112,6 +117,11 @@
         }
     }
 
+    /// Replaces the evacuations, which take effect from the next decision and order on.
+    pub fn set_evacuations(&mut self, evacuations: &EvacuationStore) {
+        self.evacuations = evacuations.clone();
+    }
+
     /// Replaces the speeds of the machines, which only order choices.
     pub fn set_speeds(&mut self, speeds: MachineSpeeds) {
         self.speeds = speeds;
@@ -126,8 +136,12 @@
         now: TimestampMs,
     ) -> Vec<TableChange> {
         match message {
-            AgentMessage::State(state) => record_state(&mut self.sessions, node, state, table, now),
+            AgentMessage::State(state) => {
+                self.speed_observer.on_announcement(&state.incarnation, now);
+                record_state(&mut self.sessions, node, state, table, now)
+            }
             AgentMessage::Observed(observation) => {
+                self.speed_observer.on_observation(&self.sessions, node, &observation, table, now);
                 let mut observer = Observer {
                     sessions: &mut self.sessions,
                     evictions: &mut self.evictions,
@@ -157,6 +171,9 @@
         now: TimestampMs,
         unix_ms: u64,
     ) -> Vec<TableChange> {
+        if let Some(speeds) = self.speed_observer.refresh(now) {
+            self.speeds = speeds;
+        }
         self.evictions.retain_open(table);
         let (leading_since, lease_ms) = (self.leading_since, self.settings.lease_ms);
         let mut changes = expired_run_ends(&self.sessions, table, leading_since, lease_ms, now);
@@ -165,6 +182,7 @@
         let inputs = PassInputs {
             table,
             configuration,
+            evacuations: &self.evacuations,
             speeds: &self.speeds,
             run_times: &self.run_times,
             stop_timeout_ms: self.settings.stop_timeout_ms,
@@ -184,7 +202,7 @@
         };
         starts.handle_groups(&mut pass);
         changes.append(&mut pass.changes);
-        let unused_services = UnusedServices::new(&self.sessions, table);
+        let unused_services = UnusedServices::new(&self.sessions, &self.evacuations, table);
         self.waiting_steps.update(&pass.waiting, &unused_services, now);
         self.summaries.update(&pass);
         let overloaded = !pass.waiting.is_empty() && has_settled(leading_since, now);
@@ -208,6 +226,7 @@
             table,
             configuration,
             sessions: &self.sessions,
+            evacuations: &self.evacuations,
             run_times: &self.run_times,
             unix_ms,
         };
@@ -220,6 +239,7 @@
             settings: &self.settings,
             table,
             evicted: self.evictions.runs(),
+            evacuations: &self.evacuations,
             token: self.token,
             now,
         };
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -17,7 +17,8 @@
 
 use crate::agents::Agents;
 use crate::calls::{
-    CallSubject, NewJob, Plan, no_free_name, no_space, plan, response_for, too_many_stored_bytes,
+    CallSubject, EvacuationOrder, NewJob, Plan, evacuations, no_free_name, no_space, plan,
+    response_for, too_many_stored_bytes,
 };
 use crate::command::Command;
 use crate::job_names::{free_name, is_same_job, is_stored};
@@ -27,7 +28,7 @@
     log_after_apply, log_before_apply, log_derived_name, log_refusal, log_refused_proposal,
     log_too_many_stored_bytes,
 };
-use crate::state::{QueueState, REMOVAL_LIMIT_COUNT};
+use crate::state::{Applied, QueueState, REMOVAL_LIMIT_COUNT};
 use crate::stored_bytes::{job_bytes, stored_limit_bytes, submission_bytes};
 
 /// Interval of heartbeats to agents. An agent closes its stream after about three missed ones.
@@ -54,6 +55,8 @@
     /// A batch of table changes; no other batch is proposed until this one completes.
     Changes,
     Housekeeping,
+    /// A batch of estimates of machine speeds.
+    Speeds,
 }
 
 /// Continuation of a read once a quorum has confirmed the leadership.
@@ -113,6 +116,7 @@
     pub(crate) jobs_removed_at: TimestampMs,
     /// Time until the next search for ended jobs whose retention period is over.
     pub(crate) job_removal_interval: DurationMs,
+    pub(crate) speeds_stored_at: TimestampMs,
     pub(crate) agent_heartbeat_at: TimestampMs,
     pub(crate) drain_replies: Vec<oneshot::Sender<()>>,
 }
@@ -161,6 +165,7 @@
             lease_read_at: TimestampMs::default(),
             jobs_removed_at: TimestampMs::default(),
             job_removal_interval: JOB_REMOVAL_INTERVAL,
+            speeds_stored_at: TimestampMs::default(),
             agent_heartbeat_at: TimestampMs::default(),
             drain_replies: Vec::new(),
         })
@@ -323,7 +328,10 @@
                 let now = self.now();
                 self.leader_address = None;
                 self.add_up_stored_bytes(now);
-                self.dispatcher = Some(Dispatcher::new(self.settings.clone(), term.get(), now));
+                let mut dispatcher = Dispatcher::new(self.settings.clone(), term.get(), now);
+                dispatcher.set_evacuations(&self.queue_state.evacuations);
+                self.dispatcher = Some(dispatcher);
+                self.restore_speeds(now);
             }
             Leadership::Follower { leader_address } => {
                 self.leader_address = leader_address;
@@ -353,7 +361,13 @@
             (command.clone(), unfinished)
         });
         let applied = self.queue_state.apply(command);
+        if matches!(applied, Applied::Evacuated { .. })
+            && let Some(dispatcher) = &mut self.dispatcher
+        {
+            dispatcher.set_evacuations(&self.queue_state.evacuations);
+        }
         if let Some((command, unfinished)) = &logged {
+            self.on_speeds_applied(command);
             log_after_apply(command, applied, unfinished, &self.queue_state, index);
             self.metrics.queues.set_open_runs(self.queue_state.jobs.open_runs().len());
         }
@@ -368,10 +382,10 @@
                 self.store_under_next_name(job, reply)?;
             }
             Some(PendingProposal::Call(_, reply) | PendingProposal::Submission(_, reply)) => {
-                respond(reply, response_for(applied));
+                respond(reply, response_for(applied, &self.queue_state));
             }
             Some(PendingProposal::Changes) => self.pending_changes.on_committed(&proposal),
-            Some(PendingProposal::Housekeeping) | None => {}
+            Some(PendingProposal::Housekeeping | PendingProposal::Speeds) | None => {}
         }
         Ok(())
     }
@@ -397,7 +411,7 @@
                     self.changes_paused_until = self.now() + CHANGES_RETRY_DELAY;
                 }
             }
-            PendingProposal::Housekeeping => {}
+            PendingProposal::Housekeeping | PendingProposal::Speeds => {}
         }
     }
 
@@ -442,6 +456,7 @@
                         self.propose(&command, PendingProposal::Call(subject, reply))?
                     }
                     Plan::Submit(job) => self.submit(job, reply)?,
+                    Plan::Evacuate(order) => self.evacuate(order, reply)?,
                     Plan::LeaveGroup(replica) => {
                         let progress = leave_progress(&self.replication.status().borrow(), replica);
                         respond(reply, Response::Leaving(progress));
@@ -460,6 +475,28 @@
         Ok(())
     }
 
+    /// Proposes an order for a data centre, unless it is in force and stays so. An order in flight may
+    /// be one that the operator gave up and now reverses, so the later one needs an entry after it.
+    fn evacuate(
+        &mut self,
+        order: EvacuationOrder,
+        reply: oneshot::Sender<Response>,
+    ) -> Result<(), ActorProcessingErr> {
+        let is_in_flight = self.proposals.values().any(|pending| {
+            matches!(
+                pending,
+                PendingProposal::Call(CallSubject::Evacuation(other), _)
+                    if other.data_centre == order.data_centre
+            )
+        });
+        if !is_in_flight && order.is_in_force(&self.queue_state.evacuations) {
+            respond(reply, evacuations(&self.queue_state));
+            return Ok(());
+        }
+        let command = Command::from(order.clone());
+        self.propose(&command, PendingProposal::Call(CallSubject::Evacuation(order), reply))
+    }
+
     /// Stores a job if the dispatcher admits it. A job that is being stored already must not be
     /// refused: it may run.
     fn submit(
@@ -478,7 +515,7 @@
             return Ok(());
         }
         if !is_being_stored && let Some(dispatcher) = &mut self.dispatcher {
-            let QueueState { configuration, jobs } = &self.queue_state;
+            let QueueState { configuration, jobs, .. } = &self.queue_state;
             let admission = dispatcher.admit(submission, jobs, configuration, unix_now_ms());
             if let Err(refusal) = admission {
                 log_refusal(submission, &refusal);
@@ -556,6 +593,7 @@
             self.metrics.queues.set_slow_image_pairs(dispatcher.slow_pair_count());
             self.agents.send_heartbeats(dispatcher.token());
         }
+        self.store_speeds(now)?;
         if self.dispatcher.is_some()
             && now.since(self.jobs_removed_at) >= self.job_removal_interval
             && !self.is_removing_jobs()
--- a/crates/yuccatack_queue_control/src/state.rs
+++ b/crates/yuccatack_queue_control/src/state.rs
@@ -3,11 +3,12 @@
 use serde::{Deserialize, Serialize};
 use yuccatack_core::{DurationMs, JobName};
 use yuccatack_dispatch::TableChange;
-use yuccatack_queues::{Acceptance, ConfigurationStore};
+use yuccatack_queues::{Acceptance, ConfigurationStore, EvacuationStore};
 use yuccatack_runs::{CancelOutcome, JobTable, SubmitOutcome};
 
 use crate::command::Command;
 use crate::job_names::job_origin;
+use crate::speeds::StoredSpeeds;
 
 /// Time for which an ended job can still be read. The platform requires two minutes.
 pub(crate) const ENDED_JOB_RETENTION: DurationMs = DurationMs::new(10 * 60 * 1000);
@@ -20,6 +21,12 @@
 pub(crate) struct QueueState {
     pub configuration: ConfigurationStore,
     pub jobs: JobTable,
+    /// Snapshots of earlier versions have no evacuations.
+    #[serde(default)]
+    pub evacuations: EvacuationStore,
+    /// Speeds of machines; empty in snapshots of earlier versions.
+    #[serde(default, skip_serializing_if = "StoredSpeeds::is_empty")]
+    pub speeds: StoredSpeeds,
 }
 
 /// Result of applying a command.
@@ -28,6 +35,10 @@
     Submitted(SubmitOutcome),
     Cancelled(CancelOutcome),
     Configured(Acceptance),
+    /// An evacuation began or ended, if `changed`; otherwise the order was in force already.
+    Evacuated {
+        changed: bool,
+    },
     Changed,
 }
 
@@ -50,10 +61,20 @@
                 }
                 Applied::Changed
             }
+            Command::StoreSpeeds { changed, removed } => {
+                self.speeds.apply(changed, &removed);
+                Applied::Changed
+            }
             Command::RemoveEnded(names) => {
                 self.jobs.remove_ended(&names);
                 Applied::Changed
             }
+            Command::Evacuate { data_centre } => {
+                Applied::Evacuated { changed: self.evacuations.evacuate(data_centre) }
+            }
+            Command::Readmit { data_centre } => {
+                Applied::Evacuated { changed: self.evacuations.readmit(&data_centre) }
+            }
         }
     }
 
--- a/crates/yuccatack_telemetry/src/metrics/catalogue.rs
+++ b/crates/yuccatack_telemetry/src/metrics/catalogue.rs
@@ -319,6 +319,13 @@
         &[],
         "Images that the control leader knows to be slower beside another one, by pair.",
     ),
+    MetricDescription::new(
+        "slow_machines",
+        Count,
+        Gauge,
+        &[],
+        "Machines that are known to be slower than the typical one, at the control leader.",
+    ),
     MetricDescription::new(
         "worker_orders",
         Count,
--- a/crates/yuccatack_telemetry/src/metrics/queues.rs
+++ b/crates/yuccatack_telemetry/src/metrics/queues.rs
@@ -27,6 +27,7 @@
     evictions: Counter,
     agents: Gauge,
     slow_image_pairs: Gauge,
+    slow_machines: Gauge,
     orders: Counter,
 }
 
@@ -52,6 +53,7 @@
             evictions: register(registry, "run_evictions", Counter::default()),
             agents: register(registry, "agents_attached", Gauge::default()),
             slow_image_pairs: register(registry, "slow_image_pairs", Gauge::default()),
+            slow_machines: register(registry, "slow_machines", Gauge::default()),
             orders: register(registry, "worker_orders", Counter::default()),
         }
     }
@@ -93,6 +95,11 @@
         self.slow_image_pairs.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of machines that are known to be slower than the typical one.
+    pub fn set_slow_machines(&self, count: usize) {
+        self.slow_machines.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a start or stop request that was sent to the worker.
     pub fn count_order(&self) {
         self.orders.inc();
--- a/crates/yuccatack_telemetry/tests/metric_names.rs
+++ b/crates/yuccatack_telemetry/tests/metric_names.rs
@@ -53,6 +53,7 @@
     metrics.queues.count_evictions(1);
     metrics.queues.set_agents(1);
     metrics.queues.set_slow_image_pairs(1);
+    metrics.queues.set_slow_machines(1);
     metrics.queues.count_order();
     metrics
 }
