--- a/crates/yuccatack_dispatch/examples/decision_time.rs
+++ b/crates/yuccatack_dispatch/examples/pass_time.rs
@@ -1,6 +1,6 @@
 //! Measures the time of one scheduling pass on a pool with slow machines.
 //!
-//! Usage: `cargo run --release --example decision_time [WORKERS] [REPETITIONS]`. Each worker runs a
+//! Usage: `cargo run --release --example pass_time [WORKERS] [REPETITIONS]`. Each worker runs a
 //! less urgent task on half of its accelerators. The gang fits, but not on fast workers alone, so
 //! that its pass also searches for runs that end soon and for runs to evict.
 
