Bound the searches of a pass on large deployments

Cause: the budget of a pass allowed 1,024 searches however many workers there are, and a search of a rack-local gang walked all workers once per rack.

Change: 64 searches over all workers, or 131,072 visits on smaller deployments; the workers are grouped by rack in one walk.

--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -1,7 +1,7 @@
 //! Placement of task groups on workers.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 
 use yuccatack_core::Resources;
@@ -84,22 +84,22 @@
 ) -> Vec<Vec<usize>> {
     let eligible: Vec<usize> =
         (0..workers.len()).filter(|index| is_eligible(group, &workers[*index], waivers)).collect();
-    let racks: BTreeSet<Option<Arc<str>>> =
-        eligible.iter().map(|index| workers[*index].rack.clone()).collect();
-    let in_rack = |rack: &Option<Arc<str>>| -> Vec<usize> {
-        eligible.iter().copied().filter(|index| workers[*index].rack == *rack).collect()
-    };
     if let Some(data_rack) = &group.spec.data_rack
         && !waivers.contains(Restraint::DataRack)
     {
-        let data_rack_workers = in_rack(&Some(data_rack.clone()));
+        let is_near = |index: &usize| workers[*index].rack.as_ref() == Some(data_rack);
+        let data_rack_workers: Vec<usize> = eligible.iter().copied().filter(is_near).collect();
         if could_hold(group, workers, &data_rack_workers) {
             return vec![data_rack_workers];
         }
     }
     if group.spec.rack_local && group.tasks.len() > 1 && !waivers.contains(Restraint::SingleRack) {
+        let mut racks: BTreeMap<Option<&Arc<str>>, Vec<usize>> = BTreeMap::new();
+        for index in &eligible {
+            racks.entry(workers[*index].rack.as_ref()).or_default().push(*index);
+        }
         let sets: Vec<Vec<usize>> =
-            racks.iter().map(in_rack).filter(|set| could_hold(group, workers, set)).collect();
+            racks.into_values().filter(|set| could_hold(group, workers, set)).collect();
         if !sets.is_empty() {
             return sets;
         }
--- a/crates/yuccatack_dispatch/src/starts.rs
+++ b/crates/yuccatack_dispatch/src/starts.rs
@@ -29,15 +29,15 @@
 /// Number of open runs of all workers at most.
 const MAX_OPEN_RUN_COUNT: usize = 65_536;
 
-/// Number of workers and tasks that the searches of one pass may visit on small deployments.
-const MIN_SEARCH_VISIT_COUNT: usize = 1 << 17;
+/// Number of workers and tasks that the searches of one pass may visit.
+const PASS_VISIT_COUNT: usize = 1 << 17;
 
-/// Number of searches over all workers that one pass may make on large deployments.
-const PASS_SEARCH_COUNT: usize = 1_024;
+/// Number of searches over all workers that a pass may make, however many workers there are.
+const MIN_SEARCH_COUNT: usize = 64;
 
 /// Returns the number of workers and tasks that the searches of one pass may visit.
 pub(crate) fn search_limit(worker_count: usize) -> usize {
-    MIN_SEARCH_VISIT_COUNT.max(PASS_SEARCH_COUNT.saturating_mul(worker_count))
+    PASS_VISIT_COUNT.max(MIN_SEARCH_COUNT.saturating_mul(worker_count))
 }
 
 /// Identity and position of a group among those that take turns.
--- a/crates/yuccatack_dispatch/tests/heavy_jobs.rs
+++ b/crates/yuccatack_dispatch/tests/heavy_jobs.rs
@@ -119,3 +119,11 @@
     }
     assert!(!timed_pass(&mut cluster).is_empty(), "the other tasks do not begin");
 }
+
+#[test]
+fn blocked_gangs_on_many_workers() {
+    let mut cluster = TestCluster::new(1_000);
+    let gang = StepSpec { task_count: 40, gang: true, rack_local: true, ..step(40, 8) };
+    cluster.submit_steps("heavy", vec![gang; 500], None);
+    timed_pass(&mut cluster);
+}
