Bound the unfinished and the completed occurrences of schedules

Callers saw: after two scheduled jobs with a million due occurrences each, 128 bytes long, most calls of each tenant were answered 503 or 504, and accepted work stood still.

Cause: each pass made a group for every due occurrence, and the progress of completed occurrences stayed in the table until the job was removed, without a bound over several jobs or over time.

Change: occurrences begin as long as the unfinished ones of the job have no more tasks than a job without a schedule may have, and as long as stored jobs leave room for their progress. Completed occurrences are stored as ranges.

--- a/crates/yuccatack_dispatch/src/demand.rs
+++ b/crates/yuccatack_dispatch/src/demand.rs
@@ -209,7 +209,7 @@
     // Before the job is stored, its objective counts from now, also if it has a schedule.
     let timing = Timing { since_unix_ms: unix_ms, ..timing };
     let mut groups = Vec::new();
-    ReadyWindows::default().visit(&[job], unix_ms, |job, position, tasks, count| {
+    ReadyWindows::default().visit(&[job], unix_ms, 0, |job, position, tasks, count| {
         groups.extend(step_groups(job, position, tasks, timing, false).take(count));
     });
     groups
@@ -224,6 +224,8 @@
     pub urgent_demand: &'i FastHashMap<OrganisationName, u64>,
     pub forecasts: &'i JobCache<Forecast>,
     pub run_times: &'i RunTimes,
+    /// Bytes that the progress of further occurrences may take.
+    pub spare_bytes: u64,
     pub unix_ms: u64,
 }
 
@@ -234,7 +236,7 @@
 ) -> Vec<TaskGroup<'a>> {
     let DemandInputs { jobs, configuration, urgent_demand, unix_ms, .. } = inputs;
     let mut groups = Vec::new();
-    windows.visit(jobs, unix_ms, |job, position, tasks, count| {
+    windows.visit(jobs, unix_ms, inputs.spare_bytes, |job, position, tasks, count| {
         let Some(forecast) = inputs.forecasts.get(job) else { return };
         let submission = &job.submission;
         let guaranteed = submission.priority == 0
--- a/crates/yuccatack_dispatch/src/dispatcher.rs
+++ b/crates/yuccatack_dispatch/src/dispatcher.rs
@@ -48,6 +48,8 @@
     forecasts: JobCache<Forecast>,
     remaining_work: RemainingWork,
     ready_windows: ReadyWindows,
+    /// Bytes that the progress of further occurrences of scheduled jobs may take.
+    spare_bytes: u64,
     interference: Interference,
     speeds: MachineSpeeds,
     waiting_steps: WaitingSteps,
@@ -76,6 +78,7 @@
             forecasts: JobCache::default(),
             remaining_work: RemainingWork::default(),
             ready_windows: ReadyWindows::default(),
+            spare_bytes: u64::MAX,
             interference: Interference::default(),
             speeds: MachineSpeeds::default(),
             waiting_steps: WaitingSteps::default(),
@@ -150,6 +153,12 @@
         self.speeds = speeds;
     }
 
+    /// Sets the bytes that the progress of further occurrences of scheduled jobs may take in a
+    /// snapshot. The first unfinished occurrence of a job begins regardless.
+    pub fn set_spare_bytes(&mut self, spare_bytes: u64) {
+        self.spare_bytes = spare_bytes;
+    }
+
     /// Handles a message from an agent and returns the resulting changes of the table.
     pub fn on_message(
         &mut self,
@@ -223,6 +232,7 @@
             speeds: &self.speeds,
             run_times,
             forecasts: &self.forecasts,
+            spare_bytes: self.spare_bytes,
             stop_timeout_ms: self.settings.stop_timeout_ms,
             now,
             unix_ms,
--- a/crates/yuccatack_dispatch/src/pass.rs
+++ b/crates/yuccatack_dispatch/src/pass.rs
@@ -30,6 +30,8 @@
     pub speeds: &'a MachineSpeeds,
     pub run_times: &'a RunTimes,
     pub forecasts: &'a JobCache<Forecast>,
+    /// Bytes that the progress of further occurrences may take.
+    pub spare_bytes: u64,
     pub stop_timeout_ms: DurationMs,
     pub now: TimestampMs,
     pub unix_ms: u64,
@@ -76,6 +78,7 @@
             speeds,
             run_times,
             forecasts,
+            spare_bytes,
             stop_timeout_ms,
             now,
             unix_ms,
@@ -87,6 +90,7 @@
             urgent_demand: &urgent_demand,
             forecasts,
             run_times,
+            spare_bytes,
             unix_ms,
         };
         let mut groups = ready_task_groups(demand, windows);
--- a/crates/yuccatack_dispatch/src/ready_window.rs
+++ b/crates/yuccatack_dispatch/src/ready_window.rs
@@ -22,11 +22,16 @@
 
 impl ReadyWindows {
     /// Passes the steps that the pass considers to `visit`, with the number of groups of each.
-    pub fn visit<'a, Visit>(&mut self, jobs: &[&'a Job], unix_ms: u64, mut visit: Visit)
-    where
+    pub fn visit<'a, Visit>(
+        &mut self,
+        jobs: &[&'a Job],
+        unix_ms: u64,
+        spare_bytes: u64,
+        mut visit: Visit,
+    ) where
         Visit: FnMut(&'a Job, StepPosition, ReadyTasks<'a>, usize),
     {
-        let work = ready_work(jobs, unix_ms);
+        let work = ready_work(jobs, unix_ms, spare_bytes);
         let limit_count = job_limit(&work);
         let earlier = std::mem::take(&mut self.next_positions);
         for work in &work {
@@ -43,10 +48,24 @@
     }
 }
 
-/// Returns the work of the jobs that may begin.
-fn ready_work<'a>(jobs: &[&'a Job], unix_ms: u64) -> Vec<ReadyWork<'a>> {
-    let work = jobs.iter().map(|job| ReadyWork::new(job, unix_ms));
-    work.filter(|work| work.group_count() > 0).collect()
+/// Returns the work of the jobs that may begin. Occurrences beyond the first unfinished one of a job
+/// may begin only as far as their progress takes no more than `spare_bytes`.
+fn ready_work<'a>(jobs: &[&'a Job], unix_ms: u64, mut spare_bytes: u64) -> Vec<ReadyWork<'a>> {
+    let mut ready = Vec::new();
+    for job in jobs {
+        let progress_bytes = job.progress_bytes().max(1);
+        let max_new_count = u32::try_from(spare_bytes / progress_bytes).unwrap_or(u32::MAX);
+        let work = ReadyWork::new(job, unix_ms, max_new_count);
+        if work.group_count() == 0 {
+            continue;
+        }
+        if job.submission.spec.schedule.is_some() {
+            let new_bytes = progress_bytes.saturating_mul(u64::from(work.unbegun_count()));
+            spare_bytes = spare_bytes.saturating_sub(new_bytes);
+        }
+        ready.push(work);
+    }
+    ready
 }
 
 /// Returns the number of groups of each job that a pass considers.
--- a/crates/yuccatack_queue_control/src/actor.rs
+++ b/crates/yuccatack_queue_control/src/actor.rs
@@ -29,7 +29,9 @@
     log_too_many_stored_bytes,
 };
 use crate::state::{Applied, QueueState, REMOVAL_LIMIT_COUNT};
-use crate::stored_bytes::{job_bytes, stored_limit_bytes, submission_bytes};
+use crate::stored_bytes::{
+    begun_occurrence_bytes, job_bytes, stored_limit_bytes, submission_bytes,
+};
 
 /// Interval of heartbeats to agents. An agent closes its stream after about three missed ones.
 const AGENT_HEARTBEAT_INTERVAL: DurationMs = DurationMs::new(250);
@@ -358,6 +360,8 @@
         let is_leader = self.dispatcher.is_some();
         let logged = is_leader.then(|| {
             let unfinished = log_before_apply(&command, &self.queue_state, index, &self.metrics);
+            let begun_bytes = begun_occurrence_bytes(&command, &self.queue_state.jobs);
+            self.stored_bytes = self.stored_bytes.saturating_add(begun_bytes);
             (command.clone(), unfinished)
         });
         let applied = self.queue_state.apply(command);
--- a/crates/yuccatack_queue_control/src/schedule.rs
+++ b/crates/yuccatack_queue_control/src/schedule.rs
@@ -56,6 +56,8 @@
             let now_unix_ms = unix_now_ms();
             let mut decided = Vec::new();
             if self.pending_changes.begin_decision(now) {
+                let spare_bytes = self.stored_limit_bytes.saturating_sub(self.stored_bytes);
+                dispatcher.set_spare_bytes(spare_bytes);
                 decided =
                     dispatcher.decide(jobs, &self.queue_state.configuration, now, now_unix_ms);
                 self.metrics.queues.count_evictions(dispatcher.take_eviction_count());
--- a/crates/yuccatack_queue_control/src/stored_bytes.rs
+++ b/crates/yuccatack_queue_control/src/stored_bytes.rs
@@ -4,7 +4,11 @@
 
 use std::sync::Arc;
 
-use yuccatack_runs::{Job, JobSubmission, StepSpec};
+use yuccatack_core::FastHashSet;
+use yuccatack_dispatch::TableChange;
+use yuccatack_runs::{Job, JobSubmission, JobTable, StepSpec};
+
+use crate::command::Command;
 
 /// Part of the disk that stored jobs may take. A new snapshot is written beside the old one and the
 /// log, so that they take twice this part for a while.
@@ -16,12 +20,6 @@
 /// Fixed-size fields of a step.
 const STEP_BYTES: u64 = 384;
 
-/// Progress of a step without its tasks.
-const STEP_PROGRESS_BYTES: u64 = 96;
-
-/// Progress of a task without its checkpoint.
-const TASK_BYTES: u64 = 72;
-
 /// Returns the number of bytes that stored jobs may take on a disk of this size.
 pub fn stored_limit_bytes(disk_capacity_bytes: u64) -> u64 {
     disk_capacity_bytes / STORED_DISK_PART
@@ -38,6 +36,27 @@
     stored_bytes(&job.submission, job.occurrences.len().max(1))
 }
 
+/// Returns the estimated bytes of the occurrences that a command begins beside the first unfinished
+/// one of each job.
+pub(crate) fn begun_occurrence_bytes(command: &Command, jobs: &JobTable) -> u64 {
+    let Command::Change { changes, .. } = command else { return 0 };
+    let (mut begun_jobs, mut begun) = (FastHashSet::default(), FastHashSet::default());
+    let mut begun_bytes = 0u64;
+    for change in changes {
+        let TableChange::Begin(group) = change else { continue };
+        let Some(task) = group.first().map(|start| &start.run.task) else { continue };
+        let Some(job) = jobs.job(&task.job) else { continue };
+        if job.has_begun(task.occurrence) || !begun.insert((job.order, task.occurrence)) {
+            continue;
+        }
+        let is_first = job.occurrences.is_empty() && begun_jobs.insert(job.order);
+        if !is_first {
+            begun_bytes = begun_bytes.saturating_add(job.progress_bytes());
+        }
+    }
+    begun_bytes
+}
+
 fn stored_bytes(submission: &JobSubmission, occurrence_count: usize) -> u64 {
     let steps = &submission.spec.steps;
     let organisation = submission.organisation.as_ref();
@@ -55,9 +74,7 @@
     ];
     let text_bytes = texts.iter().map(|text| text.len() as u64).sum::<u64>();
     let step_bytes = steps.iter().map(step_bytes).sum::<u64>();
-    let task_count = steps.iter().map(|step| u64::from(step.task_count)).sum::<u64>();
-    let progress_bytes = (task_count * TASK_BYTES + steps.len() as u64 * STEP_PROGRESS_BYTES)
-        * occurrence_count as u64;
+    let progress_bytes = submission.spec.progress_bytes() * occurrence_count as u64;
     JOB_BYTES + text_bytes + step_bytes + progress_bytes
 }
 
--- a/crates/yuccatack_runs/src/job.rs
+++ b/crates/yuccatack_runs/src/job.rs
@@ -6,6 +6,7 @@
 
 use crate::command::{JobSubmission, RunEnd, RunOutcome};
 use crate::identity::RunId;
+use crate::occurrence_set::OccurrenceSet;
 use crate::progress::{Occurrence, TaskProgress, replace_older};
 use crate::ready::{ReadyIndex, StepPosition};
 use crate::spec::StepSpec;
@@ -42,8 +43,12 @@
     pub order: u64,
     /// Current phase of the job.
     pub phase: JobPhase,
-    /// Occurrences with at least one run so far, by index.
+    /// Occurrences with at least one run so far, by index. Those of a schedule are removed once they
+    /// have completed and have no open run.
     pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Occurrences of a schedule that have completed and whose progress is not kept.
+    #[serde(skip_serializing_if = "OccurrenceSet::is_empty")]
+    pub completed_occurrences: OccurrenceSet,
     /// Unix time of the end, by the leader's clock; `None` until the job has ended.
     pub ended_at_unix_ms: Option<u64>,
     /// Index of the tasks that may begin, derived from the progress.
@@ -58,14 +63,35 @@
     order: u64,
     phase: JobPhase,
     occurrences: BTreeMap<u32, Occurrence>,
+    /// Empty in records of versions that kept the progress of all occurrences.
+    #[serde(default)]
+    completed_occurrences: OccurrenceSet,
     ended_at_unix_ms: Option<u64>,
 }
 
 impl From<StoredJob> for Job {
     fn from(stored: StoredJob) -> Self {
-        let StoredJob { submission, order, phase, occurrences, ended_at_unix_ms } = stored;
-        let ready = ReadyIndex::new(&submission.spec, &occurrences);
-        Self { submission, order, phase, occurrences, ended_at_unix_ms, ready }
+        let StoredJob {
+            submission,
+            order,
+            phase,
+            occurrences,
+            completed_occurrences,
+            ended_at_unix_ms,
+        } = stored;
+        let ready = ReadyIndex::new(&submission.spec, &occurrences, &completed_occurrences);
+        let mut job = Self {
+            submission,
+            order,
+            phase,
+            occurrences,
+            completed_occurrences,
+            ended_at_unix_ms,
+            ready,
+        };
+        let begun: Vec<u32> = job.occurrences.keys().copied().collect();
+        begun.into_iter().for_each(|occurrence| job.remove_if_over(occurrence));
+        job
     }
 }
 
@@ -73,12 +99,14 @@
     /// Creates an accepted job without any runs.
     pub fn new(submission: JobSubmission, order: u64) -> Self {
         let occurrences = BTreeMap::new();
-        let ready = ReadyIndex::new(&submission.spec, &occurrences);
+        let completed_occurrences = OccurrenceSet::default();
+        let ready = ReadyIndex::new(&submission.spec, &occurrences, &completed_occurrences);
         Self {
             submission,
             order,
             phase: JobPhase::Queued,
             occurrences,
+            completed_occurrences,
             ended_at_unix_ms: None,
             ready,
         }
@@ -99,6 +127,26 @@
         self.ready.graph.peak_accelerator_count()
     }
 
+    /// Returns the estimated bytes of the progress of one occurrence in a snapshot.
+    pub fn progress_bytes(&self) -> u64 {
+        self.ready.graph.progress_bytes()
+    }
+
+    /// Returns `true` if the occurrence has a run, or had one.
+    pub fn has_begun(&self, occurrence: u32) -> bool {
+        self.occurrences.contains_key(&occurrence)
+            || self.completed_occurrences.contains(occurrence)
+    }
+
+    /// Removes the progress of an occurrence of a schedule that no run can change any more.
+    fn remove_if_over(&mut self, occurrence: u32) {
+        if self.submission.spec.schedule.is_some() && self.ready.is_over(occurrence) {
+            self.occurrences.remove(&occurrence);
+            self.completed_occurrences.insert(occurrence);
+            self.ready.forget_completed(occurrence);
+        }
+    }
+
     /// Returns the specification of a step; `None` if the job has no such step.
     pub fn step_spec(&self, step: u32) -> Option<&StepSpec> {
         self.submission.spec.steps.get(step as usize)
@@ -118,7 +166,10 @@
         }
         let Some(spec) = self.step_spec(task.step) else { return false };
         let Some(occurrence) = self.occurrences.get(&task.occurrence) else {
-            return spec.after.is_empty() && run.number == 1 && task.index < spec.task_count;
+            return spec.after.is_empty()
+                && run.number == 1
+                && task.index < spec.task_count
+                && !self.completed_occurrences.contains(task.occurrence);
         };
         let step = &occurrence.steps[task.step as usize];
         let Some(progress) = step.tasks.get(task.index as usize) else { return false };
@@ -186,6 +237,7 @@
             | RunOutcome::NeverBegan
             | RunOutcome::WorkerLost => {}
         }
+        self.remove_if_over(run.task.occurrence);
         if !self.phase.is_final() {
             self.complete_if_done(now_unix_ms);
         }
@@ -228,6 +280,7 @@
     /// Completes the task of a run, or its whole gang. [`Self::may_complete_late`] must hold.
     pub(crate) fn complete_late(&mut self, run: &RunId, now_unix_ms: u64) {
         self.complete_task(run);
+        self.remove_if_over(run.task.occurrence);
         self.complete_if_done(now_unix_ms);
     }
 
@@ -244,7 +297,10 @@
             let mut tasks = occurrence.steps.iter().flat_map(|step| &step.tasks);
             tasks.all(|task| task.open_count == 0 && !task.done && task.failed_count == 0)
         };
-        !self.phase.is_final() && self.open_run_count() == 0 && self.occurrences.values().all(idle)
+        !self.phase.is_final()
+            && self.completed_occurrences.is_empty()
+            && self.open_run_count() == 0
+            && self.occurrences.values().all(idle)
     }
 }
 
--- a/crates/yuccatack_runs/src/lib.rs
+++ b/crates/yuccatack_runs/src/lib.rs
@@ -19,6 +19,7 @@
 };
 pub use identity::{ParseTaskIdError, RunId, TaskId, WorkerIncarnation};
 pub use job::{Job, JobPhase};
+pub use occurrence_set::OccurrenceSet;
 pub use progress::{Checkpoint, Occurrence, StepProgress, TaskProgress};
 pub use ready::{ReadyTaskIter, ReadyTasks, ReadyWork, StepPosition};
 pub use spec::{JobSpec, JobSpecError, Schedule, StepSpec};
--- a/crates/yuccatack_runs/src/occurrence_set.rs
+++ b/crates/yuccatack_runs/src/occurrence_set.rs
@@ -13,11 +13,26 @@
 }
 
 impl OccurrenceSet {
+    /// Returns `true` if the set contains no occurrence.
+    pub fn is_empty(&self) -> bool {
+        self.ranges.is_empty()
+    }
+
     /// Returns `true` if the set contains the occurrence.
     pub fn contains(&self, occurrence: u32) -> bool {
         self.range_at(occurrence).is_some()
     }
 
+    /// Returns the number of occurrences in the set.
+    pub fn count(&self) -> u32 {
+        self.ranges.iter().map(|(start, end)| end - start).sum()
+    }
+
+    /// Returns the number of ranges that the set consists of.
+    pub fn range_count(&self) -> usize {
+        self.ranges.len()
+    }
+
     /// Adds an occurrence.
     pub fn insert(&mut self, occurrence: u32) {
         if self.contains(occurrence) {
--- a/crates/yuccatack_runs/src/ready.rs
+++ b/crates/yuccatack_runs/src/ready.rs
@@ -8,7 +8,7 @@
 use crate::job::Job;
 use crate::occurrence_set::OccurrenceSet;
 use crate::progress::{Occurrence, TaskProgress};
-use crate::spec::{JobSpec, StepSpec};
+use crate::spec::{JobSpec, MAX_TASK_COUNT, StepSpec};
 use crate::step_graph::{StepGraph, group_count};
 
 /// Step of one occurrence of a job.
@@ -200,9 +200,18 @@
 }
 
 impl ReadyIndex {
-    /// Creates the index of a job.
-    pub fn new(spec: &JobSpec, progress: &BTreeMap<u32, Occurrence>) -> Self {
-        let mut index = Self { graph: StepGraph::new(spec), ..Self::default() };
+    /// Creates the index of a job. `completed` are occurrences whose progress is not kept.
+    pub fn new(
+        spec: &JobSpec,
+        progress: &BTreeMap<u32, Occurrence>,
+        completed: &OccurrenceSet,
+    ) -> Self {
+        let mut index = Self {
+            graph: StepGraph::new(spec),
+            begun: completed.clone(),
+            completed_count: completed.count(),
+            ..Self::default()
+        };
         for (number, occurrence) in progress {
             index.insert(*number, OccurrenceIndex::new(spec, occurrence));
         }
@@ -225,6 +234,11 @@
         self.occurrences.insert(number, occurrence);
     }
 
+    /// Forgets a completed occurrence whose progress is no longer kept.
+    pub fn forget_completed(&mut self, number: u32) {
+        self.occurrences.remove(&number);
+    }
+
     fn change<Change>(&mut self, number: u32, change: Change)
     where
         Change: FnOnce(&mut OccurrenceIndex, &StepGraph),
@@ -281,6 +295,12 @@
         step.is_some_and(|step| step.unfinished_predecessor_count == 0)
     }
 
+    /// Returns `true` if the occurrence has completed and has no open run.
+    pub fn is_over(&self, number: u32) -> bool {
+        let occurrence = self.occurrences.get(&number);
+        occurrence.is_some_and(|occurrence| occurrence.is_done() && occurrence.open_run_count == 0)
+    }
+
     pub fn completed_count(&self) -> u32 {
         self.completed_count
     }
@@ -288,6 +308,11 @@
     pub fn open_run_count(&self) -> u64 {
         self.open_run_count
     }
+
+    /// Returns the number of begun occurrences that have not completed.
+    fn unfinished_count(&self) -> u32 {
+        self.begun.count().saturating_sub(self.completed_count)
+    }
 }
 
 /// Task groups of a job that may begin at one moment.
@@ -298,6 +323,8 @@
     unbegun_end: u32,
     /// Number of groups of all steps.
     group_count: u64,
+    /// Number of occurrences that may begin.
+    unbegun_count: u32,
 }
 
 /// Tasks of a step that may begin.
@@ -326,13 +353,23 @@
 }
 
 impl<'a> ReadyWork<'a> {
-    /// Returns the work of a job that may begin.
-    pub fn new(job: &'a Job, unix_ms: u64) -> Self {
+    /// Returns the work of a job that may begin. Occurrences that are due begin only as long as the
+    /// unfinished ones of the job have no more tasks than a job may have, and not more than
+    /// `max_new_count` beside the first unfinished one.
+    pub fn new(job: &'a Job, unix_ms: u64, max_new_count: u32) -> Self {
         let index = job.ready_index();
         let due_count = job.submission.spec.due_count(unix_ms);
+        let unfinished_count = index.unfinished_count();
+        let task_count = index.graph.task_count().max(1);
+        let limit_count = u32::try_from(MAX_TASK_COUNT / task_count).unwrap_or(u32::MAX).max(1);
+        let first_count = u32::from(unfinished_count == 0);
+        let max_count = limit_count
+            .saturating_sub(unfinished_count)
+            .min(max_new_count.saturating_add(first_count));
         let (mut unbegun_end, mut unbegun_count) = (0, 0);
         for (start, end) in index.begun.gaps() {
-            let end = end.min(due_count);
+            let remaining_count = max_count - unbegun_count;
+            let end = end.min(due_count).min(start.saturating_add(remaining_count));
             if end <= start {
                 break;
             }
@@ -341,7 +378,7 @@
         }
         let unbegun_group_count = u64::from(unbegun_count) * index.graph.first_group_count();
         let group_count = index.ready_group_count + unbegun_group_count;
-        Self { job, unbegun_end, group_count }
+        Self { job, unbegun_end, group_count, unbegun_count }
     }
 
     /// Returns the job.
@@ -354,6 +391,11 @@
         self.group_count
     }
 
+    /// Returns the number of occurrences that may begin.
+    pub fn unbegun_count(&self) -> u32 {
+        self.unbegun_count
+    }
+
     /// Returns the first step at or after a position that has tasks that may begin.
     pub fn next_step(&self, from: StepPosition) -> Option<StepPosition> {
         let in_occurrence = self.step_of(from.occurrence, from.step);
--- a/crates/yuccatack_runs/src/spec.rs
+++ b/crates/yuccatack_runs/src/spec.rs
@@ -8,7 +8,7 @@
 use yuccatack_core::{DurationMs, Resources};
 
 /// Maximum number of tasks over all steps of a job. It bounds the memory that one call can take.
-const MAX_TASK_COUNT: u64 = 20_000;
+pub(crate) const MAX_TASK_COUNT: u64 = 20_000;
 
 /// Maximum number of tasks over all occurrences of a job. Callers that mistake the unit of a period or
 /// a count would otherwise occupy the workers for years.
@@ -17,6 +17,12 @@
 /// Number of steps that the short form of a specification shows.
 const SHOWN_STEP_COUNT: usize = 8;
 
+/// Encoded bytes of the progress of a step without its tasks.
+const STEP_PROGRESS_BYTES: u64 = 96;
+
+/// Encoded bytes of the progress of a task without its checkpoint.
+const TASK_PROGRESS_BYTES: u64 = 72;
+
 /// Specification of a job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -189,6 +195,14 @@
         due_count.min(schedule.occurrence_count)
     }
 
+    /// Returns the estimated bytes of the progress of one occurrence in a snapshot.
+    pub fn progress_bytes(&self) -> u64 {
+        let step_bytes = |step: &StepSpec| {
+            STEP_PROGRESS_BYTES + u64::from(step.task_count) * TASK_PROGRESS_BYTES
+        };
+        self.steps.iter().map(step_bytes).sum()
+    }
+
     /// Returns the Unix time at which an occurrence is due; `None` for a job without a schedule.
     pub fn due_at_unix_ms(&self, occurrence: u32) -> Option<u64> {
         let schedule = self.schedule?;
--- a/crates/yuccatack_runs/src/step_graph.rs
+++ b/crates/yuccatack_runs/src/step_graph.rs
@@ -13,7 +13,10 @@
     followers: Vec<u32>,
     /// Number of task groups with which an occurrence begins.
     first_group_count: u64,
+    task_count: u64,
     peak_accelerator_count: u64,
+    /// Estimated bytes of the progress of one occurrence in a snapshot.
+    progress_bytes: u64,
 }
 
 impl StepGraph {
@@ -45,6 +48,8 @@
             follower_offsets,
             followers,
             first_group_count: first.map(|(_, spec)| group_count(spec)).sum(),
+            task_count: steps.iter().map(|spec| u64::from(spec.task_count)).sum(),
+            progress_bytes: spec.progress_bytes(),
             peak_accelerator_count: steps.iter().map(accelerators).max().unwrap_or(0),
         }
     }
@@ -57,11 +62,20 @@
         self.first_group_count
     }
 
+    /// Returns the number of tasks over all steps.
+    pub fn task_count(&self) -> u64 {
+        self.task_count
+    }
+
     /// Returns the accelerators that the largest step needs.
     pub fn peak_accelerator_count(&self) -> u64 {
         self.peak_accelerator_count
     }
 
+    pub fn progress_bytes(&self) -> u64 {
+        self.progress_bytes
+    }
+
     /// Returns the steps that wait for a step, once per mention.
     pub fn followers(&self, step: u32) -> &[u32] {
         let step = step as usize;
--- a/crates/yuccatack_runs/tests/ready_tasks.rs
+++ b/crates/yuccatack_runs/tests/ready_tasks.rs
@@ -66,7 +66,7 @@
 
 /// Returns the runs of each group that the index offers.
 fn offered_groups(job: &Job, unix_ms: u64) -> Vec<Vec<RunId>> {
-    let work = ReadyWork::new(job, unix_ms);
+    let work = ReadyWork::new(job, unix_ms, u32::MAX);
     let mut groups = Vec::new();
     let mut next = work.next_step(StepPosition::default());
     while let Some(position) = next {
@@ -96,7 +96,7 @@
     let mut groups = Vec::new();
     for occurrence in 0..spec.occurrence_count() {
         let is_due = spec.due_at_unix_ms(occurrence).is_none_or(|due| due <= unix_ms);
-        if !is_due {
+        if !is_due || job.completed_occurrences.contains(occurrence) {
             continue;
         }
         let progress = job.occurrences.get(&occurrence);
@@ -186,3 +186,14 @@
 fn index_follows_schedule() {
     (0..SEED_COUNT).for_each(|seed| play(seed, 8));
 }
+
+#[test]
+fn unfinished_occurrences_bounded() {
+    let mut table = JobTable::default();
+    let steps = vec![StepSpec { task_count: 5_000, ..StepSpec::default() }];
+    table.submit(submission(steps, 100));
+    let job = table.job(&name()).unwrap();
+    let unix_ms = 100 * PERIOD_MS;
+    assert_eq!(ReadyWork::new(job, unix_ms, u32::MAX).unbegun_count(), 4, "20,000 tasks at once");
+    assert_eq!(ReadyWork::new(job, unix_ms, 0).unbegun_count(), 1, "one may always begin");
+}
