Bound the bytes of start orders in a message

Cause: all starts for a worker went in one message, each with the payload, which exceeded the 8 MiB of the agents' streams. The stream ended, and the same message was made again.

Evidence: large_payloads_split had 40,000,000 bytes in one message on.

Change: a message holds 1 MiB of starts, and those of a pass 8 MiB; the others wait for the next pass.

--- a/crates/yuccatack_dispatch/src/reconcile.rs
+++ b/crates/yuccatack_dispatch/src/reconcile.rs
@@ -13,6 +13,16 @@
     DispatchSettings, MAX_READING_AGE_MS, START_RESULT_TIMEOUT_MS, STOP_RESEND_MARGIN_MS,
 };
 
+/// Bytes of starts that one message holds at most; a further start waits for the next pass. A message
+/// that exceeds the limit of the agents' streams ends the stream.
+const ORDERS_BYTES: usize = 1 << 20;
+
+/// Bytes of starts in the messages of one pass to all agents, which are encoded at the same time.
+const PASS_ORDERS_BYTES: usize = 8 << 20;
+
+/// Bytes of a start beside its payload and checkpoint, with room for long names.
+const START_BYTES: usize = 512;
+
 /// Run of a whole gang: job, occurrence, step and run number.
 type GangRun = (JobName, u32, u32, u32);
 
@@ -32,9 +42,13 @@
     pub fn orders(&self, sessions: &mut BTreeMap<NodeName, Session>) -> Vec<(NodeName, Orders)> {
         let incomplete = self.incomplete_gangs(sessions);
         let mut all_orders = Vec::new();
+        let mut remaining_bytes = PASS_ORDERS_BYTES;
         for (node, session) in sessions.iter_mut().filter(|(_, session)| session.connected) {
             session.orders.retain(|run, _| self.table.open_runs().contains_key(run));
-            if let Some(orders) = self.worker_orders(session, &incomplete) {
+            let limit_bytes = remaining_bytes.min(ORDERS_BYTES);
+            if let Some(orders) = self.worker_orders(session, &incomplete, limit_bytes) {
+                let start_bytes: usize = orders.starts.iter().map(order_bytes).sum();
+                remaining_bytes = remaining_bytes.saturating_sub(start_bytes);
                 all_orders.push((node.clone(), orders));
             }
         }
@@ -45,6 +59,7 @@
         &self,
         session: &mut Session,
         incomplete: &FastHashSet<GangRun>,
+        limit_bytes: usize,
     ) -> Option<Orders> {
         let state = session.state.as_ref()?;
         let incarnation = state.incarnation.clone();
@@ -53,6 +68,7 @@
         let acknowledged_end = self.table.acknowledged_end(&incarnation);
         let has_new_acknowledgement = acknowledged_end > session.sent_acknowledged_end;
         let mut starts = Vec::new();
+        let mut start_bytes = 0;
         let mut stops = Vec::new();
         for run in self.table.runs_on(&incarnation) {
             let should_run = self.should_run(run, incomplete);
@@ -62,11 +78,13 @@
                     let unknown = OrderState::Unknown { missing_count: 0 };
                     session.orders.insert(run.clone(), unknown);
                 }
+                None if should_run && start_bytes >= limit_bytes => {}
                 None if should_run => {
                     if let Some(order) = self.start_order(session, run) {
                         session
                             .orders
                             .insert(run.clone(), OrderState::Starting { sent_at: self.now });
+                        start_bytes += order_bytes(&order);
                         starts.push(order);
                     }
                 }
@@ -217,6 +235,11 @@
     }
 }
 
+fn order_bytes(order: &StartOrder) -> usize {
+    let checkpoint_bytes = order.checkpoint.as_ref().map_or(0, |checkpoint| checkpoint.len());
+    START_BYTES + order.payload.len() + checkpoint_bytes
+}
+
 fn gang_run(run: &RunId) -> GangRun {
     (run.task.job.clone(), run.task.occurrence, run.task.step, run.number)
 }
--- a/crates/yuccatack_dispatch/tests/start_orders.rs
+++ b/crates/yuccatack_dispatch/tests/start_orders.rs
@@ -6,8 +6,9 @@
 mod support;
 
 use support::{TestCluster, run, starts, step, stops};
+use yuccatack_core::Resources;
 use yuccatack_dispatch::StartResult;
-use yuccatack_runs::RunOutcome;
+use yuccatack_runs::{RunOutcome, StepSpec};
 
 fn cluster_with_start() -> TestCluster {
     let mut cluster = TestCluster::new(1);
@@ -85,3 +86,22 @@
     cluster.submit("a", 1, step(1, 8));
     assert!(starts(&cluster.decide()).is_empty(), "a draining worker got new work");
 }
+
+/// Guards against starts that no agent receives, since their message exceeds its limit and ends the
+/// agent's stream.
+#[test]
+fn large_payloads_split() {
+    const MESSAGE_LIMIT_BYTES: usize = 8 << 20;
+    let mut cluster = TestCluster::new(1);
+    let gang = StepSpec { gang: true, demand: Resources::default(), ..step(400, 0) };
+    cluster.submit_payload("a", "x".repeat(100_000), gang);
+    let mut started_count = 0;
+    for _ in 0..100 {
+        let orders = cluster.decide();
+        let payload_bytes = orders.iter().flat_map(|(_, orders)| &orders.starts);
+        let payload_bytes: usize = payload_bytes.map(|start| start.payload.len()).sum();
+        assert!(payload_bytes < MESSAGE_LIMIT_BYTES / 2, "{payload_bytes} bytes in one message");
+        started_count += starts(&orders).len();
+    }
+    assert_eq!(started_count, 400);
+}
--- a/crates/yuccatack_dispatch/tests/support/mod.rs
+++ b/crates/yuccatack_dispatch/tests/support/mod.rs
@@ -134,6 +134,13 @@
         self.table.submit(JobSubmission { spec, ..submission });
     }
 
+    /// Submits a less urgent job with a payload of its own.
+    pub fn submit_payload(&mut self, name: &str, payload: String, step: StepSpec) {
+        let submission = self.submission(name, None, 1, step);
+        let spec = JobSpec { payload: Arc::from(payload), ..submission.spec.clone() };
+        self.table.submit(JobSubmission { spec, ..submission });
+    }
+
     /// Submits an urgent job whose objective leaves little slack: half of the run time and 300 ms.
     pub fn submit_tight(&mut self, name: &str, organisation: Option<&str>, step: StepSpec) {
         let submission = self.submission(name, organisation, 0, step);
