Share the limits of open runs between jobs and organisations

Callers would see: after one job of tasks that need next to nothing and last, no work of any tenant begins on idle workers.

Cause: limited the open runs of a worker to 1,024 and those of all workers to 65,536, first come, first served.

Evidence: lasting_tasks_leave_room, lasting_jobs_leave_room and lasting_tasks_on_many_workers fail on: no run of the other organisation begins.

Change: of what others leave of a limit, a job takes half and an organisation three quarters. That also replaces the rule for unanswered starts.

Result: the three tests pass, as do all others of yuccatack_dispatch.

--- a/crates/yuccatack_dispatch/src/admission.rs
+++ b/crates/yuccatack_dispatch/src/admission.rs
@@ -13,7 +13,7 @@
 use yuccatack_queues::{ConfigurationStore, EvacuationStore};
 use yuccatack_runs::{Job, JobPhase, JobSubmission, JobTable, StepProgress};
 
-use crate::capacity::{MAX_WORKER_RUN_COUNT, WorkerSnapshot, footprint, slot_count};
+use crate::capacity::{MAX_JOB_RUN_COUNT, WorkerSnapshot, footprint, slot_count};
 use crate::demand::{TaskGroup, first_groups, is_within_guarantee};
 use crate::forecast::{Forecast, value_end};
 use crate::job_cache::JobCache;
@@ -331,7 +331,7 @@
     states.is_empty()
         || submission.spec.steps.iter().all(|spec| {
             let needed_count = if spec.gang { u64::from(spec.task_count) } else { 1 };
-            let limit = spec.tasks_per_worker.unwrap_or(u32::MAX).min(MAX_WORKER_RUN_COUNT);
+            let limit = spec.tasks_per_worker.unwrap_or(u32::MAX).min(MAX_JOB_RUN_COUNT);
             let need = footprint(spec);
             let mut held_count = 0u64;
             // Most steps fit on the first worker.
@@ -352,11 +352,11 @@
 ) -> Result<(), Refusal> {
     let gangs = submission.spec.steps.iter().filter(|spec| spec.gang);
     let widest = gangs.map(|spec| u64::from(spec.task_count)).max().unwrap_or(0);
-    if widest <= u64::from(MAX_WORKER_RUN_COUNT) {
+    if widest <= u64::from(MAX_JOB_RUN_COUNT) {
         return Ok(());
     }
     let worker_count = announced_workers(&submission.service, sessions, evacuations).count() as u64;
-    if worker_count == 0 || widest <= worker_count * u64::from(MAX_WORKER_RUN_COUNT) {
+    if worker_count == 0 || widest <= worker_count * u64::from(MAX_JOB_RUN_COUNT) {
         return Ok(());
     }
     Err(shape_refusal(&submission.name))
--- a/crates/yuccatack_dispatch/src/capacity.rs
+++ b/crates/yuccatack_dispatch/src/capacity.rs
@@ -9,6 +9,7 @@
 use yuccatack_runs::{JobTable, RunId, StepSpec, WorkerIncarnation};
 
 use crate::demand::TaskGroup;
+use crate::run_counts::{RunCounts, job_share};
 use crate::session::{OrderState, Session};
 use crate::waiting::{StepKey, step_key};
 
@@ -21,7 +22,10 @@
 
 /// Maximum number of open runs on a worker. Each observation lists all of them, and tasks that need
 /// next to nothing would otherwise fill the memory of the agents and of the leader.
-pub(crate) const MAX_WORKER_RUN_COUNT: u32 = 1_024;
+const MAX_WORKER_RUN_COUNT: u32 = 1_024;
+
+/// Maximum number of open runs of one job on a worker.
+pub(crate) const MAX_JOB_RUN_COUNT: u32 = job_share(MAX_WORKER_RUN_COUNT);
 
 /// Maximum number of starts on a worker that wait for their results. Starts are carried out one after
 /// the other, so that those of other jobs would wait behind them.
@@ -64,9 +68,9 @@
     pub runs: Vec<RunId>,
     /// Number of open runs of each step that limits them.
     limited_steps: FastHashMap<StepKey, u32>,
-    /// Number of starts that wait for their results, by the order of the job.
-    unanswered_starts: FastHashMap<u64, u32>,
-    unanswered_start_count: u32,
+    open_counts: RunCounts,
+    /// Starts that wait for their results.
+    unanswered_counts: RunCounts,
     /// Images of these runs, each once.
     pub images: Vec<Arc<str>>,
 }
@@ -84,18 +88,15 @@
     }
 
     /// Returns the number of further runs of the group's job that may begin on the worker, apart from
-    /// its resources. Half of the starts that may wait for their results are left to other jobs; a
-    /// gang begins as a whole and is exempt.
+    /// its resources. A gang begins as a whole, so that its starts may exceed those that may wait for
+    /// their results.
     pub fn run_allowance(&self, group: &TaskGroup<'_>) -> u32 {
-        let open_count = u32::try_from(self.runs.len()).unwrap_or(u32::MAX);
-        let free_count = MAX_WORKER_RUN_COUNT.saturating_sub(open_count);
+        let open_allowance = self.open_counts.allowance(MAX_WORKER_RUN_COUNT, group.job);
         if group.spec.gang {
-            return free_count;
+            return open_allowance;
         }
-        let own_count = self.unanswered_starts.get(&group.job.order).copied().unwrap_or(0);
-        let other_count = self.unanswered_start_count - own_count;
-        let shared_count = MAX_UNANSWERED_START_COUNT.saturating_sub(other_count).div_ceil(2);
-        free_count.min(shared_count.saturating_sub(own_count))
+        let unanswered = &self.unanswered_counts;
+        open_allowance.min(unanswered.allowance(MAX_UNANSWERED_START_COUNT, group.job))
     }
 
     /// Adds a run of the group that begins on the worker.
@@ -106,7 +107,8 @@
         self.has_less_urgent |= !group.is_urgent();
         self.add_image(group.spec);
         self.count_limited_step(group.spec, step_key(group));
-        self.add_unanswered_start(group.job.order);
+        self.open_counts.add(group.job);
+        self.unanswered_counts.add(group.job);
         self.runs.push(run);
     }
 
@@ -116,11 +118,6 @@
         }
     }
 
-    fn add_unanswered_start(&mut self, job_order: u64) {
-        *self.unanswered_starts.entry(job_order).or_default() += 1;
-        self.unanswered_start_count += 1;
-    }
-
     /// Returns `true` if a run on the worker has the image of a step.
     pub fn has_image(&self, step: &StepSpec) -> bool {
         step.image.as_ref().is_some_and(|image| self.images.contains(image))
@@ -177,8 +174,8 @@
                 has_less_urgent: false,
                 runs: Vec::new(),
                 limited_steps: FastHashMap::default(),
-                unanswered_starts: FastHashMap::default(),
-                unanswered_start_count: 0,
+                open_counts: RunCounts::default(),
+                unanswered_counts: RunCounts::default(),
                 images: Vec::new(),
             })
         })
@@ -201,8 +198,9 @@
         if let (Some(job), Some(step)) = (job, step) {
             worker.add_image(step);
             worker.count_limited_step(step, (job.order, run.task.occurrence, run.task.step));
+            worker.open_counts.add(job);
             if matches!(order, None | Some(OrderState::Starting { .. })) {
-                worker.add_unanswered_start(job.order);
+                worker.unanswered_counts.add(job);
             }
         }
     }
--- a/crates/yuccatack_dispatch/src/lib.rs
+++ b/crates/yuccatack_dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 mod reclaim;
 mod reconcile;
 mod restraint;
+mod run_counts;
 mod run_time;
 mod session;
 mod settings;
--- a/crates/yuccatack_dispatch/src/placement.rs
+++ b/crates/yuccatack_dispatch/src/placement.rs
@@ -7,7 +7,7 @@
 use yuccatack_core::Resources;
 use yuccatack_runs::{RunId, RunStart, TaskId};
 
-use crate::capacity::{MAX_WORKER_RUN_COUNT, WorkerSnapshot, footprint, slot_count, subtract};
+use crate::capacity::{MAX_JOB_RUN_COUNT, WorkerSnapshot, footprint, slot_count, subtract};
 use crate::demand::TaskGroup;
 use crate::interference::{own_slowdown_percent, slowdown_percent};
 use crate::restraint::{Restraint, WaitCause, Waivers};
@@ -199,7 +199,7 @@
             continue;
         }
         let run_allowance = match kind {
-            CapacityKind::Total => MAX_WORKER_RUN_COUNT,
+            CapacityKind::Total => MAX_JOB_RUN_COUNT,
             CapacityKind::Free | CapacityKind::FreeAfterStops => worker.run_allowance(group),
         };
         let room = Room {
--- a/crates/yuccatack_dispatch/src/starts.rs
+++ b/crates/yuccatack_dispatch/src/starts.rs
@@ -13,6 +13,7 @@
 use crate::pass::Pass;
 use crate::placement::{CapacityKind, Placement, occupy};
 use crate::restraint::Waivers;
+use crate::run_counts::RunCounts;
 use crate::speed_range::place_by_speed;
 use crate::speed_wait::SpeedWaits;
 use crate::table_change::TableChange;
@@ -22,12 +23,13 @@
 /// fails the job.
 type EqualTasks = (u64, u32, u32, bool);
 
-/// Number of runs that one pass begins at most; a single gang may be larger. It bounds the log entry
+/// Number of runs that one pass begins at most, a single gang may be larger. It bounds the log entry
 /// of the pass, and the time for which calls wait while replicas apply it.
 const PASS_START_COUNT: usize = 2_048;
 
-/// Number of open runs of all workers at most.
-const MAX_OPEN_RUN_COUNT: usize = 65_536;
+/// Maximum number of open runs of all workers. The design size has 53,000; each one takes some hundred
+/// bytes in a snapshot and in the memory of each replica.
+const MAX_OPEN_RUN_COUNT: u32 = 65_536;
 
 /// Number of workers and tasks that the searches of one pass may visit.
 const PASS_VISIT_COUNT: usize = 1 << 17;
@@ -56,26 +58,30 @@
     visit_count: usize,
     start_count: usize,
     has_started: bool,
+    open_counts: RunCounts,
 }
 
 impl PassBudget {
     fn new(pass: &Pass<'_>) -> Self {
-        let open_count = pass.table.open_runs().len();
         Self {
             visit_count: search_limit(pass.workers.len()),
-            start_count: PASS_START_COUNT.min(MAX_OPEN_RUN_COUNT.saturating_sub(open_count)),
+            start_count: PASS_START_COUNT,
             has_started: false,
+            open_counts: open_counts(pass),
         }
     }
 
     /// Returns `true` if the runs of the group may begin in this pass.
     fn may_start(&self, group: &TaskGroup<'_>) -> bool {
-        group.tasks.len() <= self.start_count || (!self.has_started && self.start_count > 0)
+        let allowance = self.open_counts.allowance(MAX_OPEN_RUN_COUNT, group.job);
+        let is_within_limit =
+            group.tasks.len() <= self.start_count || (!self.has_started && self.start_count > 0);
+        is_within_limit && group.tasks.len() <= allowance as usize
     }
 
-    fn count_start(&mut self, task_count: usize) {
+    fn count_start(&mut self, group: &TaskGroup<'_>) {
         self.has_started = true;
-        self.start_count = self.start_count.saturating_sub(task_count);
+        self.start_count = self.start_count.saturating_sub(group.tasks.len());
     }
 
     fn count_visit(&mut self, group: &TaskGroup<'_>, worker_count: usize) {
@@ -83,6 +89,18 @@
     }
 }
 
+/// Returns the open runs by job and organisation if there are enough for their limit to matter in
+/// this pass.
+fn open_counts(pass: &Pass<'_>) -> RunCounts {
+    let mut counts = RunCounts::default();
+    let open_runs = pass.table.open_runs();
+    if open_runs.len() * 4 > MAX_OPEN_RUN_COUNT as usize {
+        let jobs = open_runs.keys().filter_map(|run| pass.table.job(&run.task.job));
+        jobs.for_each(|job| counts.add(job));
+    }
+    counts
+}
+
 /// Result of the search for free capacity for a group.
 enum FreePlacement {
     Found(Placement),
@@ -163,7 +181,7 @@
         state.budget.count_visit(&group, pass.workers.len());
         match self.free_placement(&group, pass, &mut state.search) {
             FreePlacement::Found(placement) => {
-                state.budget.count_start(group.tasks.len());
+                state.budget.count_start(&group);
                 let runs = occupy(&group, &placement, &mut pass.workers);
                 pass.changes.push(TableChange::Begin(runs));
                 return;
--- a/crates/yuccatack_dispatch/tests/heavy_jobs.rs
+++ b/crates/yuccatack_dispatch/tests/heavy_jobs.rs
@@ -131,3 +131,51 @@
     cluster.submit_steps("heavy", vec![gang; 500], None);
     timed_pass(&mut cluster);
 }
+
+/// Answers all starts until no further run begins.
+fn fill(cluster: &mut TestCluster) {
+    loop {
+        let started = timed_pass(cluster);
+        if started.is_empty() {
+            return;
+        }
+        started.iter().for_each(|run| cluster.start_result(run, StartResult::Begun));
+        cluster.advance(10);
+    }
+}
+
+#[test]
+fn lasting_tasks_leave_room() {
+    let mut cluster = TestCluster::new(3);
+    let lasting = StepSpec { task_count: 20_000, long_running: true, ..tiny() };
+    for index in 0..3 {
+        cluster.submit_for(&format!("lasting-{index}"), Some("a"), 1, lasting.clone());
+        fill(&mut cluster);
+    }
+    cluster.submit_for("other", Some("b"), 2, step(3, 1));
+    assert_eq!(timed_pass(&mut cluster).len(), 3, "tasks that need nothing took all runs");
+}
+
+#[test]
+fn lasting_jobs_leave_room() {
+    let mut cluster = TestCluster::new(3);
+    for index in 0..4_000 {
+        let lasting = StepSpec { long_running: true, ..tiny() };
+        cluster.submit_for(&format!("lasting-{index}"), Some("a"), 1, lasting);
+    }
+    fill(&mut cluster);
+    cluster.submit_for("other", Some("b"), 2, step(3, 1));
+    assert_eq!(timed_pass(&mut cluster).len(), 3, "jobs that need nothing took all runs");
+}
+
+#[test]
+fn lasting_tasks_on_many_workers() {
+    let mut cluster = TestCluster::new(200);
+    let lasting = StepSpec { task_count: 20_000, long_running: true, ..tiny() };
+    for index in 0..5 {
+        cluster.submit_for(&format!("lasting-{index}"), Some("a"), 1, lasting.clone());
+    }
+    fill(&mut cluster);
+    cluster.submit_for("other", Some("b"), 2, step(3, 1));
+    assert_eq!(timed_pass(&mut cluster).len(), 3, "one organisation took all runs");
+}
