Begin wide gangs beside other starts

Callers would see: a gang of more than 2,048 members waits for as long as any other work begins in each pass.

Cause: since, such a gang began only as the first group of a pass.

Evidence: wide_gang_beside_starts fails on: 20 passes, in each of which another task begins, do not begin the gang.

Change: a pass begins one such gang beside its 2,048 other runs. The log entry stays bounded by both.

Result: wide_gang_beside_starts, the other tests of heavy_jobs and gang_placement pass.

--- a/crates/yuccatack_dispatch/src/starts.rs
+++ b/crates/yuccatack_dispatch/src/starts.rs
@@ -23,7 +23,7 @@
 /// fails the job.
 type EqualTasks = (u64, u32, u32, bool);
 
-/// Number of runs that one pass begins at most, a single gang may be larger. It bounds the log entry
+/// Number of runs that one pass begins at most, beside one wider gang. It bounds the log entry
 /// of the pass, and the time for which calls wait while replicas apply it.
 const PASS_START_COUNT: usize = 2_048;
 
@@ -57,7 +57,7 @@
 struct PassBudget {
     visit_count: usize,
     start_count: usize,
-    has_started: bool,
+    has_started_wide_gang: bool,
     open_counts: RunCounts,
 }
 
@@ -66,22 +66,29 @@
         Self {
             visit_count: search_limit(pass.workers.len()),
             start_count: PASS_START_COUNT,
-            has_started: false,
+            has_started_wide_gang: false,
             open_counts: open_counts(pass),
         }
     }
 
-    /// Returns `true` if the runs of the group may begin in this pass.
+    /// Returns `true` if the runs of the group may begin in this pass. A gang that no pass could begin
+    /// within the limit does not wait for a pass without other starts.
     fn may_start(&self, group: &TaskGroup<'_>) -> bool {
+        let is_within_limit = if is_wide_gang(group) {
+            !self.has_started_wide_gang
+        } else {
+            group.tasks.len() <= self.start_count
+        };
         let allowance = self.open_counts.allowance(MAX_OPEN_RUN_COUNT, group.job);
-        let is_within_limit =
-            group.tasks.len() <= self.start_count || (!self.has_started && self.start_count > 0);
         is_within_limit && group.tasks.len() <= allowance as usize
     }
 
     fn count_start(&mut self, group: &TaskGroup<'_>) {
-        self.has_started = true;
-        self.start_count = self.start_count.saturating_sub(group.tasks.len());
+        if is_wide_gang(group) {
+            self.has_started_wide_gang = true;
+        } else {
+            self.start_count = self.start_count.saturating_sub(group.tasks.len());
+        }
     }
 
     fn count_visit(&mut self, group: &TaskGroup<'_>, worker_count: usize) {
@@ -89,6 +96,10 @@
     }
 }
 
+fn is_wide_gang(group: &TaskGroup<'_>) -> bool {
+    group.tasks.len() > PASS_START_COUNT
+}
+
 /// Returns the open runs by job and organisation if there are enough for their limit to matter in
 /// this pass.
 fn open_counts(pass: &Pass<'_>) -> RunCounts {
--- a/crates/yuccatack_dispatch/tests/heavy_jobs.rs
+++ b/crates/yuccatack_dispatch/tests/heavy_jobs.rs
@@ -179,3 +179,17 @@
     cluster.submit_for("other", Some("b"), 2, step(3, 1));
     assert_eq!(timed_pass(&mut cluster).len(), 3, "one organisation took all runs");
 }
+
+#[test]
+fn wide_gang_beside_starts() {
+    let mut cluster = TestCluster::new(40);
+    let gang = StepSpec { task_count: 3_000, gang: true, ..tiny() };
+    cluster.submit_for("gang", None, 2, gang);
+    for index in 0..20 {
+        cluster.submit(&format!("other-{index}"), 0, step(1, 1));
+        if timed_pass(&mut cluster).iter().any(|run| run.task.job.as_str() == "gang") {
+            return;
+        }
+    }
+    panic!("the gang waits as long as other work begins in each pass");
+}
