--- a/crates/yuccatack_cli/src/client.rs
+++ b/crates/yuccatack_cli/src/client.rs
@@ -274,7 +274,8 @@
             Err(CliError::Unavailable { address, status, reason })
         }
         StatusCode::NOT_FOUND => {
-            let reason = "the deployment has no evacuations; set `EvacuateMs`".to_owned();
+            let reason =
+                "the deployment has no evacuations; set an evacuation time for it".to_owned();
             Err(CliError::OrderRefused { status, reason })
         }
         error if error.is_client_error() => {
--- a/crates/yuccatack_cli/src/commands/evacuation.rs
+++ b/crates/yuccatack_cli/src/commands/evacuation.rs
@@ -39,7 +39,8 @@
 ) -> Result<ExitStatus, CliError> {
     let client = client_at(required(matches, "control-address")?, matches)?;
     let Some(list) = client.read::<EvacuationList>(PATH).await? else {
-        context.message("error: the deployment has no evacuations; set `EvacuateMs`")?;
+        context
+            .message("error: the deployment has no evacuations; set an evacuation time for it")?;
         return Ok(ExitStatus::Refused);
     };
     if wants_json(matches) {
--- a/crates/yuccatack_dispatch/examples/pass_load.rs
+++ b/crates/yuccatack_dispatch/examples/pass_load.rs
@@ -3,7 +3,7 @@
 //! Usage: `cargo run --release --example pass_load SHAPE COUNT [WORKERS]`. SHAPE says what there are
 //! COUNT of: `steps` of one job, `blocked` steps of one job that fit nowhere, `occurrences` of a
 //! schedule that are all due, `jobs` of one task, `tasks` of one gang, or `mentions` of one step by
-//! another. Each pass is applied to the table, and the started runs are reported.
+//! another. Each pass is applied to the table; the starts are not answered.
 
 #![allow(clippy::print_stdout, clippy::unwrap_used, missing_docs)]
 
@@ -13,31 +13,13 @@
 use std::fs;
 use std::time::Instant;
 
-use support::{TestCluster, run, step};
+use support::{TestCluster, tiny};
 use yuccatack_core::{DurationMs, Resources};
 use yuccatack_dispatch::TableChange;
-use yuccatack_runs::{JobSpec, JobSubmission, Schedule, StepSpec};
+use yuccatack_runs::{Schedule, StepSpec};
 
 const PASS_COUNT: usize = 5;
 
-fn tiny() -> StepSpec {
-    StepSpec { demand: Resources::default(), ..step(1, 0) }
-}
-
-/// Returns a submission with the terms of the test queue.
-fn submission(cluster: &mut TestCluster, steps: Vec<StepSpec>, occurrences: u32) -> JobSubmission {
-    let mut template = TestCluster::new(0);
-    template.now = cluster.now;
-    template.submit("heavy", 1, tiny());
-    let template = template.table.job(&run("heavy", 0, 1).task.job).unwrap().submission.clone();
-    let schedule = (occurrences > 1).then_some(Schedule {
-        first_at_unix_ms: 0,
-        period_ms: DurationMs::new(0),
-        occurrence_count: occurrences,
-    });
-    JobSubmission { spec: JobSpec { steps, schedule, ..template.spec.clone() }, ..template }
-}
-
 fn submit(cluster: &mut TestCluster, shape: &str, count: u32) {
     let too_large = Resources { cores_milli: 1 << 20, ..Resources::default() };
     let blocked = StepSpec { demand: too_large, ..tiny() };
@@ -53,9 +35,12 @@
         }
         other => panic!("unknown shape {other}"),
     };
-    let occurrence_count = if shape == "occurrences" { count } else { 1 };
-    let submission = submission(cluster, steps, occurrence_count);
-    cluster.table.submit(submission);
+    let schedule = (shape == "occurrences").then_some(Schedule {
+        first_at_unix_ms: 0,
+        period_ms: DurationMs::new(0),
+        occurrence_count: count,
+    });
+    cluster.submit_steps("heavy", steps, schedule);
 }
 
 fn peak_memory_mb() -> u64 {
--- a/crates/yuccatack_dispatch/src/job_cache.rs
+++ b/crates/yuccatack_dispatch/src/job_cache.rs
@@ -3,8 +3,8 @@
 use yuccatack_core::FastHashMap;
 use yuccatack_runs::Job;
 
-/// Number of steps for which a pass computes values again. All of them, as long as the unfinished
-/// jobs have no more steps; otherwise the jobs take turns.
+/// Number of steps for which a pass computes values again. The jobs take
+/// turns if all unfinished ones have more steps.
 const REFRESHED_STEP_COUNT: usize = 4_096;
 
 /// One value for each unfinished job, by the order of the job.
--- a/crates/yuccatack_dispatch/src/ready_window.rs
+++ b/crates/yuccatack_dispatch/src/ready_window.rs
@@ -8,7 +8,7 @@
 use yuccatack_runs::{Job, ReadyTasks, ReadyWork, StepPosition};
 
 /// Number of groups that a pass considers, unless that is less than [`MIN_JOB_GROUP_COUNT`] for each
-/// job.
+/// job. A group takes some hundred bytes, and a pass sorts all of them.
 const PASS_GROUP_COUNT: u64 = 32_768;
 
 /// Number of groups that a pass considers of each job at least: one of the first, and one in turn.
--- a/crates/yuccatack_dispatch/src/starts.rs
+++ b/crates/yuccatack_dispatch/src/starts.rs
@@ -31,10 +31,12 @@
 /// bytes in a snapshot and in the memory of each replica.
 const MAX_OPEN_RUN_COUNT: u32 = 65_536;
 
-/// Number of workers and tasks that the searches of one pass may visit.
+/// Number of workers and tasks that the searches of one pass may visit. It keeps the pass well below
+/// the election timeout.
 const PASS_VISIT_COUNT: usize = 1 << 17;
 
-/// Number of searches over all workers that a pass may make, however many workers there are.
+/// Number of searches over all workers that a pass may make, however many workers there are, so that
+/// work begins on large deployments, too.
 const MIN_SEARCH_COUNT: usize = 64;
 
 /// Returns the number of workers and tasks that the searches of one pass may visit.
--- a/crates/yuccatack_dispatch/tests/heavy_jobs.rs
+++ b/crates/yuccatack_dispatch/tests/heavy_jobs.rs
@@ -5,40 +5,22 @@
 
 mod support;
 
-use std::time::{Duration, Instant};
-
-use support::{TestCluster, run, starts, step};
+use support::{TestCluster, run, step, tiny};
 use yuccatack_core::Resources;
 use yuccatack_dispatch::StartResult;
-use yuccatack_runs::{RunId, StepSpec};
-
-/// Shortest election timeout of the control replicas.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
+use yuccatack_runs::{RunOutcome, StepSpec};
 
 const STEP_COUNT: usize = 20_000;
 
-fn tiny() -> StepSpec {
-    StepSpec { demand: Resources::default(), ..step(1, 0) }
-}
-
 /// Step that fits on no worker.
 fn too_large() -> StepSpec {
     StepSpec { demand: Resources { cores_milli: 1 << 20, ..Resources::default() }, ..tiny() }
 }
 
-/// Runs one pass and returns the runs that it starts.
-fn timed_pass(cluster: &mut TestCluster) -> Vec<RunId> {
-    let began_at = Instant::now();
-    let orders = cluster.decide();
-    let elapsed = began_at.elapsed();
-    assert!(elapsed < ELECTION_TIMEOUT, "a pass took {elapsed:?}");
-    starts(&orders)
-}
-
 /// Runs up to `limit_count` passes until one starts a run of `job`.
 fn pass_that_starts(cluster: &mut TestCluster, job: &str, limit_count: usize) -> Option<usize> {
     (0..limit_count).find(|_| {
-        let started = timed_pass(cluster);
+        let started = cluster.timed_pass();
         cluster.advance(50);
         started.iter().any(|run| run.task.job.as_str() == job)
     })
@@ -49,7 +31,7 @@
     let mut cluster = TestCluster::new(3);
     cluster.submit_steps("heavy", vec![tiny(); STEP_COUNT], None);
     cluster.submit("other", 2, step(3, 0));
-    let started = timed_pass(&mut cluster);
+    let started = cluster.timed_pass();
     assert!(started.contains(&run("other", 0, 1)), "the heavy job took all starts of the pass");
     assert!(started.iter().any(|run| run.task.job.as_str() == "heavy"));
 }
@@ -60,7 +42,7 @@
     let after = |index: usize| index.checked_sub(1).map(|earlier| earlier as u32);
     let link = |index| StepSpec { after: after(index).into_iter().collect(), ..tiny() };
     cluster.submit_steps("heavy", (0..STEP_COUNT).map(link).collect(), None);
-    assert_eq!(timed_pass(&mut cluster), [run("heavy", 0, 1)]);
+    assert_eq!(cluster.timed_pass(), [run("heavy", 0, 1)]);
 }
 
 #[test]
@@ -69,10 +51,10 @@
     let first = StepSpec { task_count: 100, ..tiny() };
     let last = StepSpec { task_count: 10_000, after: vec![0; 125_000], ..tiny() };
     cluster.submit_steps("heavy", vec![first, last], None);
-    let first_runs = timed_pass(&mut cluster);
+    let first_runs = cluster.timed_pass();
     assert_eq!(first_runs.len(), 100);
-    first_runs.iter().for_each(|run| cluster.end(run, yuccatack_runs::RunOutcome::Done));
-    assert!(!timed_pass(&mut cluster).is_empty(), "the last step did not begin");
+    first_runs.iter().for_each(|run| cluster.end(run, RunOutcome::Done));
+    assert!(!cluster.timed_pass().is_empty(), "the last step did not begin");
 }
 
 #[test]
@@ -102,10 +84,10 @@
     let mut cluster = TestCluster::new(40);
     let gang = StepSpec { task_count: 20_000, gang: true, ..tiny() };
     cluster.submit_steps("heavy", vec![gang], None);
-    let first = timed_pass(&mut cluster);
+    let first = cluster.timed_pass();
     assert_eq!(cluster.table.open_runs().len(), 20_000, "a gang begins as a whole");
     // The messages of one pass do not hold all starts.
-    let second = timed_pass(&mut cluster);
+    let second = cluster.timed_pass();
     assert_eq!(first.len() + second.len(), 20_000);
 }
 
@@ -114,14 +96,14 @@
     let mut cluster = TestCluster::new(1);
     let many = StepSpec { task_count: 20_000, ..tiny() };
     cluster.submit_steps("heavy", vec![many], None);
-    let started = timed_pass(&mut cluster);
-    assert!(timed_pass(&mut cluster).is_empty(), "began more runs before a start was answered");
+    let started = cluster.timed_pass();
+    assert!(cluster.timed_pass().is_empty(), "began more runs before a start was answered");
     cluster.submit("other", 2, step(1, 0));
-    assert_eq!(timed_pass(&mut cluster), [run("other", 0, 1)]);
+    assert_eq!(cluster.timed_pass(), [run("other", 0, 1)]);
     for run in &started {
         cluster.start_result(run, StartResult::Begun);
     }
-    assert!(!timed_pass(&mut cluster).is_empty(), "the other tasks do not begin");
+    assert!(!cluster.timed_pass().is_empty(), "the other tasks do not begin");
 }
 
 #[test]
@@ -129,13 +111,13 @@
     let mut cluster = TestCluster::new(1_000);
     let gang = StepSpec { task_count: 40, gang: true, rack_local: true, ..step(40, 8) };
     cluster.submit_steps("heavy", vec![gang; 500], None);
-    timed_pass(&mut cluster);
+    cluster.timed_pass();
 }
 
 /// Answers all starts until no further run begins.
 fn fill(cluster: &mut TestCluster) {
     loop {
-        let started = timed_pass(cluster);
+        let started = cluster.timed_pass();
         if started.is_empty() {
             return;
         }
@@ -153,7 +135,7 @@
         fill(&mut cluster);
     }
     cluster.submit_for("other", Some("b"), 2, step(3, 1));
-    assert_eq!(timed_pass(&mut cluster).len(), 3, "tasks that need nothing took all runs");
+    assert_eq!(cluster.timed_pass().len(), 3, "tasks that need nothing took all runs");
 }
 
 #[test]
@@ -165,7 +147,7 @@
     }
     fill(&mut cluster);
     cluster.submit_for("other", Some("b"), 2, step(3, 1));
-    assert_eq!(timed_pass(&mut cluster).len(), 3, "jobs that need nothing took all runs");
+    assert_eq!(cluster.timed_pass().len(), 3, "jobs that need nothing took all runs");
 }
 
 #[test]
@@ -177,7 +159,7 @@
     }
     fill(&mut cluster);
     cluster.submit_for("other", Some("b"), 2, step(3, 1));
-    assert_eq!(timed_pass(&mut cluster).len(), 3, "one organisation took all runs");
+    assert_eq!(cluster.timed_pass().len(), 3, "one organisation took all runs");
 }
 
 #[test]
@@ -187,7 +169,7 @@
     cluster.submit_for("gang", None, 2, gang);
     for index in 0..20 {
         cluster.submit(&format!("other-{index}"), 0, step(1, 1));
-        if timed_pass(&mut cluster).iter().any(|run| run.task.job.as_str() == "gang") {
+        if cluster.timed_pass().iter().any(|run| run.task.job.as_str() == "gang") {
             return;
         }
     }
--- a/crates/yuccatack_dispatch/tests/heavy_schedules.rs
+++ b/crates/yuccatack_dispatch/tests/heavy_schedules.rs
@@ -5,20 +5,11 @@
 
 mod support;
 
-use std::time::{Duration, Instant};
-
-use support::{TestCluster, run, starts, step};
-use yuccatack_core::{DurationMs, Resources};
+use support::{TestCluster, run, step, tiny};
+use yuccatack_core::DurationMs;
 use yuccatack_dispatch::StartResult;
 use yuccatack_runs::{JobTable, RunId, RunOutcome, Schedule, StepSpec};
 
-/// Shortest election timeout of the control replicas.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
-
-fn tiny() -> StepSpec {
-    StepSpec { demand: Resources::default(), ..step(1, 0) }
-}
-
 /// Schedule whose occurrences are all due.
 fn all_due(occurrence_count: u32) -> Option<Schedule> {
     let period_ms = DurationMs::new(0);
@@ -26,12 +17,8 @@
 }
 
 /// Runs one pass, reports its starts and returns the runs.
-fn timed_pass(cluster: &mut TestCluster) -> Vec<RunId> {
-    let began_at = Instant::now();
-    let orders = cluster.decide();
-    let elapsed = began_at.elapsed();
-    assert!(elapsed < ELECTION_TIMEOUT, "a pass took {elapsed:?}");
-    let started = starts(&orders);
+fn answered_pass(cluster: &mut TestCluster) -> Vec<RunId> {
+    let started = cluster.timed_pass();
     started.iter().for_each(|run| cluster.start_result(run, StartResult::Begun));
     cluster.advance(50);
     started
@@ -49,8 +36,8 @@
         cluster.submit_steps(&format!("heavy-{index}"), vec![tiny()], all_due(1_000_000));
     }
     cluster.submit("other", 2, step(1, 0));
-    assert!(timed_pass(&mut cluster).contains(&run("other", 0, 1)));
-    (0..5).for_each(|_| drop(timed_pass(&mut cluster)));
+    assert!(answered_pass(&mut cluster).contains(&run("other", 0, 1)));
+    (0..5).for_each(|_| drop(answered_pass(&mut cluster)));
 }
 
 #[test]
@@ -59,7 +46,7 @@
     cluster.submit_steps("heavy", vec![tiny()], all_due(2_000));
     let mut completed_count = 0;
     for _ in 0..100 {
-        let started = timed_pass(&mut cluster);
+        let started = answered_pass(&mut cluster);
         started.iter().for_each(|run| cluster.end(run, RunOutcome::Done));
         completed_count += started.len();
         assert!(kept_count(&cluster.table) <= started.len());
@@ -79,7 +66,7 @@
     }
     let occurrence_bytes = cluster.table.jobs().next().unwrap().progress_bytes();
     cluster.dispatcher.set_spare_bytes(3 * occurrence_bytes);
-    timed_pass(&mut cluster);
+    answered_pass(&mut cluster);
     let kept_count = kept_count(&cluster.table);
     assert!((1..=4 + 3).contains(&kept_count), "{kept_count} occurrences began");
 }
@@ -91,7 +78,7 @@
     let many = StepSpec { task_count: 999, ..second };
     cluster.submit_steps("heavy", vec![tiny(), many], all_due(1_000));
     for _ in 0..10 {
-        let started = timed_pass(&mut cluster);
+        let started = answered_pass(&mut cluster);
         started.iter().for_each(|run| cluster.end(run, RunOutcome::Done));
     }
     assert_eq!(kept_count(&cluster.table), 20, "20 occurrences have 20,000 tasks");
--- a/crates/yuccatack_dispatch/tests/support/mod.rs
+++ b/crates/yuccatack_dispatch/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, dead_code, missing_docs)]
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use yuccatack_core::{
     DataCentreName, DurationMs, JobName, NodeName, OrganisationName, QueueName, Resources,
@@ -23,6 +24,9 @@
 pub const MAX_LEASE_MS: DurationMs = DurationMs::new(10_000);
 pub const TOKEN: u64 = 7;
 
+/// Shortest election timeout of the control replicas, which no pass may exceed.
+pub const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Leader with its job table and the clock of a test.
 pub struct TestCluster {
     pub dispatcher: Dispatcher,
@@ -71,6 +75,11 @@
     }
 }
 
+/// Step of one task that needs no resources.
+pub fn tiny() -> StepSpec {
+    StepSpec { demand: Resources::default(), ..step(1, 0) }
+}
+
 pub fn run(job: &str, index: u32, number: u32) -> RunId {
     let job = JobName::new(job).unwrap();
     RunId { task: TaskId { job, occurrence: 0, step: 0, index }, number }
@@ -257,6 +266,15 @@
         self.dispatcher.orders(&self.table, now)
     }
 
+    /// Runs a pass, which must end within the election timeout, and returns the runs that it starts.
+    pub fn timed_pass(&mut self) -> Vec<RunId> {
+        let began_at = Instant::now();
+        let orders = self.decide();
+        let elapsed = began_at.elapsed();
+        assert!(elapsed < ELECTION_TIMEOUT, "a pass took {elapsed:?}");
+        starts(&orders)
+    }
+
     /// Reports the start of a run from the worker that the table assigns it to.
     pub fn report_begun(&mut self, run: &RunId) {
         self.start_result(run, StartResult::Begun);
--- a/crates/yuccatack_queue_control/tests/heavy_log.rs
+++ b/crates/yuccatack_queue_control/tests/heavy_log.rs
@@ -5,27 +5,12 @@
 
 mod support;
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 
-use bytes::Bytes;
 use serde_json::{Value, json};
-use support::{STEP_TIMEOUT, configuration, free_address, job};
-use tokio::sync::watch;
+use support::{STEP_TIMEOUT, configuration, free_address, job, start_on_log, write_log};
 use tokio::time::{sleep, timeout};
-use yuccatack_core::DurationMs;
-use yuccatack_dispatch::DispatchSettings;
-use yuccatack_lifecycle::shutdown_channel;
-use yuccatack_queue_client::QueueClient;
 use yuccatack_queue_client::protocol::{Request, Response};
-use yuccatack_queue_control::{ControlConfig, run};
-use yuccatack_replication::{
-    Committed, ProposalClass, ProposalId, ReplicaId, ReplicationConfig, RoleName, encode, start,
-};
-use yuccatack_storage::DiskSettings;
-use yuccatack_telemetry::Metrics;
 
 /// Time in which a leader answers a call while it schedules.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -54,34 +39,6 @@
     ]
 }
 
-/// Writes a log with `commands` as the only replica of a group.
-async fn write_log(folder: &Path, address: SocketAddr, commands: &[Value]) {
-    let replica = ReplicaId::new(1);
-    let config = ReplicationConfig {
-        replica,
-        address,
-        initial_voters: BTreeMap::from([(replica, address)]),
-        heartbeat_ms: 20,
-        election_timeout_ms: 100,
-        snapshot_entry_count: 100,
-        data_folder: folder.to_owned(),
-        disk: DiskSettings::new(support::LARGE_DISK_BYTES),
-    };
-    let (handle, mut committed, _service) = start(config).await.unwrap();
-    let mut status = handle.status();
-    status.wait_for(|status| status.role == RoleName::Leader).await.unwrap();
-    for (number, command) in (1..).zip(commands) {
-        let payload = Bytes::from(encode(command).unwrap());
-        handle.propose(ProposalId::new(number), ProposalClass::Growth, payload);
-    }
-    let mut entry_count = 0;
-    while entry_count < commands.len() {
-        let item = timeout(STEP_TIMEOUT, committed.recv()).await.unwrap().unwrap();
-        entry_count += usize::from(matches!(item, Committed::Entry { .. }));
-    }
-    handle.stop().await;
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_answered() {
     let folder = tempfile::tempdir().unwrap();
@@ -89,19 +46,7 @@
     let address = free_address();
     write_log(&data_folder, address, &heavy_commands()).await;
 
-    let (_sender, seeds) = watch::channel(vec![address]);
-    let (_trigger, shutdown) = shutdown_channel();
-    let client = QueueClient::new(seeds.clone());
-    let config = ControlConfig {
-        address,
-        data_folder,
-        disk: DiskSettings::new(support::LARGE_DISK_BYTES),
-        seeds,
-        first_start: false,
-        tolerated_loss_count: 0,
-        dispatch: DispatchSettings::new(DurationMs::new(3_000), DurationMs::new(200)),
-    };
-    tokio::spawn(run(config, client.clone(), Metrics::new(), shutdown));
+    let client = start_on_log(data_folder, address);
     let call = async || client.call(&Request::Ping, CALL_TIMEOUT).await;
     let started = async { while call().await != Ok(Response::Pong) {} };
     timeout(STEP_TIMEOUT, started).await.expect("no leader answered a call");
--- a/crates/yuccatack_queue_control/tests/support/mod.rs
+++ b/crates/yuccatack_queue_control/tests/support/mod.rs
@@ -5,15 +5,17 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use serde_json::Value;
 use tempfile::TempDir;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, spawn_blocking};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use yuccatack_core::{
     DataCentreName, DurationMs, NodeName, OrganisationName, QueueName, Resources, ServiceName,
     WorkerName,
@@ -26,6 +28,9 @@
 use yuccatack_queues::{
     AccessKey, CallerLimits, Configuration, ConfigurationVersion, Organisation, Queue, Service,
 };
+use yuccatack_replication::{
+    Committed, ProposalClass, ProposalId, ReplicaId, ReplicationConfig, RoleName, encode, start,
+};
 use yuccatack_runs::{JobPhase, JobSpec, StepSpec, WorkerIncarnation};
 use yuccatack_stand_ins::{DiskStandIn, QueueWorkerHandle, QueueWorkerStandIn};
 use yuccatack_storage::DiskSettings;
@@ -256,6 +261,56 @@
     }
 }
 
+/// Writes a log with `commands` as the only replica of a group.
+pub async fn write_log(folder: &Path, address: SocketAddr, commands: &[Value]) {
+    let replica = ReplicaId::new(1);
+    let config = ReplicationConfig {
+        replica,
+        address,
+        initial_voters: BTreeMap::from([(replica, address)]),
+        heartbeat_ms: 20,
+        election_timeout_ms: 100,
+        snapshot_entry_count: 100,
+        data_folder: folder.to_owned(),
+        disk: DiskSettings::new(LARGE_DISK_BYTES),
+    };
+    let (handle, mut committed, _service) = start(config).await.unwrap();
+    let mut status = handle.status();
+    status.wait_for(|status| status.role == RoleName::Leader).await.unwrap();
+    for (number, command) in (1..).zip(commands) {
+        let payload = Bytes::from(encode(command).unwrap());
+        handle.propose(ProposalId::new(number), ProposalClass::Growth, payload);
+    }
+    let mut entry_count = 0;
+    while entry_count < commands.len() {
+        let item = timeout(STEP_TIMEOUT, committed.recv()).await.unwrap().unwrap();
+        entry_count += usize::from(matches!(item, Committed::Entry { .. }));
+    }
+    handle.stop().await;
+}
+
+/// Starts a control replica of this version on a log that [`write_log`] wrote. It runs until the test ends.
+pub fn start_on_log(data_folder: PathBuf, address: SocketAddr) -> QueueClient {
+    let (sender, seeds) = watch::channel(vec![address]);
+    let (trigger, shutdown) = shutdown_channel();
+    let client = QueueClient::new(seeds.clone());
+    let config = ControlConfig {
+        address,
+        data_folder,
+        disk: DiskSettings::new(LARGE_DISK_BYTES),
+        seeds,
+        first_start: false,
+        tolerated_loss_count: 0,
+        dispatch: DispatchSettings::new(DurationMs::new(3_000), DurationMs::new(200)),
+    };
+    let process = run(config, client.clone(), Metrics::new(), shutdown);
+    tokio::spawn(async move {
+        let _kept = (sender, trigger);
+        process.await
+    });
+    client
+}
+
 pub fn target(job: &str) -> CallTarget {
     CallTarget {
         host: Arc::from("host.example"),
--- a/crates/yuccatack_records/src/wire/checks.rs
+++ b/crates/yuccatack_records/src/wire/checks.rs
@@ -117,12 +117,15 @@
     }
 
     /// Returns the value of an identifier from a closed set, and reports an unknown one.
-    pub fn one_of<Value: Copy>(
+    pub fn one_of<Value>(
         &mut self,
         field: &str,
         found: &str,
         known: &[(&str, Value)],
-    ) -> Option<Value> {
+    ) -> Option<Value>
+    where
+        Value: Copy,
+    {
         if let Some((_, value)) = known.iter().find(|(text, _)| *text == found) {
             return Some(*value);
         }
--- a/crates/yuccatack_records/src/wire/document.rs
+++ b/crates/yuccatack_records/src/wire/document.rs
@@ -326,7 +326,10 @@
 }
 
 /// Returns the keys that a wire type deserializes, so that they are declared only once.
-fn known_keys<Wire: DeserializeOwned>() -> &'static [&'static str] {
+fn known_keys<Wire>() -> &'static [&'static str]
+where
+    Wire: DeserializeOwned,
+{
     let mut keys: &'static [&'static str] = &[];
     // `KeyRecorder` always fails after recording the keys.
     let _ = Wire::deserialize(KeyRecorder { keys: &mut keys });
@@ -341,16 +344,22 @@
 impl<'de> Deserializer<'de> for KeyRecorder<'_> {
     type Error = de::value::Error;
 
-    fn deserialize_any<V: Visitor<'de>>(self, _visitor: V) -> Result<V::Value, Self::Error> {
+    fn deserialize_any<V>(self, _visitor: V) -> Result<V::Value, Self::Error>
+    where
+        V: Visitor<'de>,
+    {
         Err(de::Error::custom("the key recorder yields no value"))
     }
 
-    fn deserialize_struct<V: Visitor<'de>>(
+    fn deserialize_struct<V>(
         self,
         _name: &'static str,
         fields: &'static [&'static str],
         visitor: V,
-    ) -> Result<V::Value, Self::Error> {
+    ) -> Result<V::Value, Self::Error>
+    where
+        V: Visitor<'de>,
+    {
         *self.keys = fields;
         self.deserialize_any(visitor)
     }
--- a/crates/yuccatack_replication/examples/measure/throughput.rs
+++ b/crates/yuccatack_replication/examples/measure/throughput.rs
@@ -1,11 +1,11 @@
 //! Committed entries per second and latency from proposal to delivery.
 
-use std::collections::HashMap;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hdrhistogram::Histogram;
+use yuccatack_core::FastHashMap;
 use yuccatack_replication::{Committed, ProposalClass, ProposalId};
 use yuccatack_storage::{DataFolder, Store, StoredEntry};
 
@@ -53,7 +53,7 @@
     let leader = cluster.leader().await;
     let payload = Bytes::from(vec![1; PAYLOAD_BYTES]);
     let node = cluster.nodes.get_mut(&leader).unwrap();
-    let mut proposed_at = HashMap::new();
+    let mut proposed_at = FastHashMap::default();
     let mut next = 0;
     let mut latency = Histogram::<u64>::new(3).unwrap();
     let mut count = 0;
--- a/crates/yuccatack_runs/src/job.rs
+++ b/crates/yuccatack_runs/src/job.rs
@@ -8,7 +8,7 @@
 use crate::identity::RunId;
 use crate::occurrence_set::OccurrenceSet;
 use crate::progress::{Occurrence, TaskProgress, replace_older};
-use crate::ready::{ReadyIndex, StepPosition};
+use crate::ready_index::{ReadyIndex, StepPosition};
 use crate::spec::StepSpec;
 
 /// Phase in the life cycle of a job.
--- a/crates/yuccatack_runs/src/ready.rs
+++ b/crates/yuccatack_runs/src/ready_index.rs
@@ -3,13 +3,12 @@
 //! Jobs may have thousands of steps, and schedules a million occurrences that are all due. The index
 //! lets the scheduler visit those that may begin without visiting the others.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, btree_set};
 
-use crate::job::Job;
 use crate::occurrence_set::OccurrenceSet;
 use crate::progress::{Occurrence, TaskProgress};
-use crate::spec::{JobSpec, MAX_TASK_COUNT, StepSpec};
-use crate::step_graph::{StepGraph, group_count};
+use crate::spec::{JobSpec, StepSpec};
+use crate::step_graph::StepGraph;
 
 /// Step of one occurrence of a job.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -49,7 +48,7 @@
 
 /// Index of the tasks of one step.
 #[derive(Clone, Debug, Default, PartialEq)]
-struct StepIndex {
+pub(crate) struct StepIndex {
     unfinished_predecessor_count: usize,
     done_count: u32,
     open_run_count: u32,
@@ -64,8 +63,18 @@
         self.done_count >= spec.task_count
     }
 
+    /// Returns the tasks that have begun and may begin again.
+    pub fn returned_tasks(&self) -> btree_set::Iter<'_, u32> {
+        self.returned_tasks.iter()
+    }
+
+    /// Returns the index from which on no task has begun.
+    pub fn unbegun_from(&self) -> u32 {
+        self.unbegun_from
+    }
+
     /// Returns the number of groups of the step that may begin.
-    fn ready_group_count(&self, spec: &StepSpec) -> u64 {
+    pub fn ready_group_count(&self, spec: &StepSpec) -> u64 {
         if self.unfinished_predecessor_count > 0 || self.is_done(spec) {
             return 0;
         }
@@ -288,11 +297,35 @@
         });
     }
 
+    /// Returns the occurrences that have at least one run.
+    pub fn begun(&self) -> &OccurrenceSet {
+        &self.begun
+    }
+
+    /// Returns the number of task groups of begun occurrences that may begin.
+    pub fn ready_group_count(&self) -> u64 {
+        self.ready_group_count
+    }
+
+    /// Returns the first begun occurrence at or after `from` with a task that may begin.
+    pub fn next_ready_occurrence(&self, from: u32) -> Option<u32> {
+        self.ready_occurrences.range(from..).next().copied()
+    }
+
+    /// Returns the first step of a begun occurrence at or after `from` with a task that may begin.
+    pub fn next_ready_step(&self, occurrence: u32, from: u32) -> Option<u32> {
+        let occurrence = self.occurrences.get(&occurrence)?;
+        occurrence.ready_steps.range(from..).next().copied()
+    }
+
+    /// Returns the index of a step; `None` if its occurrence has not begun.
+    pub fn step(&self, position: StepPosition) -> Option<&StepIndex> {
+        self.occurrences.get(&position.occurrence)?.steps.get(position.step as usize)
+    }
+
     /// Returns `true` if all predecessors of the step have completed.
     pub fn has_no_predecessor_left(&self, position: StepPosition) -> bool {
-        let occurrence = self.occurrences.get(&position.occurrence);
-        let step = occurrence.and_then(|occurrence| occurrence.steps.get(position.step as usize));
-        step.is_some_and(|step| step.unfinished_predecessor_count == 0)
+        self.step(position).is_some_and(|step| step.unfinished_predecessor_count == 0)
     }
 
     /// Returns `true` if the occurrence has completed and has no open run.
@@ -310,149 +343,7 @@
     }
 
     /// Returns the number of begun occurrences that have not completed.
-    fn unfinished_count(&self) -> u32 {
+    pub fn unfinished_count(&self) -> u32 {
         self.begun.count().saturating_sub(self.completed_count)
     }
 }
-
-/// Task groups of a job that may begin at one moment.
-#[derive(Clone, Copy, Debug)]
-pub struct ReadyWork<'a> {
-    job: &'a Job,
-    /// End of the occurrences that may begin, exclusive.
-    unbegun_end: u32,
-    /// Number of groups of all steps.
-    group_count: u64,
-    /// Number of occurrences that may begin.
-    unbegun_count: u32,
-}
-
-/// Tasks of a step that may begin.
-#[derive(Debug)]
-pub enum ReadyTasks<'a> {
-    /// All tasks together, as a gang.
-    Gang,
-    /// Each task by itself.
-    Single(ReadyTaskIter<'a>),
-}
-
-/// Iterator over the indexes of tasks that may begin.
-#[derive(Debug)]
-pub struct ReadyTaskIter<'a> {
-    returned: Option<std::collections::btree_set::Iter<'a, u32>>,
-    unbegun: std::ops::Range<u32>,
-}
-
-impl Iterator for ReadyTaskIter<'_> {
-    type Item = u32;
-
-    fn next(&mut self) -> Option<u32> {
-        let returned = self.returned.as_mut().and_then(Iterator::next);
-        returned.copied().or_else(|| self.unbegun.next())
-    }
-}
-
-impl<'a> ReadyWork<'a> {
-    /// Returns the work of a job that may begin. Occurrences that are due begin only as long as the
-    /// unfinished ones of the job have no more tasks than a job may have, and not more than
-    /// `max_new_count` beside the first unfinished one.
-    pub fn new(job: &'a Job, unix_ms: u64, max_new_count: u32) -> Self {
-        let index = job.ready_index();
-        let due_count = job.submission.spec.due_count(unix_ms);
-        let unfinished_count = index.unfinished_count();
-        let task_count = index.graph.task_count().max(1);
-        let limit_count = u32::try_from(MAX_TASK_COUNT / task_count).unwrap_or(u32::MAX).max(1);
-        let first_count = u32::from(unfinished_count == 0);
-        let max_count = limit_count
-            .saturating_sub(unfinished_count)
-            .min(max_new_count.saturating_add(first_count));
-        let (mut unbegun_end, mut unbegun_count) = (0, 0);
-        for (start, end) in index.begun.gaps() {
-            let remaining_count = max_count - unbegun_count;
-            let end = end.min(due_count).min(start.saturating_add(remaining_count));
-            if end <= start {
-                break;
-            }
-            unbegun_end = end;
-            unbegun_count += end - start;
-        }
-        let unbegun_group_count = u64::from(unbegun_count) * index.graph.first_group_count();
-        let group_count = index.ready_group_count + unbegun_group_count;
-        Self { job, unbegun_end, group_count, unbegun_count }
-    }
-
-    /// Returns the job.
-    pub fn job(&self) -> &'a Job {
-        self.job
-    }
-
-    /// Returns the number of groups that may begin.
-    pub fn group_count(&self) -> u64 {
-        self.group_count
-    }
-
-    /// Returns the number of occurrences that may begin.
-    pub fn unbegun_count(&self) -> u32 {
-        self.unbegun_count
-    }
-
-    /// Returns the first step at or after a position that has tasks that may begin.
-    pub fn next_step(&self, from: StepPosition) -> Option<StepPosition> {
-        let in_occurrence = self.step_of(from.occurrence, from.step);
-        in_occurrence.or_else(|| {
-            let occurrence = self.next_occurrence(from.occurrence.checked_add(1)?)?;
-            self.step_of(occurrence, 0)
-        })
-    }
-
-    fn step_of(&self, occurrence: u32, from_step: u32) -> Option<StepPosition> {
-        let index = self.job.ready_index();
-        let step = match index.occurrences.get(&occurrence) {
-            Some(occurrence) => occurrence.ready_steps.range(from_step..).next().copied(),
-            None if self.may_begin(occurrence) => {
-                let first_steps = index.graph.first_steps();
-                let position = first_steps.partition_point(|step| *step < from_step);
-                first_steps.get(position).copied()
-            }
-            None => None,
-        };
-        step.map(|step| StepPosition { occurrence, step })
-    }
-
-    fn may_begin(&self, occurrence: u32) -> bool {
-        occurrence < self.unbegun_end && !self.job.ready_index().begun.contains(occurrence)
-    }
-
-    fn next_occurrence(&self, from: u32) -> Option<u32> {
-        let index = self.job.ready_index();
-        let begun = index.ready_occurrences.range(from..).next().copied();
-        let unbegun = index.begun.next_absent(from);
-        let unbegun = (unbegun < self.unbegun_end).then_some(unbegun);
-        begun.into_iter().chain(unbegun).min()
-    }
-
-    /// Returns the number of groups of a step that may begin. `position` must come from
-    /// [`Self::next_step`].
-    pub fn step_group_count(&self, position: StepPosition) -> u64 {
-        let Some(spec) = self.job.step_spec(position.step) else { return 0 };
-        let occurrence = self.job.ready_index().occurrences.get(&position.occurrence);
-        let step = occurrence.and_then(|occurrence| occurrence.steps.get(position.step as usize));
-        step.map_or_else(|| group_count(spec), |step| step.ready_group_count(spec))
-    }
-
-    /// Returns the tasks of a step that may begin. `position` must come from [`Self::next_step`].
-    pub fn tasks(&self, position: StepPosition) -> ReadyTasks<'a> {
-        let job = self.job;
-        let spec = job.step_spec(position.step);
-        if spec.is_some_and(|spec| spec.gang) {
-            return ReadyTasks::Gang;
-        }
-        let task_count = spec.map_or(0, |spec| spec.task_count);
-        let occurrence = job.ready_index().occurrences.get(&position.occurrence);
-        let step = occurrence.and_then(|occurrence| occurrence.steps.get(position.step as usize));
-        ReadyTasks::Single(ReadyTaskIter {
-            returned: step.map(|step| step.returned_tasks.iter()),
-            unbegun: step.map_or(0, |step| step.unbegun_from)..task_count,
-        })
-    }
-}
