--- a/crates/yuccatack_dispatch/tests/heavy_jobs.rs
+++ b/crates/yuccatack_dispatch/tests/heavy_jobs.rs
@@ -69,6 +69,16 @@
     assert!(begins, "the step that fits never began");
 }
 
+#[test]
+fn blocked_steps_beyond_window() {
+    let mut cluster = TestCluster::new(3);
+    let steps = (0..STEP_COUNT).map(|index| if index == 19_500 { tiny() } else { too_large() });
+    cluster.submit_steps("heavy", steps.collect(), None);
+    // With these, more groups are ready than a pass considers.
+    cluster.submit_steps("blocked", vec![too_large(); STEP_COUNT], None);
+    assert!(pass_that_starts(&mut cluster, "heavy", 10).is_some(), "the step was never considered");
+}
+
 #[test]
 fn blocked_steps_of_many_jobs() {
     let mut cluster = TestCluster::new(40);
--- a/crates/yuccatack_dispatch/tests/heavy_schedules.rs
+++ b/crates/yuccatack_dispatch/tests/heavy_schedules.rs
@@ -60,7 +60,8 @@
 #[test]
 fn progress_within_spare_bytes() {
     let mut cluster = TestCluster::new(3);
-    let heavy = vec![StepSpec { task_count: 100, ..tiny() }];
+    // Small enough for the unanswered starts not to bound the occurrences.
+    let heavy = vec![StepSpec { task_count: 10, ..tiny() }];
     for index in 0..4 {
         cluster.submit_steps(&format!("heavy-{index}"), heavy.clone(), all_due(1_000));
     }
